--- /dev/null
+++ b/packages/consensus/src/formations.ts
@@ -0,0 +1,112 @@
+/** How a replica without a group finds one, or forms the first. */
+import { create } from "@bufbuild/protobuf";
+import { newIdentity, sleep } from "@winchpath/core";
+import {
+    EntrySchema,
+    type Member,
+    MemberSchema,
+    MembershipSchema,
+    type ProbeResponse,
+} from "./gen/winchpath/consensus/v1/consensus_pb.js";
+import { type PeerConnector } from "./peers.js";
+import { type ReplicaState } from "./states.js";
+
+const probeTimeoutMs = 500;
+const joinTimeoutMs = 5000;
+const retryMs = 100;
+
+interface Found {
+    readonly url: string;
+    readonly answer: ProbeResponse;
+}
+
+export class Formation {
+    public constructor(
+        private readonly state: ReplicaState,
+        private readonly peers: PeerConnector,
+        /** URLs of all hosts that are to hold the control state, this one's among them where it does. */
+        private readonly seeds: readonly string[],
+    ) {}
+
+    /**
+     * Returns once the replica belongs to a group under its present URL.
+     *
+     * A first group is formed only when every seed answers and none knows of a
+     * group, so that a host with an empty folder can't form a second one while
+     * the others are merely out of reach.
+     */
+    public async establish(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted && !this.isEstablished()) {
+            const found = await this.probeSeeds();
+            const grouped = found.filter(seed => seed.answer.group !== "");
+            if (grouped.length > 0) {
+                await this.joinThrough(grouped);
+            }
+            else if (this.mayForm(found)) {
+                await this.form(found);
+            }
+            if (!this.isEstablished()) {
+                await sleep(retryMs, signal);
+            }
+        }
+    }
+
+    private isEstablished(): boolean {
+        const self = this.state.membership?.members.find(member => member.id === this.state.memberId);
+        return self?.url === this.state.identity.url;
+    }
+
+    private async probeSeeds(): Promise<Found[]> {
+        const probes = this.seeds.map(async url => {
+            try {
+                return [{ url, answer: await this.peers.connect(url).probe(probeTimeoutMs) }];
+            }
+            catch {
+                return [];
+            }
+        });
+        return (await Promise.all(probes)).flat();
+    }
+
+    /** Of the hosts that could form the group, the one with the lowest identity does. */
+    private mayForm(found: readonly Found[]): boolean {
+        const { memberId, store } = this.state;
+        const complete = found.length === this.seeds.length && found.every(seed => seed.answer.hasDisk);
+        const ids = found.map(seed => seed.answer.memberId).sort();
+        return store.durable && this.state.group === "" && complete && ids[0] === memberId;
+    }
+
+    private async form(found: readonly Found[]): Promise<void> {
+        const members = found.map(({ url, answer }) =>
+            create(MemberSchema, { id: answer.memberId, host: answer.host, url, voter: true, wantsVote: true })
+        );
+        const membership = create(MembershipSchema, { group: newIdentity(), members });
+        const entry = create(EntrySchema, {
+            index: 1n,
+            term: 1n,
+            time: BigInt(Date.now()),
+            payload: { case: "membership", value: membership },
+        });
+        const synced = this.state.append([entry]);
+        await Promise.all([synced, this.state.setVote(1n, this.state.memberId)]);
+        this.state.timeline.record("group.formed", { detail: `voters=${members.map(member => member.host).sort()}` });
+    }
+
+    private async joinThrough(found: readonly Found[]): Promise<void> {
+        const urls = found.flatMap(seed => [seed.answer.leaderUrl, seed.url]).filter(url => url !== "");
+        for (const url of new Set(urls)) {
+            try {
+                await this.peers.connect(url).join(this.self(), joinTimeoutMs);
+                return;
+            }
+            catch {
+                // The next one may know the leader.
+            }
+        }
+    }
+
+    private self(): Member {
+        const { memberId, identity, store } = this.state;
+        return create(MemberSchema, { id: memberId, ...identity, voter: false, wantsVote: store.durable });
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/members.ts
@@ -0,0 +1,27 @@
+/** Questions to a membership. */
+import { clone, create } from "@bufbuild/protobuf";
+import { type Member, type Membership, MembershipSchema } from "./gen/winchpath/consensus/v1/consensus_pb.js";
+
+export function votersOf(membership: Membership | undefined): Member[] {
+    return membership?.members.filter(member => member.voter) ?? [];
+}
+
+export function majorityOf(voters: number): number {
+    return Math.floor(voters / 2) + 1;
+}
+
+export function memberOf(membership: Membership | undefined, id: string): Member | undefined {
+    return membership?.members.find(member => member.id === id);
+}
+
+/** The membership with `member` added, or put in the place of the one with its id. */
+export function withMember(membership: Membership, member: Member): Membership {
+    const next = clone(MembershipSchema, membership);
+    next.members = [...next.members.filter(other => other.id !== member.id), member];
+    return next;
+}
+
+export function withoutMember(membership: Membership, id: string): Membership {
+    const members = membership.members.filter(member => member.id !== id);
+    return create(MembershipSchema, { group: membership.group, members });
+}
--- /dev/null
+++ b/packages/consensus/src/memory.ts
@@ -0,0 +1,20 @@
+/** The store of a learner without a data folder. */
+import { create } from "@bufbuild/protobuf";
+import { newIdentity } from "@winchpath/core";
+import { HardStateSchema } from "./gen/winchpath/consensus/v1/consensus_pb.js";
+import { type LogStore, type StoredState } from "./stores.js";
+
+/** Keeps nothing: the replica holds its log in memory, and is a new member at each start. */
+export class MemoryLogStore implements LogStore {
+    public readonly durable = false;
+
+    public async open(): Promise<StoredState> {
+        return { memberId: newIdentity(), hardState: create(HardStateSchema), snapshot: undefined, entries: [] };
+    }
+
+    public async append(): Promise<void> {}
+
+    public async rewrite(): Promise<void> {}
+
+    public async close(): Promise<void> {}
+}
--- /dev/null
+++ b/packages/consensus/src/tests/groups.ts
@@ -0,0 +1,193 @@
+/** A control group in one process, over a network that tests cut. */
+import { create } from "@bufbuild/protobuf";
+import { Failure, FailureCode, sleep } from "@winchpath/core";
+import { Timeline } from "@winchpath/timeline";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { ProbeResponseSchema } from "../gen/winchpath/consensus/v1/consensus_pb.js";
+import {
+    type CommandContext,
+    type ConsensusOptions,
+    FileLogStore,
+    type LogStore,
+    MemoryLogStore,
+    type Peer,
+    type PeerConnector,
+    Replica,
+    type StateMachine,
+} from "../index.js";
+
+/** Keeps every command; the naive version of a replicated state. */
+export class ListMachine implements StateMachine {
+    public commands: string[] = [];
+
+    public apply(command: Uint8Array, _context: CommandContext): Uint8Array {
+        this.commands.push(Buffer.from(command).toString());
+        return Buffer.from(String(this.commands.length));
+    }
+
+    public snapshot(): Uint8Array {
+        return Buffer.from(JSON.stringify(this.commands));
+    }
+
+    public restore(state: Uint8Array): void {
+        this.commands = JSON.parse(Buffer.from(state).toString()) as string[];
+    }
+}
+
+export interface Node {
+    readonly name: string;
+    readonly replica: Replica;
+    readonly machine: ListMachine;
+}
+
+const options: ConsensusOptions = { heartbeatMs: 10, electionMs: 60, snapshotEvery: 40, trailing: 5 };
+
+export class Group {
+    public readonly nodes = new Map<string, Node>();
+    public readonly seeds: string[];
+    /** Links that are cut, "from>to". */
+    private readonly cuts = new Set<string>();
+
+    private constructor(private readonly folder: string, names: readonly string[]) {
+        this.seeds = names.map(name => `mem://${name}`);
+    }
+
+    public static async start(names: readonly string[]): Promise<Group> {
+        const group = new Group(await mkdtemp(join(tmpdir(), "winchpath-group-")), names);
+        await Promise.all(names.map(name => group.startNode(name)));
+        return group;
+    }
+
+    public async startNode(name: string, store?: LogStore): Promise<Node> {
+        const machine = new ListMachine();
+        const url = `mem://${name}`;
+        const replica = await Replica.open({
+            identity: { host: name, url },
+            store: store ?? new FileLogStore(this.folderOf(name)),
+            machine,
+            peers: new CuttablePeers(this, name),
+            seeds: this.seeds,
+            timeline: new Timeline({ process: name, host: name, dataCentre: "d" }),
+            options,
+            onFatal: () => this.crash(name),
+        });
+        const node = { name, replica, machine };
+        this.nodes.set(name, node);
+        replica.start();
+        return node;
+    }
+
+    public startLearner(name: string): Promise<Node> {
+        return this.startNode(name, new MemoryLogStore());
+    }
+
+    public folderOf(name: string): string {
+        return join(this.folder, name);
+    }
+
+    public async crash(name: string): Promise<void> {
+        const node = this.nodes.get(name);
+        this.nodes.delete(name);
+        await node?.replica.stop();
+    }
+
+    public async wipe(name: string): Promise<void> {
+        await rm(this.folderOf(name), { recursive: true, force: true });
+    }
+
+    public cut(from: string, to: string): void {
+        this.cuts.add(`${from}>${to}`);
+    }
+
+    /** Cuts a node off from all others, both ways. */
+    public isolate(name: string): void {
+        this.seeds.map(seed => seed.slice("mem://".length)).filter(other => other !== name).forEach(other => {
+            this.cut(name, other);
+            this.cut(other, name);
+        });
+    }
+
+    public heal(): void {
+        this.cuts.clear();
+    }
+
+    public reach(from: string, to: string): Node {
+        const node = this.nodes.get(to);
+        if (node === undefined || (from !== to && this.cuts.has(`${from}>${to}`))) {
+            throw Failure.of(FailureCode.unreachable, `${from} does not reach ${to}`);
+        }
+        return node;
+    }
+
+    public async propose(name: string, command: string, timeoutMs = 5000): Promise<void> {
+        await this.nodes.get(name)!.replica.propose(Buffer.from(command), timeoutMs);
+    }
+
+    /** Waits until one node leads, and gives it. */
+    public async leader(among?: readonly string[]): Promise<Node> {
+        return this.eventually(
+            "a leader",
+            () =>
+                [...this.nodes.values()].find(node =>
+                    node.replica.leading !== undefined && (among === undefined || among.includes(node.name))
+                ),
+        );
+    }
+
+    /** Waits for `find` to give something, looking again whenever any node's state changes. */
+    public async eventually<T>(what: string, find: () => T | undefined, timeoutMs = 10_000): Promise<T> {
+        const deadline = Date.now() + timeoutMs;
+        for (;;) {
+            const found = find();
+            if (found !== undefined) {
+                return found;
+            }
+            const left = deadline - Date.now();
+            if (left <= 0) {
+                throw Failure.of(FailureCode.timeout, `no ${what} within ${timeoutMs} ms`);
+            }
+            const changes = [...this.nodes.values()].map(node => node.replica.changed.wait(Math.min(left, 50)));
+            await Promise.race([...changes, sleep(Math.min(left, 50))]);
+        }
+    }
+
+    public async stop(): Promise<void> {
+        await Promise.all([...this.nodes.keys()].map(name => this.crash(name)));
+        await rm(this.folder, { recursive: true, force: true });
+    }
+}
+
+/** Calls that fail on a cut link, before the call or on the way back. */
+class CuttablePeers implements PeerConnector {
+    public constructor(private readonly group: Group, private readonly from: string) {}
+
+    public connect(url: string): Peer {
+        const to = url.slice("mem://".length);
+        const call = async <T>(work: (replica: Replica) => Promise<T> | T): Promise<T> => {
+            await new Promise(resolve => setImmediate(resolve));
+            const answer = await work(this.group.reach(this.from, to).replica);
+            this.group.reach(to, this.from);
+            return answer;
+        };
+        return {
+            vote: req => call(replica => replica.follower.vote(req)),
+            append: req => call(replica => replica.follower.append(req)),
+            probe: () =>
+                call(({ state }) =>
+                    create(ProbeResponseSchema, {
+                        memberId: state.memberId,
+                        group: state.group,
+                        leaderUrl: state.leaderUrl,
+                        host: state.identity.host,
+                        hasDisk: state.store.durable,
+                    })
+                ),
+            join: member => call(replica => replica.join(member)),
+            propose: command => call(replica => replica.proposeHere(command)),
+            readIndex: async timeoutMs => ({ index: await call(replica => replica.readIndex(timeoutMs)), term: 0n }),
+            elect: term => call(replica => replica.elect(term)),
+        };
+    }
+}
--- /dev/null
+++ b/packages/rpc/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./clients.js";
+export * from "./interceptors.js";
+export * from "./servers.js";
--- /dev/null
+++ b/packages/rpc/src/interceptors.ts
@@ -0,0 +1,52 @@
+/** What every RPC between processes carries: the shared key and the logical clock. */
+import { Code, ConnectError, type Interceptor } from "@connectrpc/connect";
+import { type Timeline } from "@winchpath/timeline";
+import { createHash, timingSafeEqual } from "node:crypto";
+
+const keyHeader = "authorization";
+const clockHeader = "winchpath-clock";
+
+/** What both sides of an RPC need. */
+export interface RpcOptions {
+    /** Shared key of all the system's processes; undefined only where settings say so. */
+    readonly key: string | undefined;
+    readonly timeline: Timeline;
+}
+
+/** Adds the key and the clock to what is sent, and takes in the clock of what comes back. */
+export function clientInterceptor(options: RpcOptions): Interceptor {
+    return next => async req => {
+        if (options.key !== undefined) {
+            req.header.set(keyHeader, `Bearer ${options.key}`);
+        }
+        req.header.set(clockHeader, String(options.timeline.tick()));
+        const res = await next(req);
+        observe(options.timeline, res.header.get(clockHeader));
+        return res;
+    };
+}
+
+/** Refuses callers without the key, and keeps the clock. */
+export function serverInterceptor(options: RpcOptions): Interceptor {
+    return next => async req => {
+        if (options.key !== undefined && !sameSecret(req.header.get(keyHeader), `Bearer ${options.key}`)) {
+            throw new ConnectError("the shared key is missing or wrong", Code.Unauthenticated);
+        }
+        observe(options.timeline, req.header.get(clockHeader));
+        const res = await next(req);
+        res.header.set(clockHeader, String(options.timeline.tick()));
+        return res;
+    };
+}
+
+/** Compares without telling by its time how much of the secret was right. */
+export function sameSecret(given: string | undefined | null, expected: string): boolean {
+    const digest = (text: string) => createHash("sha256").update(text).digest();
+    return timingSafeEqual(digest(given ?? ""), digest(expected));
+}
+
+function observe(timeline: Timeline, header: string | null): void {
+    if (header !== null && /^\d{1,18}$/.test(header)) {
+        timeline.observe(BigInt(header));
+    }
+}
--- /dev/null
+++ b/packages/rpc/src/servers.ts
@@ -0,0 +1,64 @@
+/** The listener for the system's own processes: Connect over HTTP/2. */
+import { type ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { Failure, FailureCode } from "@winchpath/core";
+import { once } from "node:events";
+import { createServer, type ServerHttp2Session } from "node:http2";
+import { type AddressInfo } from "node:net";
+import { type RpcOptions, serverInterceptor } from "./interceptors.js";
+
+/** Largest message, in bytes: a snapshot of the control state has to fit. */
+const maxMessageBytes = 64 * 1024 * 1024;
+
+/** Where to listen; port 0 takes a free one. */
+export interface ListenAddress {
+    readonly host: string;
+    readonly port: number;
+}
+
+/** A listener that is up. */
+export class RpcServer {
+    private readonly sessions = new Set<ServerHttp2Session>();
+
+    private constructor(private readonly server: ReturnType<typeof createServer>) {
+        server.on("session", session => {
+            this.sessions.add(session);
+            session.once("close", () => this.sessions.delete(session));
+        });
+    }
+
+    /** Starts listening. */
+    public static async listen(
+        address: ListenAddress,
+        routes: (router: ConnectRouter) => void,
+        options: RpcOptions,
+    ): Promise<RpcServer> {
+        const interceptors = [serverInterceptor(options)];
+        const adapter = connectNodeAdapter({ routes, interceptors, readMaxBytes: maxMessageBytes });
+        const server = createServer({}, adapter);
+        const rpcServer = new RpcServer(server);
+        server.listen(address.port, address.host);
+        await once(server, "listening").catch((err: Error) => {
+            throw Failure.of(
+                FailureCode.unreachable,
+                `cannot listen on ${address.host}:${address.port}: ${err.message}`,
+            );
+        });
+        return rpcServer;
+    }
+
+    /** The port that was taken. */
+    public get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Stops listening, lets running calls finish for `graceMs`, then cuts what is left. */
+    public async close(graceMs: number): Promise<void> {
+        const closed = once(this.server, "close");
+        this.server.close();
+        this.sessions.forEach(session => session.close());
+        const timer = setTimeout(() => this.sessions.forEach(session => session.destroy()), graceMs);
+        await closed;
+        clearTimeout(timer);
+    }
+}
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Runs every compiled test file with Node's test runner.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mapfile -t files < <(find packages/*/dist -name "*.test.js" | sort)
+exec node --test --test-concurrency=4 --test-reporter=spec "${files[@]}"
