Serve the whole path: declarations, placement, agents, entries, command line, demo

Change: slices settings, declarations, placement, routing, upstream, requests, operators; the binaries winchpathd and winchpath; stand-ins, a demo of 13 real processes, and a golden file of its session.

--- a/packages/consensus/src/services.ts
+++ b/packages/consensus/src/services.ts
@@ -17,6 +17,7 @@
             term: replica.state.term,
             host: replica.state.identity.host,
             hasDisk: replica.state.store.durable,
+            appliedIndex: replica.state.appliedIndex,
         }),
         join: async req => {
             await answer(replica.join(req.member!));
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,3 +5,4 @@
 export * from "./results.js";
 export * from "./schemas.js";
 export * from "./tasks.js";
+export * from "./units.js";
--- a/packages/core/src/schemas.ts
+++ b/packages/core/src/schemas.ts
@@ -1,5 +1,5 @@
 /** Checks of outside data against typebox schemas, with issues in place of exceptions. */
-import { type Static, type TSchema } from "typebox";
+import { type Static, type StaticDecode, type TSchema } from "typebox";
 import Value from "typebox/value";
 import { Failure, FailureCode, type Issue } from "./errors.js";
 import { Err, Ok, type Result } from "./results.js";
@@ -13,6 +13,15 @@
     return Err(new Failure(issuesOf(schema, filled)));
 }
 
+/** Like {@link safeParse}, and turns written forms (durations, sizes) into what they stand for. */
+export function safeDecode<S extends TSchema>(schema: S, value: unknown): Result<StaticDecode<S>, Failure> {
+    const filled = Value.Default(schema, Value.Clone(value));
+    if (Value.Check(schema, filled)) {
+        return Ok(Value.Decode(schema, filled));
+    }
+    return Err(new Failure(issuesOf(schema, filled)));
+}
+
 /** Like {@link safeParse}, but throws the failure. */
 export function parse<S extends TSchema>(schema: S, value: unknown): Static<S> {
     const result = safeParse(schema, value);
--- /dev/null
+++ b/packages/declarations/src/catalogues.ts
@@ -0,0 +1,112 @@
+/** The declarations in the form that decisions work with: sizes in bytes, adapters beside their models. */
+import { safeDecode } from "@winchpath/core";
+import { type Declarations } from "./machines.js";
+import { AdapterSpec, ModelSpec, type Resource } from "./schemas.js";
+
+/** Something that an engine holds: a model or an adapter at one version. */
+export interface Item {
+    /** "name@version" */
+    readonly id: string;
+    readonly name: string;
+    /** Weights and reserved cache. */
+    readonly bytes: number;
+}
+
+export interface Model extends Item {
+    readonly version: string;
+    readonly priority: number;
+    readonly minReplicas: number;
+    readonly maxReplicas: number;
+    /** Data centres that may hold it; all where undefined. */
+    readonly dataCentres: readonly string[] | undefined;
+    readonly adapters: readonly Item[];
+    /** Version of the resource. */
+    readonly revision: number;
+}
+
+/** What a caller can name. */
+export interface Target {
+    /** The declared name. */
+    readonly name: string;
+    readonly model: Model;
+    /** The adapter, where the name is an adapter's. */
+    readonly adapter: Item | undefined;
+    /** Version of the resource that was named. */
+    readonly revision: number;
+}
+
+/** An immutable view of one revision. */
+export class Catalogue {
+    public readonly models: readonly Model[];
+    public readonly services: ReadonlyMap<string, number>;
+    public readonly drained: ReadonlySet<string>;
+    private readonly targets = new Map<string, Target>();
+
+    public constructor(public readonly revision: number, resources: readonly Resource[]) {
+        const adapters = resources.filter(resource => resource.kind === "Adapter");
+        this.models = resources.filter(resource => resource.kind === "Model").map(resource =>
+            modelOf(resource, adapters)
+        );
+        this.services = new Map(
+            resources.filter(resource => resource.kind === "Service").map(({ name, version }) => [name, version]),
+        );
+        this.drained = new Set(resources.filter(resource => resource.kind === "Drain").map(({ name }) => name));
+        for (const model of this.models) {
+            this.targets.set(model.name, { name: model.name, model, adapter: undefined, revision: model.revision });
+            for (const adapter of model.adapters) {
+                const revision = adapters.find(({ name }) => name === adapter.name)!.version;
+                this.targets.set(adapter.name, { name: adapter.name, model, adapter, revision });
+            }
+        }
+    }
+
+    /** What a caller's model name stands for. */
+    public target(name: string): Target | undefined {
+        return this.targets.get(name);
+    }
+
+    /** All names that callers can use, sorted. */
+    public targetNames(): string[] {
+        return [...this.targets.keys()].sort();
+    }
+}
+
+/** Makes the catalogue anew only after the declarations have changed. */
+export class CatalogueCache {
+    private cached: Catalogue = new Catalogue(0, []);
+
+    public constructor(private readonly declarations: Declarations) {}
+
+    public get current(): Catalogue {
+        if (this.cached.revision !== this.declarations.revision) {
+            this.cached = new Catalogue(this.declarations.revision, this.declarations.list());
+        }
+        return this.cached;
+    }
+}
+
+/** Memory of a model with all its adapters. */
+export function unitBytes(model: Model): number {
+    return model.adapters.reduce((sum, adapter) => sum + adapter.bytes, model.bytes);
+}
+
+function modelOf(resource: Resource, adapters: readonly Resource[]): Model {
+    const spec = safeDecode(ModelSpec, resource.spec).unwrap();
+    return {
+        id: `${resource.name}@${spec.version}`,
+        name: resource.name,
+        version: spec.version,
+        bytes: spec.memory + spec.cache,
+        priority: spec.priority,
+        minReplicas: spec.minReplicas,
+        maxReplicas: Math.max(spec.minReplicas, spec.maxReplicas),
+        dataCentres: spec.dataCentres,
+        adapters: adapters.map(itemOf).filter(item => item.model === resource.name),
+        revision: resource.version,
+    };
+}
+
+function itemOf(resource: Resource): Item & { readonly model: string; } {
+    const spec = safeDecode(AdapterSpec, resource.spec).unwrap();
+    return { id: `${resource.name}@${spec.version}`, name: resource.name, bytes: spec.memory, model: spec.model };
+}
--- /dev/null
+++ b/packages/declarations/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./catalogues.js";
+export * from "./machines.js";
+export * from "./manifests.js";
+export * from "./schemas.js";
--- /dev/null
+++ b/packages/operators/src/index.ts
@@ -0,0 +1,7 @@
+export * from "./changes.js";
+export * from "./gathers.js";
+export * from "./openapi.js";
+export * from "./schemas.js";
+export * from "./servers.js";
+export * from "./statuses.js";
+export * from "./watches.js";
--- /dev/null
+++ b/packages/placement/src/placers.ts
@@ -0,0 +1,154 @@
+/**
+ * The placer: every model resident first, then replicas by priority and demand.
+ * It changes what is there only where the gain is worth a move.
+ */
+import { type Model, unitBytes } from "@winchpath/declarations";
+import { choosePlace } from "./places.js";
+import { RoomMaker } from "./rooms.js";
+import { type AcceleratorView, type Action, type HeldItem, type PlacementView, type Placer } from "./views.js";
+
+/** Share of the homes' capacity that demand may take before another replica is wanted. */
+const targetUse = 0.7;
+
+/** The working copy of a plan: actions change it as if they had been carried out. */
+export class Plan {
+    public readonly actions: Action[] = [];
+    public readonly accelerators: AcceleratorView[];
+
+    public constructor(public readonly view: PlacementView) {
+        this.accelerators = view.accelerators.map(each => ({ ...each, items: new Map(each.items) }));
+    }
+
+    /** Accelerators that stay, and that hold the model or are about to. */
+    public homesOf(model: Model): AcceleratorView[] {
+        return this.accelerators.filter(each => each.stays && isHeld(each.items.get(model.id)));
+    }
+
+    /** Whether the model and all its adapters are ready there. */
+    public isWholeAt(model: Model, home: AcceleratorView): boolean {
+        return [model, ...model.adapters].every(item => home.items.get(item.id)?.ready === true);
+    }
+
+    public load(at: AcceleratorView, item: { id: string; bytes: number; }, reason: string): void {
+        const { upstream, accelerator } = at;
+        this.actions.push({ kind: "load", upstream, accelerator, item: item.id, bytes: item.bytes, reason });
+        at.items.set(item.id, { state: "loading", bytes: item.bytes, ready: false });
+        at.free -= item.bytes;
+    }
+
+    /** Memory is not free before the engine has shown it: `free` stays as it is. */
+    public unload(at: AcceleratorView, id: string, reason: string): void {
+        const held = at.items.get(id)!;
+        const { upstream, accelerator } = at;
+        this.actions.push({ kind: "unload", upstream, accelerator, item: id, bytes: held.bytes, reason });
+        at.items.set(id, { ...held, state: "unloading", ready: false });
+    }
+
+    /** Loads the model with its adapters. */
+    public loadUnit(at: AcceleratorView, model: Model, reason: string): void {
+        [model, ...model.adapters].filter(item => !at.items.has(item.id)).forEach(item => this.load(at, item, reason));
+    }
+}
+
+export class IncrementalPlacer implements Placer {
+    public plan(view: PlacementView): Action[] {
+        const plan = new Plan(view);
+        const rooms = new RoomMaker(plan);
+        const models = inOrderOfNeed(plan, view.catalogue.models);
+        this.unloadUndeclared(plan);
+        models.forEach(model => this.completeAdapters(plan, model));
+        models.filter(model => plan.homesOf(model).length === 0).forEach(model =>
+            this.addHome(plan, rooms, model, "unreachable")
+        );
+        models.forEach(model => this.addReplicas(plan, rooms, model));
+        models.forEach(model => this.retireOldVersions(plan, model));
+        return plan.actions;
+    }
+
+    private addReplicas(plan: Plan, rooms: RoomMaker, model: Model): void {
+        const homes = plan.homesOf(model);
+        if (homes.length === 0) {
+            return;
+        }
+        for (let count = homes.length; count < model.minReplicas; count++) {
+            this.addHome(plan, rooms, model, "below its least replicas");
+        }
+        const gain = gainOfReplica(plan, model);
+        if (plan.homesOf(model).length < model.maxReplicas && gain > plan.view.moveCost) {
+            const place = choosePlace(plan, model, unitBytes(model));
+            if (place !== undefined) {
+                plan.loadUnit(place, model, `demand above capacity by ${gain.toFixed(2)} replicas`);
+            }
+        }
+    }
+
+    private addHome(plan: Plan, rooms: RoomMaker, model: Model, reason: string): void {
+        const place = choosePlace(plan, model, unitBytes(model));
+        if (place !== undefined) {
+            plan.loadUnit(place, model, reason);
+        }
+        else {
+            rooms.makeRoom(model, reason === "unreachable");
+        }
+    }
+
+    private completeAdapters(plan: Plan, model: Model): void {
+        for (const home of plan.homesOf(model)) {
+            const missing = model.adapters.filter(adapter => !home.items.has(adapter.id));
+            for (const adapter of missing.filter(({ bytes }) => home.orderable && bytes <= home.free)) {
+                plan.load(home, adapter, `adapter of ${model.name}`);
+            }
+        }
+    }
+
+    private unloadUndeclared(plan: Plan): void {
+        const names = new Set(plan.view.catalogue.targetNames());
+        for (const at of plan.accelerators.filter(each => each.orderable)) {
+            for (const [id, held] of at.items) {
+                if (held.state === "resident" && !names.has(nameOf(id))) {
+                    plan.unload(at, id, "not declared");
+                }
+            }
+        }
+    }
+
+    /** An earlier version goes only when the declared one is ready in as many homes. */
+    private retireOldVersions(plan: Plan, model: Model): void {
+        const ready = plan.homesOf(model).filter(home => plan.isWholeAt(model, home)).length;
+        for (const item of [model, ...model.adapters]) {
+            const old = plan.accelerators.flatMap(at =>
+                [...at.items].filter(([id, held]) =>
+                    id !== item.id && nameOf(id) === item.name && held.state === "resident"
+                )
+                    .map(([id]) => ({ at, id }))
+            );
+            const wanted = Math.max(1, Math.min(model.minReplicas, old.length));
+            if (ready >= wanted) {
+                old.filter(({ at }) => at.orderable).forEach(({ at, id }) => plan.unload(at, id, "an earlier version"));
+            }
+        }
+    }
+}
+
+/** Replicas' worth of demand beyond what the homes can carry at the target use. */
+export function gainOfReplica(plan: Plan, model: Model): number {
+    const busy = plan.view.demand.get(model.name)?.busy ?? 0;
+    const homes = plan.homesOf(model);
+    const capacity = homes.reduce((sum, home) => sum + home.capacity * home.speed, 0);
+    const each = capacity / Math.max(1, homes.length);
+    return each === 0 ? 0 : busy / (each * targetUse) - homes.length;
+}
+
+export function nameOf(id: string): string {
+    return id.slice(0, id.lastIndexOf("@"));
+}
+
+export function isHeld(item: HeldItem | undefined): boolean {
+    return item !== undefined && item.state !== "unloading";
+}
+
+function inOrderOfNeed(plan: Plan, models: readonly Model[]): Model[] {
+    const busy = (model: Model) => plan.view.demand.get(model.name)?.busy ?? 0;
+    // Large ones first among equals: they are the hardest to fit.
+    return [...models].sort((a, b) => b.priority - a.priority || busy(b) - busy(a) || unitBytes(b) - unitBytes(a));
+}
--- /dev/null
+++ b/packages/routing/src/routers.ts
@@ -0,0 +1,40 @@
+/** Chooses a replica for each request, and learns from what comes of it. */
+import { EjectionBook } from "./ejections.js";
+import { LoadBook } from "./loads.js";
+import { LoadAwarePicker, type PickContext, type Picker } from "./pickers.js";
+import { type RoutedReplica } from "./replicas.js";
+
+/** Requests at a replica, in multiples of its capacity, from which on others wait at the entry. */
+const fullUse = 1;
+
+/** What can be said of where a request could go. */
+export type Route =
+    | { readonly tag: "replica"; readonly replica: RoutedReplica; }
+    /** There are replicas, but all have enough to do. */
+    | { readonly tag: "full"; }
+    /** No replica is ready. */
+    | { readonly tag: "none"; };
+
+export class Router {
+    public readonly loads = new LoadBook();
+    public readonly ejections = new EjectionBook();
+    private readonly picker: Picker;
+
+    public constructor(picker?: Picker) {
+        this.picker = picker ?? new LoadAwarePicker(this.loads);
+    }
+
+    /** Chooses among `replicas`, without those in `tried`. */
+    public route(replicas: readonly RoutedReplica[], tried: ReadonlySet<string>, context: PickContext): Route {
+        const untried = replicas.filter(replica => !tried.has(replica.upstream));
+        if (untried.length === 0) {
+            return { tag: "none" };
+        }
+        const admitted = this.ejections.admitted(untried);
+        const open = admitted.filter(replica => this.loads.estimate(replica) < replica.capacity * fullUse);
+        if (open.length === 0) {
+            return { tag: "full" };
+        }
+        return { tag: "replica", replica: this.picker.pick(open, context) };
+    }
+}
--- a/packages/rpc/src/interceptors.ts
+++ b/packages/rpc/src/interceptors.ts
@@ -21,7 +21,7 @@
         }
         req.header.set(clockHeader, String(options.timeline.tick()));
         const res = await next(req);
-        observe(options.timeline, res.header.get(clockHeader));
+        observe(options.timeline, res.header.get(clockHeader) ?? undefined);
         return res;
     };
 }
@@ -29,10 +29,10 @@
 /** Refuses callers without the key, and keeps the clock. */
 export function serverInterceptor(options: RpcOptions): Interceptor {
     return next => async req => {
-        if (options.key !== undefined && !sameSecret(req.header.get(keyHeader), `Bearer ${options.key}`)) {
+        if (options.key !== undefined && !sameSecret(req.header.get(keyHeader) ?? undefined, `Bearer ${options.key}`)) {
             throw new ConnectError("the shared key is missing or wrong", Code.Unauthenticated);
         }
-        observe(options.timeline, req.header.get(clockHeader));
+        observe(options.timeline, req.header.get(clockHeader) ?? undefined);
         const res = await next(req);
         res.header.set(clockHeader, String(options.timeline.tick()));
         return res;
@@ -40,13 +40,13 @@
 }
 
 /** Compares without telling by its time how much of the secret was right. */
-export function sameSecret(given: string | undefined | null, expected: string): boolean {
+export function sameSecret(given: string | undefined, expected: string): boolean {
     const digest = (text: string) => createHash("sha256").update(text).digest();
     return timingSafeEqual(digest(given ?? ""), digest(expected));
 }
 
-function observe(timeline: Timeline, header: string | null): void {
-    if (header !== null && /^\d{1,18}$/.test(header)) {
+function observe(timeline: Timeline, header: string | undefined): void {
+    if (header !== undefined && /^\d{1,18}$/.test(header)) {
         timeline.observe(BigInt(header));
     }
 }
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./schemas.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/upstream/src/services.ts
@@ -0,0 +1,39 @@
+/** The RPCs of an agent, and those by which control hosts hear of upstreams. */
+import { type ServiceImpl } from "@connectrpc/connect";
+import { type Agent } from "./agents.js";
+import {
+    type AgentService,
+    FenceOutcome,
+    type RegistrarService,
+    type ReportResponse,
+} from "./gen/winchpath/upstream/v1/upstream_pb.js";
+import { type Registrar } from "./registrars.js";
+
+export function agentService(agent: Agent): ServiceImpl<typeof AgentService> {
+    return {
+        run: req => agent.runner.run(req),
+        fence: req => {
+            if (req.incarnation !== agent.incarnation) {
+                return { outcome: FenceOutcome.FORGOTTEN };
+            }
+            return { outcome: agent.runner.table.fence(req.requestId, req.attempt) };
+        },
+        cancel: req => {
+            agent.runner.cancel(req.requestId, req.attempt);
+            return {};
+        },
+        order: async req => ({ outcome: await agent.gate.take(req) }),
+    };
+}
+
+/** What a control host tells an agent besides that it was heard. */
+export type ReportAnswer = (knownRevision: number) => Omit<ReportResponse, "$typeName" | "$unknown">;
+
+export function registrarService(registrar: Registrar, answer: ReportAnswer): ServiceImpl<typeof RegistrarService> {
+    return {
+        report: req => {
+            registrar.take(req);
+            return answer(Number(req.knownRevision));
+        },
+    };
+}
--- /dev/null
+++ b/packages/winchpath/src/index.ts
@@ -0,0 +1,4 @@
+export * from "./clients.js";
+export * from "./contexts.js";
+export * from "./differences.js";
+export * from "./tables.js";
--- /dev/null
+++ b/packages/winchpath/src/main.ts
@@ -0,0 +1,139 @@
+#!/usr/bin/env node
+/** `winchpath`: the operators' command line. */
+import { type Kind, kinds } from "@winchpath/declarations";
+import yargs, { type Argv } from "yargs";
+import { apply, diff, drain } from "./commands/applies.js";
+import { checkSettings, describe, get, status, timeline, timelineFormats, watch } from "./commands/views.js";
+import { type CommonOptions, Context, ExitCode, reportFailure } from "./contexts.js";
+
+const defaultWaitSeconds = 120;
+const kindNames = kinds.flatMap(kind => [kind.toLowerCase(), `${kind.toLowerCase()}s`]);
+
+/** Runs a command, and sets the exit code by how it ends. */
+async function run(work: () => Promise<ExitCode> | ExitCode): Promise<void> {
+    try {
+        process.exitCode = await work();
+    }
+    catch (err) {
+        process.exitCode = reportFailure(err);
+    }
+}
+
+function kindOf(name: string): Kind {
+    return kinds.find(kind => name.replace(/s$/, "") === kind.toLowerCase())!;
+}
+
+function withKind<T>(args: Argv<T>) {
+    return args.positional("kind", { choices: kindNames, demandOption: true, describe: "kind of declaration" });
+}
+
+function withFile<T>(args: Argv<T>) {
+    return args
+        .option("file", { alias: "f", type: "string", demandOption: true, describe: "file or folder, TOML or JSON" })
+        .option("prune", {
+            type: "boolean",
+            default: false,
+            describe: "delete declarations that the files don't have",
+        });
+}
+
+const entriesFromEnvironment = process.env["WINCHPATH_ENTRIES"]?.split(",") ?? ["http://127.0.0.1:9101"];
+
+await yargs(process.argv.slice(2))
+    .scriptName("winchpath")
+    .option("entry", {
+        type: "string",
+        array: true,
+        default: entriesFromEnvironment,
+        describe: "URL of an operators' listener; repeat it for more",
+    })
+    .option("key-file", {
+        type: "string",
+        default: process.env["WINCHPATH_KEY_FILE"],
+        describe: "file with the shared key",
+    })
+    .option("output", { alias: "o", choices: ["table", "json"], default: "table" })
+    .option("operator", {
+        type: "string",
+        default: process.env["WINCHPATH_OPERATOR"],
+        describe: "name that changes are made under",
+    })
+    .command(
+        "apply",
+        "make the declarations what the files say",
+        args =>
+            withFile(args)
+                .option("dry-run", { type: "boolean", default: false, describe: "only show what would change" })
+                .option("wait", { type: "boolean", default: false, describe: "until everything declared is ready" })
+                .option("timeout", { type: "number", default: defaultWaitSeconds, describe: "seconds to wait" })
+                .option("change-id", { type: "string", describe: "of a change that is sent again" }),
+        args => run(() => apply(contextOf(args), { ...args, timeoutSeconds: args.timeout })),
+    )
+    .command(
+        "diff",
+        "show what apply would change",
+        args => withFile(args),
+        args => run(() => diff(contextOf(args), args.file, args.prune)),
+    )
+    .command(
+        "get <kind> [name]",
+        "list declarations",
+        args => withKind(args).positional("name", { type: "string" }),
+        args => run(() => get(contextOf(args), kindOf(args.kind), args.name)),
+    )
+    .command(
+        "describe <kind> <name>",
+        "show a declaration with its status and events",
+        args => withKind(args).positional("name", { type: "string", demandOption: true }),
+        args => run(() => describe(contextOf(args), kindOf(args.kind), args.name)),
+    )
+    .command(
+        "watch",
+        "follow the declarations",
+        args => args.option("from", { type: "number", describe: "revision to go on from" }),
+        args => run(() => watch(contextOf(args), args.from)),
+    )
+    .command("status", "show models, upstreams and hosts", args => args, args => run(() => status(contextOf(args))))
+    .command(
+        "drain <upstream>",
+        "move everything off an upstream",
+        args =>
+            args
+                .positional("upstream", { type: "string", demandOption: true })
+                .option("undo", { type: "boolean", default: false, describe: "let it take work again" })
+                .option("reason", { type: "string", default: "" }),
+        args => run(() => drain(contextOf(args), args.upstream, args.undo, args.reason)),
+    )
+    .command(
+        "timeline",
+        "show the events of all processes in causal order",
+        args =>
+            args
+                .option("request", { type: "string", describe: "only of this request id" })
+                .option("resource", { type: "string", describe: "only of this declaration, or item as name@version" })
+                .option("host", { type: "string", describe: "only of this host" })
+                .option("limit", { type: "string", describe: "newest events of each process" })
+                .option("format", { choices: timelineFormats, default: "text" }),
+        args => {
+            const { request, resource, host, limit, format } = args;
+            return run(() => timeline(contextOf(args), { request, resource, host, limit }, format));
+        },
+    )
+    .command(
+        "check-settings <file>",
+        "check a settings file",
+        args => args.positional("file", { type: "string", demandOption: true }),
+        args => run(() => checkSettings(args.file)),
+    )
+    .completion("completion", "print a completion script for the shell")
+    .demandCommand(1)
+    .strict()
+    .fail((message, err, parser) => {
+        process.stderr.write(`${err === undefined ? "" : String(err)}${message ?? ""}\n${parser.help()}\n`);
+        process.exit(ExitCode.invalid);
+    })
+    .parseAsync();
+
+function contextOf(options: CommonOptions): Context {
+    return new Context(options);
+}
--- /dev/null
+++ b/packages/winchpathd/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./agents.js";
+export * from "./controls.js";
+export * from "./processes.js";
