Prove the promises with real processes: memory, bookings, leaving, configuration, reach

Tests with kills, freezes, lost disks, lost and late orders found these, each red before its mend: - a stop under load ended with exit code 1: an append that came while the log closed wrote to a closed file. Now refused as stopping (new log file test). - an operator's read from a thawed entry gave old versions: reads go through a majority. - the command line waited 15 s for a frozen entry at each call: 3 to 5 s now, and the entry that answered last goes first. - with no other replica ready, a request was sent again and again to the agent that had just been killed, spent the retry budget within 200 ms and failed as unknown (7 of 9 requests in one run). Ruled out: longer leases and more retries, which hide the loss and load the survivors.

--- a/packages/consensus/src/files.ts
+++ b/packages/consensus/src/files.ts
@@ -79,9 +79,10 @@
     }
 
     public async close(): Promise<void> {
+        // First, so that nothing new is written while what was given before is.
+        this.failure ??= Failure.of(FailureCode.stopping, "the log is closed");
         await this.writing;
         await this.file?.close();
-        this.failure ??= Failure.of(FailureCode.stopping, "the log is closed");
     }
 
     private enqueue(bytes: Buffer, replace: boolean): Promise<void> {
--- a/packages/consensus/src/states.ts
+++ b/packages/consensus/src/states.ts
@@ -1,6 +1,6 @@
 /** What all tasks of one replica share. */
 import { create } from "@bufbuild/protobuf";
-import { type Logger, logger, Notifier } from "@winchpath/core";
+import { Failure, FailureCode, type Logger, logger, Notifier } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import {
     type Entry,
@@ -164,7 +164,9 @@
         synced.catch((err: Error) => {
             if (this.fatal === undefined) {
                 this.fatal = err;
-                this.onFatal(err);
+                if (!(err instanceof Failure && err.code === FailureCode.stopping)) {
+                    this.onFatal(err);
+                }
             }
         });
         return synced;
--- a/packages/consensus/src/tests/files.test.ts
+++ b/packages/consensus/src/tests/files.test.ts
@@ -121,6 +121,16 @@
         await store.close();
     });
 
+    it("refuses records that come while it closes, and keeps those that came before", async () => {
+        const store = new FileLogStore(folder);
+        await store.open();
+        const before = store.append([entryRecord(1)]);
+        const closed = store.close();
+        await expect(store.append([entryRecord(2)])).toBeRejectedWith(Failure, /the log is closed/);
+        await Promise.all([before, closed]);
+        expect(await indexesRead()).toEqual([1]);
+    });
+
     it("acknowledges nothing any more after a failed sync", async () => {
         const disk = new FailingDisk();
         const store = new FileLogStore(folder, disk);
--- a/packages/operators/src/servers.ts
+++ b/packages/operators/src/servers.ts
@@ -14,6 +14,7 @@
 import { statusOf, type StatusParts } from "./statuses.js";
 import { watchLines } from "./watches.js";
 
+const readTimeoutMs = 2000;
 const problemType = "application/problem+json";
 
 export interface OperatorOptions extends StatusParts {
@@ -67,12 +68,14 @@
     app.get("/openapi.json", () => openApiDocument());
 }
 
-function addResources(app: App, { declarations }: OperatorOptions): void {
-    app.get("/apis/v1/:kind", { schema: { params: KindPath } }, req => ({
-        revision: declarations.revision,
-        items: declarations.list(kindOf(req.params.kind)),
-    }));
-    app.get("/apis/v1/:kind/:name", { schema: { params: ResourcePath } }, req => {
+/** Reads go through a majority: an operator never builds on what a cut-off host still believes. */
+function addResources(app: App, { declarations, replica }: OperatorOptions): void {
+    app.get("/apis/v1/:kind", { schema: { params: KindPath } }, async req => {
+        await replica.barrier(readTimeoutMs);
+        return { revision: declarations.revision, items: declarations.list(kindOf(req.params.kind)) };
+    });
+    app.get("/apis/v1/:kind/:name", { schema: { params: ResourcePath } }, async req => {
+        await replica.barrier(readTimeoutMs);
         const { kind, name } = req.params;
         const resource = declarations.get(kindOf(kind), name);
         if (resource === undefined) {
--- a/packages/operators/src/statuses.ts
+++ b/packages/operators/src/statuses.ts
@@ -1,8 +1,7 @@
 /** Works the status out from what this host knows, and asks the members how far they are. */
 import { type PeerConnector, type Replica } from "@winchpath/consensus";
-import { formatBytes } from "@winchpath/core";
-import { type Catalogue, type Model, unitBytes } from "@winchpath/declarations";
-import { type AcceleratorView, acceleratorViews, type Ledger } from "@winchpath/placement";
+import { type Catalogue, type Model } from "@winchpath/declarations";
+import { type AcceleratorView, acceleratorViews, type Ledger, placementReason } from "@winchpath/placement";
 import { type LiveUpstream, type Registrar } from "@winchpath/upstream";
 import { type MemberView, type ModelStatus, type Status, type UpstreamStatus } from "./schemas.js";
 
@@ -60,27 +59,10 @@
         loading: held.length - ready.length,
         adapters: model.adapters.length,
         readyAt: ready.map(view => view.upstream),
-        reason: condition === "ready" ? "" : reasonOf(model, views, held.length),
+        reason: condition === "ready" ? "" : placementReason(model, views, held.length).text,
     };
 }
 
-/** Why the model has no more replicas, as far as the accelerators tell. */
-function reasonOf(model: Model, views: readonly AcceleratorView[], held: number): string {
-    const need = unitBytes(model);
-    const allowed = views.filter(view => view.stays && (model.dataCentres?.includes(view.dataCentre) ?? true));
-    if (allowed.length === 0) {
-        return "no live engine in its data centres";
-    }
-    if (!allowed.some(view => view.bytes >= need)) {
-        return `it needs ${formatBytes(need)}, more than any accelerator has`;
-    }
-    const free = Math.max(...allowed.map(view => view.free));
-    if (held === 0 && free < need) {
-        return `it needs ${formatBytes(need)}, and no accelerator has more than ${formatBytes(Math.max(0, free))} free`;
-    }
-    return held > 0 ? "loading" : "waiting for its turn at the weight store";
-}
-
 function upstreamStatus({ report }: LiveUpstream, ledger: Ledger): UpstreamStatus {
     return {
         name: report.upstream,
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./naive.js";
 export * from "./paces.js";
 export * from "./placers.js";
+export * from "./reasons.js";
 export * from "./reconciliations.js";
 export * from "./schemas.js";
 export * from "./services.js";
--- a/packages/placement/src/rooms.ts
+++ b/packages/placement/src/rooms.ts
@@ -1,6 +1,6 @@
 /** Makes room for a model that fits nowhere: by surplus replicas, or by moving one model on. */
 import { type Model, unitBytes } from "@winchpath/declarations";
-import { gainOfReplica, type Plan } from "./placers.js";
+import { gainOfReplica, nameOf, type Plan } from "./placers.js";
 import { candidatesFor, choosePlace } from "./places.js";
 import { type AcceleratorView } from "./views.js";
 
@@ -19,11 +19,30 @@
         if (places.some(each => each.free + bytesUnloading(each) >= need)) {
             return;
         }
-        if (!this.dropSurplus(places, need, model) && unreachable) {
+        if (!this.dropEarlierVersion(places, need, model) && !this.dropSurplus(places, need, model) && unreachable) {
             this.moveOn(places, need);
         }
     }
 
+    /** Unloads an earlier version of the model itself, as long as another replica of that version is ready. */
+    private dropEarlierVersion(places: readonly AcceleratorView[], need: number, model: Model): boolean {
+        const isEarlier = (id: string) => id !== model.id && nameOf(id) === model.name;
+        const readyAt = this.plan.accelerators.filter(each =>
+            [...each.items].some(([id, held]) => held.ready && isEarlier(id))
+        );
+        const place = readyAt.find(each => {
+            const earlier = [...each.items].filter(([id]) => isEarlier(id));
+            const freed = earlier.reduce((sum, [, held]) => sum + held.bytes, 0);
+            return places.includes(each) && each.free + bytesUnloading(each) + freed >= need;
+        });
+        if (readyAt.length < 2 || place === undefined) {
+            return false;
+        }
+        const resident = [...place.items].filter(([id, held]) => isEarlier(id) && held.state === "resident");
+        resident.forEach(([id]) => this.plan.unload(place, id, `room for ${model.id}`));
+        return true;
+    }
+
     /** Unloads replicas that are neither the last nor wanted for demand. */
     private dropSurplus(places: readonly AcceleratorView[], need: number, model: Model): boolean {
         for (const place of places) {
--- a/packages/requests/src/agents.ts
+++ b/packages/requests/src/agents.ts
@@ -1,4 +1,5 @@
 /** How an entry reaches agents. */
+import { messageOf } from "@winchpath/core";
 import { type RpcClients } from "@winchpath/rpc";
 import { AgentService, FenceOutcome, type RunChunk, type RunRequest } from "@winchpath/upstream";
 
@@ -28,7 +29,7 @@
     public connect(url: string): AgentClient {
         const client = this.clients.client(AgentService, url);
         return {
-            run: (req, signal) => client.run(req, { signal }),
+            run: (req, signal) => typedRun(client.run(req, { signal })),
             fence: async (attempt, timeoutMs) => (await client.fence(attempt, { timeoutMs })).outcome,
             cancel: async ({ requestId, attempt }, timeoutMs) => {
                 await client.cancel({ requestId, attempt }, { timeoutMs });
@@ -37,6 +38,24 @@
     }
 }
 
+/** The agent could not be connected to: the request was not sent. */
+export class NotSentError extends Error {}
+
+async function* typedRun(chunks: AsyncIterable<RunChunk>): AsyncGenerator<RunChunk> {
+    try {
+        yield* chunks;
+    }
+    catch (err) {
+        throw wasNeverConnected(err) ? new NotSentError(messageOf(err)) : err;
+    }
+}
+
+/** A refused connection; one that was lost later may have carried the request. */
+function wasNeverConnected(err: unknown): boolean {
+    const cause = err instanceof Error ? err.cause as { code?: string; } | undefined : undefined;
+    return cause?.code === "ECONNREFUSED";
+}
+
 /** Settles with the agent what became of an attempt; undefined where it does not answer in time. */
 export async function fenceAttempt(
     agent: AgentClient,
--- a/packages/requests/src/attempts.ts
+++ b/packages/requests/src/attempts.ts
@@ -3,7 +3,7 @@
 import { messageOf } from "@winchpath/core";
 import { type RoutedReplica, type Router } from "@winchpath/routing";
 import { type Header, Refusal, type RunChunk, RunRequestSchema } from "@winchpath/upstream";
-import { type AgentConnector } from "./agents.js";
+import { type AgentConnector, NotSentError } from "./agents.js";
 import { type AnswerEvent, type Job, timeLeft } from "./jobs.js";
 import { type Progress } from "./progress.js";
 import { type AttemptWatch } from "./watches.js";
@@ -86,6 +86,10 @@
             }
         }
         catch (err) {
+            if (err instanceof NotSentError && !plan.attach) {
+                end.value = { tag: "refused", refusal: Refusal.UNREACHABLE, revision: 0, message: err.message };
+                return;
+            }
             end.value = { tag: "lost", message: lost.aborted ? "the agent's lease has run out" : messageOf(err) };
         }
     }
--- a/packages/requests/src/executions.ts
+++ b/packages/requests/src/executions.ts
@@ -33,7 +33,7 @@
 
 export class Execution {
     public readonly progress = new Progress();
-    private readonly tried = new Set<string>();
+    private readonly tried = new Map<string, bigint>();
     private attempt = 0;
     private mayHaveRun = false;
 
@@ -63,6 +63,15 @@
 
     /** Makes an attempt; where only the way to its answer was lost, goes on with the same one. */
     public async *attemptAndResume(plan: AttemptPlan): AsyncGenerator<AnswerEvent, AttemptEnd> {
+        const startedAt = performance.now();
+        const end = yield* this.attemptWhileHeard(plan);
+        if (end.tag === "whole") {
+            this.parts.queues.of(this.job.resource).noteService(performance.now() - startedAt);
+        }
+        return end;
+    }
+
+    private async *attemptWhileHeard(plan: AttemptPlan): AsyncGenerator<AnswerEvent, AttemptEnd> {
         const { attempts } = this.parts;
         let end = yield* attempts.make(this.job, plan, this.progress);
         for (let resumes = 0; end.tag === "lost" && resumes < maxResumes && !this.isOver(); resumes++) {
@@ -96,13 +105,9 @@
         return neverRan(outcome) ? "never" : hasAnswer(outcome) ? "answer" : "unknown";
     }
 
-    /** A replica that was not tried yet, or any one once all were. */
+    /** A replica that has not failed the request, or was heard since it did. */
     public async admit(): Promise<RoutedReplica> {
         const { job, tried } = this;
-        if (tried.size > 0 && job.replicas().every(replica => tried.has(replica.upstream))) {
-            tried.clear();
-            await sleep(staleRetryMs, job.signal);
-        }
         try {
             return await this.parts.queues.of(job.resource).admit(job, tried);
         }
@@ -134,7 +139,7 @@
             await this.catchUp(end.revision);
             return;
         }
-        this.tried.add(replica.upstream);
+        this.tried.set(replica.upstream, replica.sequence);
         if (!this.parts.budget.spend()) {
             throw this.failure(ProblemCode.overloaded, "no retries are left in the budget", retryAfterMs);
         }
--- a/packages/requests/src/handlers.ts
+++ b/packages/requests/src/handlers.ts
@@ -124,8 +124,6 @@
         this.parts.metrics.count("requests_total", { resource: job.demandOf, outcome });
         this.parts.metrics.histogram("request", { resource: job.demandOf }).record(ms);
         if (outcome === "whole") {
-            const queue = this.queues.of(job.resource);
-            queue.noteService(ms);
             this.handled += 1;
             if (this.handled % sampleEvery === 1) {
                 const detail = `whole after ${ms.toFixed(1)} ms`;
--- a/packages/requests/src/jobs.ts
+++ b/packages/requests/src/jobs.ts
@@ -34,6 +34,8 @@
     bodyFor(item: string): Uint8Array;
     /** Replicas that are ready now. */
     replicas(): RoutedReplica[];
+    /** Why no replica will be ready however long it waits; undefined where one may be. */
+    hopeless(): string | undefined;
     /** Version of the declaration that the entry acts on. */
     revision(): number;
 }
--- a/packages/requests/src/parsers.ts
+++ b/packages/requests/src/parsers.ts
@@ -1,7 +1,7 @@
 /** Makes jobs of callers' HTTP requests. */
 import { create } from "@bufbuild/protobuf";
 import { newIdentity, safeParse } from "@winchpath/core";
-import { type Catalogue, type Target } from "@winchpath/declarations";
+import { type Catalogue, type Model, type Target } from "@winchpath/declarations";
 import { replicasOf, serviceReplicas } from "@winchpath/routing";
 import { type Header, HeaderSchema, type LiveUpstream } from "@winchpath/upstream";
 import { type FastifyRequest } from "fastify";
@@ -35,6 +35,8 @@
     readonly live: () => readonly LiveUpstream[];
     /** Upstreams that are drained, with Date.now() as of when this entry knows. */
     readonly drainedSince: () => ReadonlyMap<string, number>;
+    /** Why a model can't be placed until declarations or hardware change; undefined where it can. */
+    readonly unplaceable: (model: Model) => string | undefined;
     readonly requestMs: number;
     readonly firstTokenMs: number;
 }
@@ -62,6 +64,7 @@
             const current = context.catalogue().target(chat.model);
             return current === undefined ? [] : replicasOf(current, context.live(), context.drainedSince());
         },
+        hopeless: () => context.unplaceable(target.model),
         revision: () => context.catalogue().target(chat.model)?.revision ?? 0,
     };
 }
@@ -72,10 +75,13 @@
     if (!context.catalogue().services.has(name)) {
         throw new RequestFailure(ProblemCode.unknownTarget, "not-run", `no service ${name} is declared`);
     }
+    const common = commonJob(req, signal, context, idempotentMethods.has(req.method));
     const query = req.url.includes("?") ? req.url.slice(req.url.indexOf("?")) : "";
     const body = (req.body as Buffer | undefined) ?? Buffer.alloc(0);
     return {
-        ...commonJob(req, signal, context, idempotentMethods.has(req.method)),
+        ...common,
+        // A service has no target for its first byte.
+        startBy: common.deadline,
         resource: name,
         demandOf: name,
         method: req.method,
@@ -85,6 +91,7 @@
         endsWithMark: () => false,
         bodyFor: () => body,
         replicas: () => serviceReplicas(name, context.live(), context.drainedSince()),
+        hopeless: () => undefined,
         revision: () => context.catalogue().services.get(name) ?? 0,
     };
 }
--- a/packages/requests/src/queues.ts
+++ b/packages/requests/src/queues.ts
@@ -1,6 +1,6 @@
 /** Requests that wait for a replica: bounded, by priority, fair between callers, never past their time. */
 import { Deferred } from "@winchpath/core";
-import { type RoutedReplica, type Router } from "@winchpath/routing";
+import { type RoutedReplica, type Router, type Tried } from "@winchpath/routing";
 import { type Job } from "./jobs.js";
 import { ProblemCode, RequestFailure } from "./problems.js";
 
@@ -8,12 +8,14 @@
 const lookAgainMs = 25;
 /** When to come back to a model that is between homes. */
 const noReplicaRetryMs = 3000;
+/** When to come back to a model that fits nowhere: operators have to act first. */
+const hopelessRetryMs = 60_000;
 /** Weight of the newest service time in the average. */
 const serviceWeight = 0.1;
 
 interface Ticket {
     readonly job: Job;
-    readonly tried: ReadonlySet<string>;
+    readonly tried: Tried;
     readonly admitted: Deferred<RoutedReplica>;
     readonly number: number;
 }
@@ -34,7 +36,7 @@
     }
 
     /** A replica for the job; waits for one within the job's time, and fails with `not-run` as soon as that can't be. */
-    public async admit(job: Job, tried: ReadonlySet<string>): Promise<RoutedReplica> {
+    public async admit(job: Job, tried: Tried): Promise<RoutedReplica> {
         if (this.tickets.length === 0) {
             const route = this.router.route(job.replicas(), tried, job);
             if (route.tag === "replica") {
@@ -62,15 +64,32 @@
         this.meanServiceMs += (ms - this.meanServiceMs) * (this.meanServiceMs === 0 ? 1 : serviceWeight);
     }
 
-    /** Something has changed: lets through whom it can. */
+    /** Something has changed: lets through whom it can, and gives up those whose time is over. */
     public pump(): void {
-        this.dropLate();
         for (const ticket of this.inOrder()) {
-            const route = this.router.route(ticket.job.replicas(), ticket.tried, ticket.job);
+            const { job, tried, admitted } = ticket;
+            const route = this.router.route(job.replicas(), tried, job);
             if (route.tag === "replica") {
-                this.countServed(ticket.job.caller);
+                this.countServed(job.caller);
                 this.remove(ticket);
-                ticket.admitted.resolve(route.replica);
+                admitted.resolve(route.replica);
+            }
+            else if (Date.now() >= job.deadline) {
+                this.fail(
+                    ticket,
+                    new RequestFailure(
+                        ProblemCode.noReplica,
+                        "not-run",
+                        "no replica was ready in time",
+                        noReplicaRetryMs,
+                    ),
+                );
+            }
+            else if (route.tag === "full" && Date.now() >= job.startBy) {
+                this.fail(
+                    ticket,
+                    overloaded("no replica had room in time", this.expectedWaitMs(job) + this.meanServiceMs),
+                );
             }
         }
     }
@@ -84,6 +103,10 @@
 
     /** Gives the final answer at once where waiting would be in vain. */
     private refuseIfHopeless(job: Job): void {
+        const reason = job.hopeless();
+        if (reason !== undefined) {
+            throw new RequestFailure(ProblemCode.noReplica, "not-run", reason, hopelessRetryMs);
+        }
         if (this.tickets.length >= this.limit) {
             throw overloaded(`${this.limit} requests wait already`, this.expectedWaitMs(job));
         }
@@ -104,30 +127,6 @@
         return capacity === 0 ? 0 : ahead * this.meanServiceMs / capacity;
     }
 
-    private dropLate(): void {
-        const now = Date.now();
-        for (const ticket of [...this.tickets]) {
-            const { job } = ticket;
-            if (now >= job.deadline) {
-                this.fail(
-                    ticket,
-                    new RequestFailure(
-                        ProblemCode.noReplica,
-                        "not-run",
-                        "no replica was ready in time",
-                        noReplicaRetryMs,
-                    ),
-                );
-            }
-            else if (now >= job.startBy && job.replicas().length > 0) {
-                this.fail(
-                    ticket,
-                    overloaded("no replica had room in time", this.expectedWaitMs(job) + this.meanServiceMs),
-                );
-            }
-        }
-    }
-
     /** By priority, then the caller that was served least, then age. */
     private inOrder(): Ticket[] {
         const servedOf = (ticket: Ticket) => this.served.get(ticket.job.caller) ?? 0;
--- a/packages/routing/src/routers.ts
+++ b/packages/routing/src/routers.ts
@@ -15,6 +15,9 @@
     /** No replica is ready. */
     | { readonly tag: "none"; };
 
+/** Replicas that failed a request, with the number of the newest report that was known then. */
+export type Tried = ReadonlyMap<string, bigint>;
+
 export class Router {
     public readonly loads = new LoadBook();
     public readonly ejections = new EjectionBook();
@@ -24,9 +27,9 @@
         this.picker = picker ?? new LoadAwarePicker(this.loads);
     }
 
-    /** Chooses among `replicas`, without those in `tried`. */
-    public route(replicas: readonly RoutedReplica[], tried: ReadonlySet<string>, context: PickContext): Route {
-        const untried = replicas.filter(replica => !tried.has(replica.upstream));
+    /** Chooses among `replicas`, without those that failed the request and were not heard since. */
+    public route(replicas: readonly RoutedReplica[], tried: Tried, context: PickContext): Route {
+        const untried = replicas.filter(({ upstream, sequence }) => sequence !== tried.get(upstream));
         if (untried.length === 0) {
             return { tag: "none" };
         }
--- a/packages/testing/src/deployments/deployments.ts
+++ b/packages/testing/src/deployments/deployments.ts
@@ -1,9 +1,13 @@
 /** A small deployment of real processes on loopback: entry hosts, agents, and the stand-ins beside them. */
+import { newIdentity, sleep } from "@winchpath/core";
+import { kinds, parseManifests } from "@winchpath/declarations";
+import { type Status } from "@winchpath/operators";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { differencesOf, OperatorClient } from "winchpath";
 import { type EngineOptions } from "../standins/engines.js";
-import { freePorts } from "./ports.js";
+import { freePorts, ownAddress } from "./ports.js";
 import { Process } from "./processes.js";
 
 export interface EngineSpec {
@@ -43,12 +47,15 @@
     standIn: Process;
 }
 
+const pollMs = 100;
 const key = "a key for tests on loopback only";
 
 export class Deployment {
     public readonly entries: EntryHost[] = [];
     public readonly upstreams: UpstreamHost[] = [];
+    private readonly address = ownAddress();
     private seeds = "";
+    private operatorClient: OperatorClient | undefined;
 
     private constructor(public readonly folder: string, private readonly spec: DeploymentSpec) {}
 
@@ -65,6 +72,66 @@
         return deployment;
     }
 
+    /** The operators' interface, through all entries. */
+    public get client(): OperatorClient {
+        this.operatorClient ??= new OperatorClient({ entries: this.entries.map(entry => entry.operators), key });
+        return this.operatorClient;
+    }
+
+    /** Makes the declarations what the TOML text says, and nothing else. */
+    public async declare(text: string, changeId = newIdentity()): Promise<number> {
+        const manifests = parseManifests(text, "toml").unwrap();
+        const lists = await Promise.all(kinds.map(kind => this.client.list(kind)));
+        const items = differencesOf(manifests, lists.flatMap(list => list.items), true);
+        const result = await this.client.change({ changeId, operator: "awa", items }, false);
+        if (result.tag === "refused") {
+            throw new Error(result.issues.map(issue => issue.message).join("; "));
+        }
+        return result.revision;
+    }
+
+    /** Waits until the status is as asked for; gives it. */
+    public async untilStatus(what: string, holds: (status: Status) => boolean, timeoutMs = 30_000): Promise<Status> {
+        const deadline = Date.now() + timeoutMs;
+        for (;;) {
+            const status = await this.client.status().catch(() => undefined);
+            if (status !== undefined && holds(status)) {
+                return status;
+            }
+            if (Date.now() >= deadline) {
+                throw new Error(`not ${what} within ${timeoutMs} ms: ${JSON.stringify(status)}`);
+            }
+            await sleep(pollMs);
+        }
+    }
+
+    /** Waits until every declared model is ready, and every process has the newest revision. */
+    public untilReady(timeoutMs?: number): Promise<Status> {
+        return this.untilStatus(
+            "ready",
+            status =>
+                status.behind.length === 0 && status.models.every(model => model.condition === "ready")
+                && status.services.every(service => service.upstreams > 0),
+            timeoutMs,
+        );
+    }
+
+    /** Sets faults of the stand-in beside an agent. */
+    public async setFaults(name: string, faults: object): Promise<void> {
+        const body = JSON.stringify(faults);
+        await fetch(`${this.upstream(name).url}/stand-in/faults`, {
+            method: "POST",
+            body,
+            headers: { "content-type": "application/json" },
+        });
+    }
+
+    /** The entry that leads the control group. */
+    public async leader(): Promise<EntryHost> {
+        const status = await this.untilStatus("led", ({ leader }) => leader !== "");
+        return this.entry(status.leader);
+    }
+
     /** Environment for the command line. */
     public get environment(): Record<string, string> {
         return {
@@ -87,6 +154,14 @@
         entry.process = await Process.daemon(entry.settings, entry.name).untilReady();
     }
 
+    /** Starts the stand-in beside an agent again, on the same port. */
+    public async restartStandIn(upstream: UpstreamHost): Promise<void> {
+        const spec = this.spec.engines.find(engine => engine.name === upstream.name);
+        const port = Number(new URL(upstream.url).port);
+        const kind = spec === undefined ? "service" : "engine";
+        upstream.standIn = await this.standIn(kind, port, spec?.options ?? {}).untilReady();
+    }
+
     public async restartAgent(upstream: UpstreamHost): Promise<void> {
         upstream.agent = await Process.daemon(upstream.settings, upstream.name).untilReady();
     }
@@ -114,7 +189,10 @@
     private async startAll(): Promise<void> {
         await writeFile(join(this.folder, "key"), key);
         const { dataCentres, engines, services } = this.spec;
-        const entryPorts = await freePorts(dataCentres.length * 3 + (engines.length + services.length) * 2);
+        const entryPorts = await freePorts(
+            this.address,
+            dataCentres.length * 3 + (engines.length + services.length) * 2,
+        );
         const take = () => entryPorts.pop()!;
         const entries = dataCentres.map(dataCentre => ({
             dataCentre,
@@ -122,7 +200,7 @@
             callers: take(),
             operators: take(),
         }));
-        this.seeds = JSON.stringify(entries.map(({ peers }) => `http://127.0.0.1:${peers}`));
+        this.seeds = JSON.stringify(entries.map(({ peers }) => `http://${this.address}:${peers}`));
         for (const { dataCentre, peers, callers, operators } of entries) {
             const name = `entry-${dataCentre}`;
             const settings = await this.writeSettings(name, [
@@ -131,15 +209,15 @@
                 `dataCentre = "${dataCentre}"`,
                 `dataFolder = "${name}"`,
                 `[listen]`,
-                `peers = "127.0.0.1:${peers}"`,
-                `callers = "127.0.0.1:${callers}"`,
-                `operators = "127.0.0.1:${operators}"`,
+                `peers = "${this.address}:${peers}"`,
+                `callers = "${this.address}:${callers}"`,
+                `operators = "${this.address}:${operators}"`,
                 this.spec.entrySettings ?? "",
             ]);
             this.entries.push({
                 name,
-                callers: `http://127.0.0.1:${callers}`,
-                operators: `http://127.0.0.1:${operators}`,
+                callers: `http://${this.address}:${callers}`,
+                operators: `http://${this.address}:${operators}`,
                 settings,
                 process: Process.daemon(settings, name),
             });
@@ -154,7 +232,7 @@
 
     private async startEngine(spec: EngineSpec, port: number, agentPort: number): Promise<UpstreamHost> {
         const { name, dataCentre, memory, options = {} } = spec;
-        return this.startUpstream(name, dataCentre, port, agentPort, Process.standIn("engine", port, options), [
+        return this.startUpstream(name, dataCentre, port, agentPort, this.standIn("engine", port, options), [
             `kind = "engine"`,
             `concurrency = ${options.capacity ?? 8}`,
             `checksFence = ${options.checksFence ?? true}`,
@@ -165,7 +243,7 @@
 
     private async startService(spec: ServiceSpec, port: number, agentPort: number): Promise<UpstreamHost> {
         const { name, dataCentre, service } = spec;
-        const standIn = Process.standIn("service", port, {});
+        const standIn = this.standIn("service", port, {});
         return this.startUpstream(name, dataCentre, port, agentPort, standIn, [
             `kind = "service"`,
             `service = "${service}"`,
@@ -180,13 +258,13 @@
         standIn: Process,
         lines: readonly string[],
     ): Promise<UpstreamHost> {
-        const url = `http://127.0.0.1:${port}`;
+        const url = `http://${this.address}:${port}`;
         const settings = await this.writeSettings(name, [
             `role = "agent"`,
             `host = "${name}"`,
             `dataCentre = "${dataCentre}"`,
             `[listen]`,
-            `peers = "127.0.0.1:${agentPort}"`,
+            `peers = "${this.address}:${agentPort}"`,
             `[upstream]`,
             `name = "${name}"`,
             `url = "${url}"`,
@@ -197,6 +275,10 @@
         return { name, url, settings, agent, standIn };
     }
 
+    private standIn(kind: string, port: number, options: object): Process {
+        return Process.standIn(kind, this.address, port, options);
+    }
+
     private async writeSettings(name: string, lines: readonly string[]): Promise<string> {
         const path = join(this.folder, `${name}.toml`);
         const common = [`[control]`, `seeds = ${this.seeds}`, `[security]`, `keyFile = "key"`];
--- a/packages/testing/src/deployments/processes.ts
+++ b/packages/testing/src/deployments/processes.ts
@@ -34,8 +34,8 @@
         return new Process(spawn(process.execPath, [daemon, "--settings", settings], options), name);
     }
 
-    public static standIn(kind: string, port: number, settings: object): Process {
-        const args = [standIn, kind, String(port), JSON.stringify(settings)];
+    public static standIn(kind: string, address: string, port: number, settings: object): Process {
+        const args = [standIn, kind, address, String(port), JSON.stringify(settings)];
         return new Process(spawn(process.execPath, args, options), `${kind}:${port}`);
     }
 
--- a/packages/testing/src/standins/engines.ts
+++ b/packages/testing/src/standins/engines.ts
@@ -94,8 +94,8 @@
         this.app.post("/stand-in/faults", req => Object.assign(this.faults, req.body));
     }
 
-    public async listen(port: number): Promise<string> {
-        return this.app.listen({ host: "127.0.0.1", port });
+    public async listen(port: number, host = "127.0.0.1"): Promise<string> {
+        return this.app.listen({ host, port });
     }
 
     public async close(): Promise<void> {
--- a/packages/testing/src/standins/main.ts
+++ b/packages/testing/src/standins/main.ts
@@ -1,9 +1,9 @@
-/** Runs one stand-in as a process: `main.js KIND PORT [OPTIONS as JSON]`. */
+/** Runs one stand-in as a process: `main.js KIND ADDRESS PORT [OPTIONS as JSON]`. */
 import { defaultEngineOptions, StandInEngine } from "./engines.js";
 import { StandInService } from "./services.js";
 import { StandInStore, type StoreOptions } from "./stores.js";
 
-const [kind, port, json = "{}"] = process.argv.slice(2);
+const [kind, address, port, json = "{}"] = process.argv.slice(2);
 const options = JSON.parse(json) as object;
 
 const standIn = kind === "engine"
@@ -12,6 +12,6 @@
     ? new StandInService()
     : new StandInStore(options as StoreOptions);
 
-const url = await standIn.listen(Number(port));
+const url = await standIn.listen(Number(port), address);
 process.stdout.write(`${kind} stand-in is ready: ${url}\n`);
 process.on("SIGTERM", () => process.exit(0));
--- a/packages/testing/src/standins/services.ts
+++ b/packages/testing/src/standins/services.ts
@@ -30,8 +30,8 @@
         this.app.get("/stand-in/facts", () => this.facts);
     }
 
-    public async listen(port: number): Promise<string> {
-        return this.app.listen({ host: "127.0.0.1", port });
+    public async listen(port: number, host = "127.0.0.1"): Promise<string> {
+        return this.app.listen({ host, port });
     }
 
     public async close(): Promise<void> {
--- a/packages/testing/src/standins/stores.ts
+++ b/packages/testing/src/standins/stores.ts
@@ -34,8 +34,8 @@
         this.app.get("/stand-in/facts", () => this.facts);
     }
 
-    public async listen(port: number): Promise<string> {
-        return this.app.listen({ host: "127.0.0.1", port });
+    public async listen(port: number, host = "127.0.0.1"): Promise<string> {
+        return this.app.listen({ host, port });
     }
 
     public async close(): Promise<void> {
--- a/packages/winchpath/src/clients.ts
+++ b/packages/winchpath/src/clients.ts
@@ -4,7 +4,11 @@
 import { type ResourceList, type Status, type WatchLine } from "@winchpath/operators";
 import { request } from "undici";
 
-const requestTimeoutMs = 15_000;
+/** What takes longer is asked of the next entry; a change may be, since it carries its id. */
+const readTimeoutMs = 3000;
+const changeTimeoutMs = 5000;
+/** The watch sends an empty line more often than this. */
+const watchTimeoutMs = 15_000;
 const rounds = 3;
 const pauseMs = 300;
 const unavailableStatus = 503;
@@ -22,6 +26,8 @@
 }
 
 export class OperatorClient {
+    private preferred: string | undefined;
+
     public constructor(private readonly options: ClientOptions) {}
 
     public list(kind: Kind): Promise<ResourceList> {
@@ -81,7 +87,7 @@
         const query = from === undefined ? "" : `?from=${from}`;
         const { statusCode, body } = await request(`${entry}/apis/v1/watch${query}`, {
             headers: this.headers(),
-            bodyTimeout: requestTimeoutMs,
+            bodyTimeout: watchTimeoutMs,
         });
         if (statusCode !== okStatus) {
             throw Failure.of(FailureCode.unreachable, await body.text());
@@ -107,10 +113,11 @@
     private async send(method: "GET" | "POST", path: string, body?: unknown): Promise<Answer> {
         let last = "no entries are given";
         for (let round = 0; round < rounds; round++) {
-            for (const entry of this.options.entries) {
+            for (const entry of this.inOrder()) {
                 try {
                     const answer = await this.sendOne(entry, method, path, body);
                     if (answer.status !== unavailableStatus) {
+                        this.preferred = entry;
                         return answer;
                     }
                     last = `${entry}: ${answer.text}`;
@@ -124,12 +131,19 @@
         throw Failure.of(FailureCode.unreachable, last);
     }
 
+    /** The entry that answered last comes first. */
+    private inOrder(): string[] {
+        const { entries } = this.options;
+        const first = entries.filter(entry => entry === this.preferred);
+        return [...first, ...entries.filter(entry => entry !== this.preferred)];
+    }
+
     private async sendOne(entry: string, method: "GET" | "POST", path: string, body: unknown): Promise<Answer> {
         const res = await request(entry + path, {
             method,
             headers: this.headers(),
             body: body === undefined ? undefined : JSON.stringify(body),
-            signal: AbortSignal.timeout(requestTimeoutMs),
+            signal: AbortSignal.timeout(method === "GET" ? readTimeoutMs : changeTimeoutMs),
         });
         return { status: res.statusCode, text: await res.body.text() };
     }
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -12,15 +12,17 @@
     RpcPeerConnector,
 } from "@winchpath/consensus";
 import { logger, Metrics, sleep } from "@winchpath/core";
-import { CatalogueCache, Declarations } from "@winchpath/declarations";
+import { CatalogueCache, Declarations, type Model } from "@winchpath/declarations";
 import { operatorServer } from "@winchpath/operators";
 import {
+    acceleratorViews,
     DemandBook,
     IncrementalPlacer,
     Ledger,
     type LedgerResult,
     ModelDemandSchema,
     PlacementController,
+    placementReason,
     PlacementService,
     placementService,
     RpcOrderSender,
@@ -206,6 +208,7 @@
                 catalogue: () => this.catalogues.current,
                 live: () => this.registrar.live(),
                 drainedSince: () => this.drains.current(),
+                unplaceable: model => this.unplaceable(model),
                 requestMs: cfg.limits.request,
                 firstTokenMs: cfg.limits.firstToken,
                 bodyBytes: cfg.limits.body,
@@ -266,6 +269,13 @@
         }
     }
 
+    private unplaceable(model: Model): string | undefined {
+        const { current } = this.catalogues;
+        const views = acceleratorViews(this.ledger, this.registrar.live(), current.drained, () => true);
+        const reason = placementReason(model, views, 0);
+        return reason.lasting ? reason.text : undefined;
+    }
+
     private unready(): string {
         const { state } = this.replica;
         if (!this.ready) {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mapfile -t files < <(find packages/*/dist -name "*.test.js" | sort)
-exec node --test --test-concurrency=4 --test-reporter=spec "${files[@]}"
+exec node --test --test-concurrency=4 --test-force-exit --test-timeout=180000 --test-reporter=spec "${files[@]}"
