--- a/packages/consensus/src/tests/groups.ts
+++ b/packages/consensus/src/tests/groups.ts
@@ -2,7 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import { Failure, FailureCode, sleep } from "@winchpath/core";
 import { Timeline } from "@winchpath/timeline";
-import { mkdtemp, rm } from "node:fs/promises";
+import { type FileHandle, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { ProbeResponseSchema } from "../gen/winchpath/consensus/v1/consensus_pb.js";
@@ -16,6 +16,7 @@
     type PeerConnector,
     Replica,
     type StateMachine,
+    SystemDisk,
 } from "../index.js";
 
 /** Keeps every command; the naive version of a replicated state. */
@@ -36,8 +37,31 @@
     }
 }
 
+/** A disk that loses at a crash what was written and not synced. */
+class LosingDisk extends SystemDisk {
+    private lost = false;
+    private unsynced: Buffer[] = [];
+
+    public override async write(_file: FileHandle, bytes: Buffer): Promise<void> {
+        this.unsynced.push(bytes);
+    }
+
+    public override async sync(file: FileHandle): Promise<void> {
+        const bytes = Buffer.concat(this.unsynced.splice(0));
+        if (this.lost) {
+            throw Failure.of(FailureCode.storage, "the host has crashed");
+        }
+        await super.write(file, bytes);
+    }
+
+    public crash(): void {
+        this.lost = true;
+    }
+}
+
 export interface Node {
     readonly name: string;
+    readonly disk: LosingDisk;
     readonly replica: Replica;
     readonly machine: ListMachine;
 }
@@ -63,9 +87,10 @@
     public async startNode(name: string, store?: LogStore): Promise<Node> {
         const machine = new ListMachine();
         const url = `mem://${name}`;
+        const disk = new LosingDisk();
         const replica = await Replica.open({
             identity: { host: name, url },
-            store: store ?? new FileLogStore(this.folderOf(name)),
+            store: store ?? new FileLogStore(this.folderOf(name), disk),
             machine,
             peers: new CuttablePeers(this, name),
             seeds: this.seeds,
@@ -73,7 +98,7 @@
             options,
             onFatal: () => this.crash(name),
         });
-        const node = { name, replica, machine };
+        const node = { name, disk, replica, machine };
         this.nodes.set(name, node);
         replica.start();
         return node;
@@ -90,6 +115,7 @@
     public async crash(name: string): Promise<void> {
         const node = this.nodes.get(name);
         this.nodes.delete(name);
+        node?.disk.crash();
         await node?.replica.stop();
     }
 
--- a/packages/core/src/tasks.ts
+++ b/packages/core/src/tasks.ts
@@ -1,5 +1,4 @@
 /** Small tools for tasks that wait: for time, for an event, for one another. */
-import { setTimeout as delay } from "node:timers/promises";
 import { Failure, FailureCode } from "./errors.js";
 
 /** A promise that is settled from outside. */
@@ -53,7 +52,16 @@
 
 /** Waits; returns early, without an error, when the signal is aborted. */
 export async function sleep(ms: number, signal?: AbortSignal): Promise<void> {
-    await delay(ms, undefined, { signal }).catch(() => undefined);
+    if (signal?.aborted) {
+        return;
+    }
+    const done = new Deferred<void>();
+    const wake = () => done.resolve();
+    const timer = setTimeout(wake, ms);
+    signal?.addEventListener("abort", wake, { once: true });
+    await done.promise;
+    clearTimeout(timer);
+    signal?.removeEventListener("abort", wake);
 }
 
 /** Settles as the promise does, or fails with `timeout` after `ms`. */
--- a/packages/requests/src/attempts.ts
+++ b/packages/requests/src/attempts.ts
@@ -10,8 +10,6 @@
 
 const cancelTimeoutMs = 1000;
 const endMark = Buffer.from("data: [DONE]");
-/** Bytes at the end of a stream in which the end mark has to stand. */
-const tailBytes = 64;
 
 /** How an attempt ended. */
 export type AttemptEnd =
@@ -69,11 +67,13 @@
         lost: AbortSignal,
         end: { value: AttemptEnd; },
     ): AsyncGenerator<AnswerEvent> {
-        const deadline = AbortSignal.timeout(timeLeft(job));
-        const signal = AbortSignal.any([lost, job.signal, deadline]);
+        const cut = new AbortController();
+        const abort = () => cut.abort();
+        const timer = setTimeout(abort, timeLeft(job));
+        [lost, job.signal].forEach(signal => signal.addEventListener("abort", abort, { once: true }));
         const reader = new AnswerReader(job, progress, plan.resume);
         try {
-            const chunks = this.agents.connect(plan.replica.url).run(this.request(job, plan, progress), signal);
+            const chunks = this.agents.connect(plan.replica.url).run(this.request(job, plan, progress), cut.signal);
             for await (const chunk of chunks) {
                 const event = reader.take(chunk);
                 if (event !== undefined) {
@@ -92,6 +92,10 @@
             }
             end.value = { tag: "lost", message: lost.aborted ? "the agent's lease has run out" : messageOf(err) };
         }
+        finally {
+            clearTimeout(timer);
+            [lost, job.signal].forEach(signal => signal.removeEventListener("abort", abort));
+        }
     }
 
     private request(job: Job, plan: AttemptPlan, progress: Progress) {
@@ -140,13 +144,12 @@
     public end: AttemptEnd | undefined;
     private readonly replay;
     private needsMark = false;
-    private tail: Buffer = Buffer.alloc(0);
     private received = 0;
 
     public constructor(
         private readonly job: Job,
         private readonly progress: Progress,
-        private readonly resume: boolean,
+        resume: boolean,
     ) {
         this.replay = resume ? undefined : progress.replay();
         this.received = resume ? progress.bytes : 0;
@@ -189,7 +192,6 @@
 
     private takeBody(bytes: Uint8Array): AnswerEvent | undefined {
         this.received += bytes.length;
-        this.tail = Buffer.concat([this.tail, bytes.subarray(-tailBytes)]).subarray(-tailBytes);
         const fresh = this.replay === undefined ? bytes : this.replay.pass(bytes);
         if (fresh === undefined) {
             this.end = { tag: "different" };
@@ -203,8 +205,7 @@
         if (bodyBytes !== this.received || this.replay?.done === false) {
             return { tag: "broken", message: `${this.received} of ${bodyBytes} bytes came`, timedOut: false };
         }
-        // A resumed answer may have had its mark in the part that came before.
-        if (this.needsMark && !this.resume && !this.tail.includes(endMark)) {
+        if (this.needsMark && !this.progress.endsWith(endMark)) {
             return { tag: "broken", message: "the stream ended without its end mark", timedOut: false };
         }
         return { tag: "whole" };
--- a/packages/requests/src/progress.ts
+++ b/packages/requests/src/progress.ts
@@ -1,8 +1,12 @@
 /** How far the caller has got the answer, so that another attempt can go on from there. */
 import { createHash, type Hash } from "node:crypto";
 
+/** Bytes at the end of an answer in which its end mark has to stand. */
+const tailBytes = 64;
+
 export class Progress {
     public headSent = false;
+    private tail: Buffer = Buffer.alloc(0);
     private sentBytes = 0;
     private readonly sent: Hash = createHash("sha256");
 
@@ -14,6 +18,12 @@
     public add(bytes: Uint8Array): void {
         this.sentBytes += bytes.length;
         this.sent.update(bytes);
+        this.tail = Buffer.concat([this.tail, bytes.subarray(-tailBytes)]).subarray(-tailBytes);
+    }
+
+    /** Whether the caller's answer ends with `mark`, give or take white space. */
+    public endsWith(mark: Buffer): boolean {
+        return this.tail.includes(mark);
     }
 
     /** Checks that a second answer begins as the first did, and leaves out what the caller has already. */
--- /dev/null
+++ b/packages/requests/src/tests/claims.test.ts
@@ -0,0 +1,93 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import { type ClaimCommand, type ClaimResult, Claims } from "../index.js";
+
+const seed = 20261202;
+const windowMs = 100;
+const place = { upstream: "u", url: "http://u", incarnation: "i" };
+
+function claim(key: string, holder: string, fingerprint = "f"): ClaimCommand {
+    return { op: "claim", key, requestId: `r-${holder}`, fingerprint, holder, windowMs, ...place };
+}
+
+describe("Claims", () => {
+    it("give the key to the first, and its claim to the others", () => {
+        const claims = new Claims();
+        expect(claims.apply(claim("k", "a"), { time: 1 }).tag).toEqual("mine");
+        const second = claims.apply(claim("k", "b"), { time: 2 });
+        expect(second.tag === "held" && second.claim.requestId).toEqual("r-a");
+    });
+
+    it("answer a command that comes twice as the first time", () => {
+        const claims = new Claims();
+        const first = claims.apply(claim("k", "a"), { time: 1 });
+        expect(claims.apply(claim("k", "a"), { time: 2 })).toEqual(first);
+        const reassign: ClaimCommand = { op: "reassign", key: "k", fromAttempt: 1, holder: "b.2", ...place };
+        const passed = claims.apply(reassign, { time: 3 });
+        expect(passed.tag === "mine" && passed.claim.attempt).toEqual(2);
+        expect(claims.apply(reassign, { time: 4 })).toEqual(passed);
+    });
+
+    it("give the next attempt to one only", () => {
+        const claims = new Claims();
+        claims.apply(claim("k", "a"), { time: 1 });
+        const tags = ["b.2", "c.2"].map(holder =>
+            claims.apply({ op: "reassign", key: "k", fromAttempt: 1, holder, ...place }, { time: 2 }).tag
+        );
+        expect(tags).toEqual(["mine", "held"]);
+    });
+
+    it("refuse the key for another request, until the window has ended", () => {
+        const claims = new Claims();
+        claims.apply(claim("k", "a"), { time: 1 });
+        expect(claims.apply(claim("k", "b", "other"), { time: windowMs }).tag).toEqual("mismatch");
+        expect(claims.apply(claim("k", "b", "other"), { time: windowMs + 1 }).tag).toEqual("mine");
+    });
+
+    it(`agree with a naive version under random commands (seed ${seed})`, () => {
+        const command = fc.record({
+            op: fc.constantFrom("claim" as const, "reassign" as const, "release" as const),
+            key: fc.constantFrom("k", "l"),
+            holder: fc.constantFrom("a", "b", "c"),
+            attempt: fc.integer({ min: 1, max: 3 }),
+            wait: fc.integer({ min: 0, max: 40 }),
+        });
+        fc.assert(
+            fc.property(fc.array(command, { maxLength: 40 }), commands => {
+                const claims = new Claims();
+                const naive = new Map<string, { holder: string; attempt: number; until: number; }>();
+                let time = 0;
+                for (const { op, key, holder, attempt, wait } of commands) {
+                    time += wait;
+                    [...naive].filter(([, held]) => held.until <= time).forEach(([expired]) => naive.delete(expired));
+                    const held = naive.get(key);
+                    let expected: ClaimResult["tag"] = "free";
+                    if (op === "claim") {
+                        expected = held === undefined || held.holder === holder ? "mine" : "held";
+                        naive.set(key, held ?? { holder, attempt: 1, until: time + windowMs });
+                        expect(claims.apply(claim(key, holder), { time }).tag).toEqual(expected);
+                    }
+                    else if (op === "reassign") {
+                        if (held !== undefined) {
+                            const turn = held.attempt === attempt;
+                            expected = turn || held.holder === holder ? "mine" : "held";
+                            naive.set(key, turn ? { ...held, holder, attempt: attempt + 1 } : held);
+                        }
+                        const result = claims.apply({ op, key, fromAttempt: attempt, holder, ...place }, { time });
+                        expect(result.tag).toEqual(expected);
+                    }
+                    else {
+                        const released = held?.attempt === attempt;
+                        expected = held === undefined || released ? "free" : "held";
+                        if (released) {
+                            naive.delete(key);
+                        }
+                        expect(claims.apply({ op, key, attempt }, { time }).tag).toEqual(expected);
+                    }
+                }
+            }),
+            { seed, numRuns: 500 },
+        );
+    });
+});
--- /dev/null
+++ b/packages/routing/src/tests/routing.test.ts
@@ -0,0 +1,113 @@
+import { expect } from "earl";
+import { describe, it, type TestContext } from "node:test";
+import { EjectionBook, LoadAwarePicker, LoadBook, RoundRobinPicker, type RoutedReplica, Router } from "../index.js";
+
+function replica(upstream: string, changes: Partial<RoutedReplica> = {}): RoutedReplica {
+    return {
+        upstream,
+        url: upstream,
+        incarnation: "i",
+        dataCentre: "d",
+        item: "m@1",
+        capacity: 4,
+        reportedLoad: 0,
+        reportedAt: 0,
+        sequence: 1n,
+        ...changes,
+    };
+}
+
+function mockTime(t: TestContext): void {
+    t.mock.timers.enable({ apis: ["Date"], now: 10_000 });
+}
+
+describe("LoadBook", () => {
+    it("adds others' requests as reported to its own as they are now", t => {
+        mockTime(t);
+        const loads = new LoadBook();
+        loads.started("a");
+        loads.started("a");
+        t.mock.timers.tick(100);
+        // The report saw five, two of them ours; since then one of ours has ended.
+        const reported = replica("a", { reportedLoad: 5, reportedAt: Date.now() });
+        t.mock.timers.tick(100);
+        loads.ended("a");
+        expect(loads.estimate(reported)).toEqual(4);
+    });
+
+    it("is not misled by a late report into counting its own twice", t => {
+        mockTime(t);
+        const loads = new LoadBook();
+        Array.from({ length: 3 }, () => loads.started("a"));
+        expect(loads.estimate(replica("a", { reportedLoad: 0, reportedAt: Date.now() - 5000 }))).toEqual(3);
+    });
+});
+
+describe("LoadAwarePicker", () => {
+    it("takes the less loaded of two", () => {
+        const loads = new LoadBook();
+        Array.from({ length: 3 }, () => loads.started("a"));
+        const picker = new LoadAwarePicker(loads, () => 0);
+        expect(picker.pick([replica("a"), replica("b")], { prefix: undefined }).upstream).toEqual("b");
+    });
+
+    it("keeps a prefix where it is, until that replica is much more loaded than the rest", () => {
+        const loads = new LoadBook();
+        const picker = new LoadAwarePicker(loads, () => 0);
+        const candidates = ["a", "b", "c"].map(name => replica(name));
+        const home = picker.pick(candidates, { prefix: "p" }).upstream;
+        expect(picker.pick(candidates, { prefix: "p" }).upstream).toEqual(home);
+        Array.from({ length: 4 }, () => loads.started(home));
+        expect(picker.pick(candidates, { prefix: "p" }).upstream).not.toEqual(home);
+    });
+});
+
+describe("RoundRobinPicker", () => {
+    it("takes each in turn", () => {
+        const picker = new RoundRobinPicker();
+        const candidates = ["a", "b"].map(name => replica(name));
+        expect([1, 2, 3, 4].map(() => picker.pick(candidates).upstream)).toEqual(["b", "a", "b", "a"]);
+    });
+});
+
+describe("EjectionBook", () => {
+    it("leaves a failing replica out, lets one probe in, and leaves it out longer when that fails", t => {
+        mockTime(t);
+        const book = new EjectionBook();
+        const replicas = ["a", "b", "c"].map(name => replica(name));
+        const admitted = () => book.admitted(replicas).map(({ upstream }) => upstream);
+        expect([book.failed("a"), book.failed("a"), book.failed("a")]).toEqual([false, false, true]);
+        expect(admitted()).toEqual(["b", "c"]);
+        t.mock.timers.tick(1000);
+        expect(admitted()).toEqual(["a", "b", "c"]);
+        book.sent("a");
+        expect(admitted()).toEqual(["b", "c"]);
+        book.failed("a");
+        t.mock.timers.tick(1999);
+        expect(admitted()).toEqual(["b", "c"]);
+        t.mock.timers.tick(1);
+        book.sent("a");
+        book.succeeded("a");
+        expect(admitted()).toEqual(["a", "b", "c"]);
+    });
+
+    it("never leaves out more than half", () => {
+        const book = new EjectionBook();
+        const replicas = ["a", "b"].map(name => replica(name));
+        ["a", "b"].forEach(name => Array.from({ length: 3 }, () => book.failed(name)));
+        expect(book.admitted(replicas).length).toEqual(2);
+    });
+});
+
+describe("Router", () => {
+    it("tells a full replica from none, and tries a failed one again only once it was heard", () => {
+        const router = new Router();
+        const context = { prefix: undefined };
+        expect(router.route([], new Map(), context).tag).toEqual("none");
+        Array.from({ length: 4 }, () => router.loads.started("a"));
+        expect(router.route([replica("a")], new Map(), context).tag).toEqual("full");
+        const tried = new Map([["b", 1n]]);
+        expect(router.route([replica("b")], tried, context).tag).toEqual("none");
+        expect(router.route([replica("b", { sequence: 2n })], tried, context).tag).toEqual("replica");
+    });
+});
--- /dev/null
+++ b/packages/upstream/src/tests/registrars.test.ts
@@ -0,0 +1,60 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { Timeline } from "@winchpath/timeline";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { leaseMs, Registrar, type ReportRequest, ReportRequestSchema } from "../index.js";
+
+function report(changes: MessageInitShape<typeof ReportRequestSchema>): ReportRequest {
+    return create(ReportRequestSchema, { upstream: "u", incarnation: "2", sequence: 5n, ...changes } as ReportRequest);
+}
+
+function newRegistrar(): Registrar {
+    return new Registrar(new Timeline({ process: "entry/t", host: "t", dataCentre: "d" }));
+}
+
+describe("Registrar", () => {
+    it("keeps the newer incarnation, and the newest report of it", () => {
+        const registrar = newRegistrar();
+        registrar.take(report({}));
+        registrar.take(report({ incarnation: "1", sequence: 9n }));
+        registrar.take(report({ sequence: 4n, leaving: true }));
+        expect(registrar.find("u")!.report.sequence).toEqual(5n);
+        registrar.take(report({ incarnation: "3", sequence: 1n }));
+        expect(registrar.find("u")!.report.incarnation).toEqual("3");
+    });
+
+    it("counts a model ready only with the engine's word, for each accelerator", () => {
+        const registrar = newRegistrar();
+        const resident = { $typeName: "winchpath.upstream.v1.Resident" as const, bytes: 1n };
+        registrar.take(report({
+            residents: [
+                { ...resident, accelerator: "a0", item: "m@1", ready: true },
+                { ...resident, accelerator: "a1", item: "n@1", ready: false },
+            ],
+        }));
+        const { ready } = registrar.find("u")!;
+        expect([...ready.get("a0")!]).toEqual(["m@1"]);
+        expect(ready.get("a1")).toEqual(undefined);
+    });
+
+    it("takes an upstream out when its lease has run out, and not after a pause of its own", async t => {
+        t.mock.timers.enable({ apis: ["setTimeout", "Date"] });
+        const registrar = newRegistrar();
+        const stop = new AbortController();
+        registrar.take(report({}));
+        const running = registrar.run(stop.signal);
+        const pass = async (ms: number) => {
+            t.mock.timers.tick(ms);
+            for (let turn = 0; turn < 3; turn++) {
+                await new Promise(resolve => setImmediate(resolve));
+            }
+        };
+        await pass(leaseMs * 3);
+        expect(registrar.find("u") === undefined).toEqual(false);
+        await pass(100);
+        expect(registrar.find("u")).toEqual(undefined);
+        stop.abort();
+        await pass(100);
+        await running;
+    });
+});
--- /dev/null
+++ b/packages/upstream/src/tests/runners.test.ts
@@ -0,0 +1,121 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { Timeline } from "@winchpath/timeline";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+    FenceOutcome,
+    Refusal,
+    type RunChunk,
+    Runner,
+    type RunRequest,
+    RunRequestSchema,
+    type Upstream,
+} from "../index.js";
+
+const timeline = new Timeline({ process: "agent/t", host: "t", dataCentre: "d" });
+
+/** An upstream that gives so many kibibytes, and counts how far it was read. */
+class Fountain implements Upstream {
+    public given = 0;
+    public runs = 0;
+    public aborted = false;
+
+    public constructor(private readonly kibibytes: number) {}
+
+    public async readState() {
+        return undefined;
+    }
+
+    public async order() {
+        return "taken" as const;
+    }
+
+    public async send(req: { signal: AbortSignal; }) {
+        this.runs += 1;
+        req.signal.addEventListener("abort", () => this.aborted = true);
+        return { status: 200, headers: {}, body: this.body(), discard: async () => undefined };
+    }
+
+    public async close() {}
+
+    private async *body() {
+        for (let number = 0; number < this.kibibytes; number++) {
+            this.given += 1;
+            yield Buffer.alloc(1024, number % 256);
+        }
+    }
+}
+
+function request(changes: MessageInitShape<typeof RunRequestSchema> = {}): RunRequest {
+    return create(
+        RunRequestSchema,
+        { requestId: "r", attempt: 1, timeoutMs: 10_000, idempotent: true, ...changes } as RunRequest,
+    );
+}
+
+async function collect(chunks: AsyncIterable<RunChunk>): Promise<RunChunk["chunk"][]> {
+    const all: RunChunk["chunk"][] = [];
+    for await (const { chunk } of chunks) {
+        all.push(chunk);
+    }
+    return all;
+}
+
+function bytesOf(chunks: readonly RunChunk["chunk"][]): number {
+    return chunks.reduce((sum, chunk) => sum + (chunk.case === "body" ? chunk.value.length : 0), 0);
+}
+
+describe("Runner", () => {
+    it("holds the upstream back while its reader is slow", async () => {
+        const upstream = new Fountain(4096);
+        const runner = new Runner(upstream, () => undefined, timeline);
+        const reader = runner.run(request());
+        await reader.next();
+        await reader.next();
+        for (let turn = 0; turn < 50; turn++) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        expect(upstream.given <= 300).toEqual(true);
+        const rest = await collect(reader);
+        expect(rest.at(-1)?.case).toEqual("end");
+    });
+
+    it("runs an attempt once, however often it comes, and gives all the whole answer", async () => {
+        const upstream = new Fountain(20);
+        const runner = new Runner(upstream, () => undefined, timeline);
+        const answers = await Promise.all([1, 2, 3].map(() => collect(runner.run(request()))));
+        expect(answers.map(bytesOf)).toEqual([20_480, 20_480, 20_480]);
+        expect(upstream.runs).toEqual(1);
+    });
+
+    it("goes on from an offset, and never starts for one that only attaches", async () => {
+        const upstream = new Fountain(20);
+        const runner = new Runner(upstream, () => undefined, timeline);
+        const [unknown] = await collect(runner.run(request({ attach: true })));
+        expect(unknown.case === "refused" && unknown.value.refusal).toEqual(Refusal.UNKNOWN_REQUEST);
+        await collect(runner.run(request()));
+        expect(bytesOf(await collect(runner.run(request({ attach: true, offset: 20_000n }))))).toEqual(480);
+        expect(upstream.runs).toEqual(1);
+    });
+
+    it("refuses an attempt that was fenced before it came", async () => {
+        const upstream = new Fountain(1);
+        const runner = new Runner(upstream, () => undefined, timeline);
+        expect(runner.table.fence("r", 1)).toEqual(FenceOutcome.NEVER);
+        const [late] = await collect(runner.run(request()));
+        expect(late.case === "refused" && late.value.refusal).toEqual(Refusal.FENCED);
+        expect(upstream.runs).toEqual(0);
+    });
+
+    it("cuts off what may be repeated when the caller leaves, and nothing else", async () => {
+        for (const idempotent of [true, false]) {
+            const upstream = new Fountain(4096);
+            const runner = new Runner(upstream, () => undefined, timeline);
+            const reader = runner.run(request({ idempotent }));
+            await reader.next();
+            runner.cancel("r", 1);
+            expect(upstream.aborted).toEqual(idempotent);
+            await reader.return(undefined);
+        }
+    });
+});
