--- a/packages/placement/src/naive.ts
+++ b/packages/placement/src/naive.ts
@@ -1,4 +1,4 @@
-/** The placer to compare with: first fit in declared order, anew at each change. */
+/** Placers to compare with: first fit and worst fit in declared order, anew at each change. */
 import { type Model, unitBytes } from "@winchpath/declarations";
 import { type AcceleratorView, type Action, keyOf, type PlacementView, type Placer } from "./views.js";
 
@@ -8,6 +8,9 @@
  * not part of that packing, and loads what is missing.
  */
 export class FirstFitPlacer implements Placer {
+    /** With `spread` each replica goes to the emptiest accelerator instead, and there is one for each declared replica. */
+    public constructor(private readonly spread = false) {}
+
     public plan(view: PlacementView): Action[] {
         const wanted = this.pack(view);
         const unloads = view.accelerators.flatMap(each => unloadsOf(each, wanted.get(keyOf(each))!));
@@ -20,10 +23,11 @@
         const free = new Map(view.accelerators.map(each => [keyOf(each), each.stays ? each.bytes : 0]));
         for (const model of view.catalogue.models) {
             const homes = new Set<string>();
-            for (const each of view.accelerators) {
+            const count = this.spread ? model.minReplicas : wantedReplicas(model, view);
+            for (const each of this.inOrder(view, free)) {
                 const key = keyOf(each);
                 if (
-                    homes.size < wantedReplicas(model, view) && !homes.has(each.upstream)
+                    homes.size < count && !homes.has(each.upstream)
                     && unitBytes(model) <= free.get(key)!
                 ) {
                     homes.add(each.upstream);
@@ -34,6 +38,13 @@
         }
         return wanted;
     }
+
+    private inOrder(view: PlacementView, free: ReadonlyMap<string, number>): readonly AcceleratorView[] {
+        if (!this.spread) {
+            return view.accelerators;
+        }
+        return [...view.accelerators].sort((a, b) => free.get(keyOf(b))! - free.get(keyOf(a))!);
+    }
 }
 
 /** One replica for each replica's worth of demand, as it is now. */
--- a/packages/placement/src/placers.ts
+++ b/packages/placement/src/placers.ts
@@ -10,6 +10,11 @@
 /** Share of the homes' capacity that demand may take before another replica is wanted. */
 const targetUse = 0.7;
 
+/** Replicas that a model has with its spare. */
+const spareReplicas = 2;
+/** Share of an accelerator that spares leave free, so that moves need not wait for memory. */
+const headroomShare = 0.15;
+
 /** The working copy of a plan: actions change it as if they had been carried out. */
 export class Plan {
     public readonly actions: Action[] = [];
@@ -51,6 +56,12 @@
 }
 
 export class IncrementalPlacer implements Placer {
+    /** Date.now() since when each model has had one home only. */
+    private readonly singleSince = new Map<string, number>();
+
+    /** `sparePatienceMs`: how long a model has one home before it gets a spare, so that an upstream that restarts costs no move. */
+    public constructor(private readonly sparePatienceMs: number) {}
+
     public plan(view: PlacementView): Action[] {
         const plan = new Plan(view);
         const rooms = new RoomMaker(plan);
@@ -62,6 +73,7 @@
         );
         models.forEach(model => this.addReplicas(plan, rooms, model));
         models.forEach(model => this.retireOldVersions(plan, model));
+        models.forEach(model => this.addSpare(plan, model));
         return plan.actions;
     }
 
@@ -82,6 +94,27 @@
         }
     }
 
+    /** A second replica in another data centre where memory lies idle: what is lost with a host is not missed then. */
+    private addSpare(plan: Plan, model: Model): void {
+        const homes = plan.homesOf(model);
+        if (homes.length !== 1 || model.maxReplicas < spareReplicas) {
+            this.singleSince.delete(model.name);
+            return;
+        }
+        const since = this.singleSince.get(model.name) ?? Date.now();
+        this.singleSince.set(model.name, since);
+        if (Date.now() - since < this.sparePatienceMs) {
+            return;
+        }
+        const place = choosePlace(plan, model, unitBytes(model));
+        const headroom = place === undefined ? 0 : place.free - unitBytes(model);
+        if (
+            place !== undefined && place.dataCentre !== homes[0].dataCentre && headroom >= place.bytes * headroomShare
+        ) {
+            plan.loadUnit(place, model, "a spare in another data centre");
+        }
+    }
+
     private addHome(plan: Plan, rooms: RoomMaker, model: Model, reason: string): void {
         const place = choosePlace(plan, model, unitBytes(model));
         if (place !== undefined) {
--- a/packages/requests/src/executions.ts
+++ b/packages/requests/src/executions.ts
@@ -63,10 +63,10 @@
 
     /** Makes an attempt; where only the way to its answer was lost, goes on with the same one. */
     public async *attemptAndResume(plan: AttemptPlan): AsyncGenerator<AnswerEvent, AttemptEnd> {
-        const startedAt = performance.now();
+        const startedAt = Date.now();
         const end = yield* this.attemptWhileHeard(plan);
         if (end.tag === "whole") {
-            this.parts.queues.of(this.job.resource).noteService(performance.now() - startedAt);
+            this.parts.queues.of(this.job.resource).noteService(Date.now() - startedAt);
         }
         return end;
     }
--- /dev/null
+++ b/packages/testing/src/measure/main.ts
@@ -0,0 +1,42 @@
+/** `npm run measure [-- --quick]`: the figures of docs/MEASURES.md, a JSON line each. */
+import { type DecisionFigures, measureDecisions } from "./decisions.js";
+import { NaivePolicy, WinchpathPolicy } from "./policies.js";
+import { type Fleet, fleets, makeTrace } from "./traces.js";
+
+const quick = process.argv.includes("--quick");
+const traceMs = quick ? 120_000 : 400_000;
+const seeds = quick ? [1] : [1, 2, 3];
+
+export interface Figure {
+    readonly name: string;
+    readonly value: number;
+    readonly unit: string;
+    readonly naive?: number;
+    readonly [label: string]: unknown;
+}
+
+function tell(figure: Figure): void {
+    process.stdout.write(`${JSON.stringify(figure)}\n`);
+}
+
+for (const fleet of fleets) {
+    for (const seed of seeds) {
+        await tellDecisions(fleet, seed);
+    }
+}
+
+/** The same trace by winchpath's decisions and by two naive ones. */
+async function tellDecisions(fleet: Fleet, seed: number): Promise<void> {
+    const trace = makeTrace(fleet, traceMs, seed);
+    const ours = await measureDecisions(fleet, trace, new WinchpathPolicy());
+    const naive = await measureDecisions(fleet, trace, new NaivePolicy(false));
+    const spread = await measureDecisions(fleet, trace, new NaivePolicy(true));
+    const labels = { deployment: fleet.name, seed, requests: ours.requests };
+    const compare = (name: string, unit: string, pick: (figures: DecisionFigures) => number) =>
+        tell({ name, value: pick(ours), unit, naive: pick(naive), naiveSpread: pick(spread), ...labels });
+    compare("attainment_per_accelerator", "requests/s", figures => figures.perAccelerator);
+    compare("attainment", "share", figures => figures.attainment);
+    compare("moves", "orders", figures => figures.moves);
+    compare("refused", "requests", figures => figures.refused);
+    compare("failed", "requests", figures => figures.failed);
+}
--- /dev/null
+++ b/packages/testing/src/measure/policies.ts
@@ -0,0 +1,116 @@
+/** The two ways of deciding that are compared: winchpath's, and a naive one. */
+import { Metrics, sleep } from "@winchpath/core";
+import { FirstFitPlacer, IncrementalPlacer, type Placer } from "@winchpath/placement";
+import { type AgentConnector, Claims, type Job, RequestHandler } from "@winchpath/requests";
+import { RoundRobinPicker, Router } from "@winchpath/routing";
+import { Timeline } from "@winchpath/timeline";
+import { type Registrar } from "@winchpath/upstream";
+
+/** What one entry does with requests. */
+export interface EntryPolicy {
+    /** Hands the answer on; throws where there is none. `onFirst` is called at the first byte. */
+    handle(job: Job, onFirst: () => void): Promise<void>;
+    upstreamsChanged(): void;
+    /** Demand since the last call, by model. */
+    readDemand(): { name: string; arrivals: number; running: number; waiting: number; refused: number; }[];
+}
+
+export interface Policy {
+    readonly name: string;
+    readonly placer: Placer;
+    newEntry(name: string, agents: AgentConnector, registrar: Registrar): EntryPolicy;
+}
+
+const sparePatienceMs = 60_000;
+
+export class WinchpathPolicy implements Policy {
+    public readonly name = "winchpath";
+    public readonly placer = new IncrementalPlacer(sparePatienceMs);
+
+    public newEntry(name: string, agents: AgentConnector, registrar: Registrar): EntryPolicy {
+        const claims = new Claims();
+        const handler = new RequestHandler({
+            entry: name,
+            agents,
+            router: new Router(),
+            registrar,
+            log: { propose: async command => claims.apply(command, { time: Date.now() }) },
+            timeline: new Timeline({ process: name, host: name, dataCentre: name }, 100),
+            metrics: new Metrics(),
+            queueLimit: 256,
+            retryShare: 0.2,
+            claimWindowMs: 60_000,
+        });
+        return {
+            handle: async (job, onFirst) => {
+                for await (const event of handler.handle(job)) {
+                    if (event.tag === "head") {
+                        onFirst();
+                    }
+                }
+            },
+            upstreamsChanged: () => handler.upstreamsChanged(),
+            readDemand: () => handler.meter.read(),
+        };
+    }
+}
+
+const naiveRetryMs = 100;
+
+/** First fit, round robin, no limits: a failed request goes to the next replica until its time is over. */
+export class NaivePolicy implements Policy {
+    public readonly name: string;
+    public readonly placer: Placer;
+
+    /** With `spread` the placer uses the emptiest accelerators first: the fairer of the two to compare with. */
+    public constructor(spread: boolean) {
+        this.name = spread ? "naive-spread" : "naive";
+        this.placer = new FirstFitPlacer(spread);
+    }
+
+    public newEntry(_name: string, agents: AgentConnector): EntryPolicy {
+        const picker = new RoundRobinPicker();
+        const running = new Map<string, number>();
+        const count = (name: string, by: number) => running.set(name, (running.get(name) ?? 0) + by);
+        const attempt = async (job: Job, signal: AbortSignal, onFirst: () => void): Promise<boolean> => {
+            const replicas = job.replicas();
+            if (replicas.length === 0) {
+                return false;
+            }
+            const replica = picker.pick(replicas);
+            const req = { requestId: job.requestId, body: job.bodyFor(replica.item) };
+            for await (const { chunk } of agents.connect(replica.url).run(req as never, signal)) {
+                if (chunk.case === "head") {
+                    onFirst();
+                }
+                if (chunk.case === "end" || chunk.case === "refused") {
+                    return chunk.case === "end";
+                }
+            }
+            return false;
+        };
+        return {
+            handle: async (job, onFirst) => {
+                count(job.demandOf, 1);
+                const late = new AbortController();
+                const timer = setTimeout(() => late.abort(), job.deadline - Date.now());
+                try {
+                    while (Date.now() < job.deadline) {
+                        if (await attempt(job, late.signal, onFirst).catch(() => false)) {
+                            return;
+                        }
+                        await sleep(naiveRetryMs);
+                    }
+                    throw new Error("out of time");
+                }
+                finally {
+                    clearTimeout(timer);
+                    count(job.demandOf, -1);
+                }
+            },
+            upstreamsChanged: () => undefined,
+            readDemand: () =>
+                [...running].map(([name, now]) => ({ name, arrivals: 0, running: now, waiting: 0, refused: 0 })),
+        };
+    }
+}
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -162,7 +162,7 @@
             ledger,
             registrar,
             orders: new RpcOrderSender(this.clients),
-            placer: new IncrementalPlacer(),
+            placer: new IncrementalPlacer(cfg.placement.sparePatience),
             demand,
             catalogue: () => this.catalogues.current,
             timeline,
