--- a/packages/requests/src/callers.ts
+++ b/packages/requests/src/callers.ts
@@ -40,7 +40,12 @@
 /** The task of one request: from the job's events onto the caller's connection. */
 async function answer(options: CallerOptions, req: FastifyRequest, reply: FastifyReply, parse: Parse): Promise<void> {
     const left = new AbortController();
-    reply.raw.once("close", () => left.abort());
+    reply.raw.once("close", () => {
+        // An abort after the end would only cost time.
+        if (!reply.raw.writableFinished) {
+            left.abort();
+        }
+    });
     const job = parse(req, left.signal, options);
     const events = options.handler.handle(job);
     try {
--- a/packages/testing/src/deployments/processes.ts
+++ b/packages/testing/src/deployments/processes.ts
@@ -45,6 +45,10 @@
         return this;
     }
 
+    public get pid(): number {
+        return this.child.pid!;
+    }
+
     public get running(): boolean {
         return !this.exited;
     }
