Route by a table kept per target, sharpen the proofs, add examples at today's sizes

Cause: each request looked through all upstreams (no way to go at 10,000 of them); and turning mechanisms off one by one showed five proofs that stayed green: acknowledging before the sync, memory with slack, a leaver's work counted too early, replays compared with equal answers only.

--- a/packages/consensus/src/tests/groups.ts
+++ b/packages/consensus/src/tests/groups.ts
@@ -1,6 +1,6 @@
 /** A control group in one process, over a network that tests cut. */
 import { create } from "@bufbuild/protobuf";
-import { Failure, FailureCode, sleep } from "@winchpath/core";
+import { Deferred, Failure, FailureCode, sleep } from "@winchpath/core";
 import { Timeline } from "@winchpath/timeline";
 import { type FileHandle, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -40,6 +40,7 @@
 /** A disk that loses at a crash what was written and not synced. */
 class LosingDisk extends SystemDisk {
     private lost = false;
+    private held: Deferred<void> | undefined;
     private unsynced: Buffer[] = [];
 
     public override async write(_file: FileHandle, bytes: Buffer): Promise<void> {
@@ -47,6 +48,7 @@
     }
 
     public override async sync(file: FileHandle): Promise<void> {
+        await this.held?.promise;
         const bytes = Buffer.concat(this.unsynced.splice(0));
         if (this.lost) {
             throw Failure.of(FailureCode.storage, "the host has crashed");
@@ -54,8 +56,19 @@
         await super.write(file, bytes);
     }
 
+    /** Syncs end only after `release`. */
+    public hold(): void {
+        this.held = new Deferred();
+    }
+
+    public release(): void {
+        this.held?.resolve();
+        this.held = undefined;
+    }
+
     public crash(): void {
         this.lost = true;
+        this.release();
     }
 }
 
--- a/packages/consensus/src/tests/replicas.test.ts
+++ b/packages/consensus/src/tests/replicas.test.ts
@@ -47,6 +47,21 @@
         });
     });
 
+    describe("an entry", () => {
+        it("is accepted only once a majority has synced it", async () => {
+            group = await Group.start(names);
+            const leader = await group.leader();
+            await group.propose(leader.name, "before");
+            const others = names.filter(name => name !== leader.name).map(name => group.nodes.get(name)!);
+            others.forEach(({ disk }) => disk.hold());
+            await expect(group.propose(leader.name, "unsynced", 250)).toBeRejected();
+            expect(leader.machine.commands).toEqual(["before"]);
+            others[0].disk.release();
+            await group.eventually("accepted", () => leader.machine.commands.includes("unsynced") || undefined);
+            others[1].disk.release();
+        });
+    });
+
     describe("a leader that is cut off", () => {
         it("accepts nothing, steps down, and follows the new one", async () => {
             group = await Group.start(names);
--- a/packages/placement/src/placers.ts
+++ b/packages/placement/src/placers.ts
@@ -135,12 +135,16 @@
     }
 
     private unloadUndeclared(plan: Plan): void {
-        const names = new Set(plan.view.catalogue.targetNames());
         for (const at of plan.accelerators.filter(each => each.orderable)) {
-            for (const [id, held] of at.items) {
-                if (held.state === "resident" && !names.has(nameOf(id))) {
+            const held = new Set([...at.items].filter(([, item]) => isHeld(item)).map(([id]) => nameOf(id)));
+            for (const [id, item] of at.items) {
+                const target = plan.view.catalogue.target(nameOf(id));
+                if (item.state === "resident" && target === undefined) {
                     plan.unload(at, id, "not declared");
                 }
+                else if (item.state === "resident" && target?.adapter !== undefined && !held.has(target.model.name)) {
+                    plan.unload(at, id, "its model is not here any more");
+                }
             }
         }
     }
--- a/packages/placement/src/tests/placers.test.ts
+++ b/packages/placement/src/tests/placers.test.ts
@@ -107,6 +107,16 @@
         expect(plan(view([model("m", 2)], [leaver, accelerator("y", 20, {})]))).toEqual(["load m@1 y"]);
     });
 
+    it("unloads an adapter where its model has gone", () => {
+        const adapter: Resource = {
+            ...model("a", 1),
+            kind: "Adapter",
+            spec: { model: "m", version: "1", memory: "1 GiB" },
+        };
+        const accelerators = [accelerator("x", 10, { "m@1": 2, "a@1": 1 }), accelerator("y", 10, { "a@1": 1 })];
+        expect(plan(view([model("m", 2), adapter], accelerators))).toEqual(["unload a@1 y"]);
+    });
+
     it("gives a spare in another data centre only after its patience", t => {
         t.mock.timers.enable({ apis: ["Date"] });
         const placer = new IncrementalPlacer(sparePatienceMs);
--- a/packages/requests/src/parsers.ts
+++ b/packages/requests/src/parsers.ts
@@ -2,8 +2,8 @@
 import { create } from "@bufbuild/protobuf";
 import { newIdentity, safeParse } from "@winchpath/core";
 import { type Catalogue, type Model, type Target } from "@winchpath/declarations";
-import { replicasOf, serviceReplicas } from "@winchpath/routing";
-import { type Header, HeaderSchema, type LiveUpstream } from "@winchpath/upstream";
+import { type RoutingTable } from "@winchpath/routing";
+import { type Header, HeaderSchema } from "@winchpath/upstream";
 import { type FastifyRequest } from "fastify";
 import { createHash } from "node:crypto";
 import Type from "typebox";
@@ -32,9 +32,7 @@
 /** What parsing needs to know of the deployment. */
 export interface ParseContext {
     readonly catalogue: () => Catalogue;
-    readonly live: () => readonly LiveUpstream[];
-    /** Upstreams that are drained, with Date.now() as of when this entry knows. */
-    readonly drainedSince: () => ReadonlyMap<string, number>;
+    readonly table: RoutingTable;
     /** Why a model can't be placed until declarations or hardware change; undefined where it can. */
     readonly unplaceable: (model: Model) => string | undefined;
     readonly requestMs: number;
@@ -60,10 +58,7 @@
         prefix: `${chat.model}/${digest(JSON.stringify(chat.messages[0]).slice(0, prefixLength))}`,
         endsWithMark: (status, headers) => status === okStatus && isEventStream(headers),
         bodyFor: item => Buffer.from(JSON.stringify({ ...chat, model: item })),
-        replicas: () => {
-            const current = context.catalogue().target(chat.model);
-            return current === undefined ? [] : replicasOf(current, context.live(), context.drainedSince());
-        },
+        replicas: () => context.table.replicasOf(chat.model),
         hopeless: () => context.unplaceable(target.model),
         revision: () => context.catalogue().target(chat.model)?.revision ?? 0,
     };
@@ -90,7 +85,7 @@
         prefix: undefined,
         endsWithMark: () => false,
         bodyFor: () => body,
-        replicas: () => serviceReplicas(name, context.live(), context.drainedSince()),
+        replicas: () => context.table.replicasOfService(name),
         hopeless: () => undefined,
         revision: () => context.catalogue().services.get(name) ?? 0,
     };
--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -32,6 +32,8 @@
     readonly breaks: number[];
     /** The agent restarts at the next fence, and has forgotten everything. */
     readonly restarts: boolean[];
+    /** Each run gives another answer. */
+    readonly varied?: boolean;
 }
 
 export const whole = Array.from({ length: 12 }, (_, index) => `data: piece ${index} of the answer\n\n`);
@@ -55,13 +57,14 @@
         this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
         const pieces = this.faults.breaks.shift() ?? Number.POSITIVE_INFINITY;
         const headers = { "content-type": "text/event-stream" };
-        return { status: 200, headers, body: bodyOf(pieces), discard: async () => undefined };
+        const mark = this.faults.varied ? `run ${this.runs.get(id)}: ` : "";
+        return { status: 200, headers, body: bodyOf(pieces, mark), discard: async () => undefined };
     }
 
     public async close() {}
 }
 
-async function* bodyOf(pieces: number): AsyncGenerator<Uint8Array> {
+async function* bodyOf(pieces: number, mark: string): AsyncGenerator<Uint8Array> {
     for (const [index, piece] of [...whole, "data: [DONE]\n\n"].entries()) {
         await new Promise(resolve => setImmediate(resolve));
         if (index >= pieces) {
@@ -71,7 +74,7 @@
             }
             throw new Error("the upstream broke off");
         }
-        yield Buffer.from(piece);
+        yield Buffer.from(mark + piece);
     }
 }
 
--- a/packages/requests/src/tests/handlers.test.ts
+++ b/packages/requests/src/tests/handlers.test.ts
@@ -78,6 +78,15 @@
         });
     });
 
+    describe("an answer that broke off, and begins otherwise at the next replica", () => {
+        it("is not continued with the other's text", async () => {
+            const agents = new FakeAgents({ cuts: [], breaks: [3], restarts: [], varied: true }, ["a", "b"]);
+            const { text, failure } = await ask(handlerFor(agents), jobFor(agents, {}));
+            expect(outcomeOf(failure)).toEqual("unknown");
+            expect(text.includes("run 1") && !text.includes("run 2")).toEqual(true);
+        });
+    });
+
     describe("a stream whose upstream ends it without the end mark", () => {
         it("is not passed off as whole", async () => {
             const agents = new FakeAgents({ cuts: [], breaks: [4, 4, 4, 4, 4, 4, 4, 4], restarts: [] }, ["a", "b"]);
--- a/packages/routing/src/replicas.ts
+++ b/packages/routing/src/replicas.ts
@@ -23,43 +23,56 @@
 const leavingGraceMs = 1500;
 const engine = "engine";
 
+/** An upstream that holds a target, and the item to ask it for. */
+export interface Holder {
+    readonly upstream: string;
+    /** "name@version"; empty for a plain service. */
+    readonly item: string;
+}
+
 /**
- * Replicas of the declared version; those of an earlier version only while no
- * replica of the declared one is ready. Leavers only while there is no other.
+ * Holders of the declared version; those of an earlier version only while no
+ * upstream is ready for the declared one.
  */
-export function replicasOf(
-    target: Target,
-    live: readonly LiveUpstream[],
-    drained: ReadonlyMap<string, number>,
-): RoutedReplica[] {
+export function holdersOf(target: Target, live: readonly LiveUpstream[]): Holder[] {
     const engines = live.filter(({ report }) => report.service === engine);
-    const current = engines.flatMap(each => replicaFor(each, [target.model, target.adapter]));
-    const found = current.length > 0 ? current : engines.flatMap(each => earlierVersion(each, target));
-    return withoutLeavers(found, live, drained);
+    const current = engines.flatMap(each => holderOf(each, [target.model, target.adapter]));
+    return current.length > 0 ? current : engines.flatMap(each => earlierVersion(each, target));
 }
 
 /** Upstreams of a plain service. */
-export function serviceReplicas(
-    service: string,
-    live: readonly LiveUpstream[],
+export function holdersOfService(service: string, live: readonly LiveUpstream[]): Holder[] {
+    return live.filter(({ report }) => report.service === service).map(({ report }) => ({
+        upstream: report.upstream,
+        item: "",
+    }));
+}
+
+/** The holders that have a lease now, with their newest reports; leavers only while there is no other. */
+export function routedReplicas(
+    holders: readonly Holder[],
+    find: (upstream: string) => LiveUpstream | undefined,
     drained: ReadonlyMap<string, number>,
 ): RoutedReplica[] {
-    const found = live.filter(({ report }) => report.service === service).map(each => routed(each, ""));
-    return withoutLeavers(found, live, drained);
+    const live = holders.flatMap(({ upstream, item }) => {
+        const found = find(upstream);
+        return found === undefined ? [] : [{ found, replica: routed(found, item) }];
+    });
+    return withoutLeavers(live.map(({ replica }) => replica), live.map(({ found }) => found), drained);
 }
 
-function replicaFor(live: LiveUpstream, items: readonly (Item | undefined)[]): RoutedReplica[] {
+function holderOf(live: LiveUpstream, items: readonly (Item | undefined)[]): Holder[] {
     const ids = items.filter(item => item !== undefined).map(item => item.id);
     const holds = [...live.ready.values()].some(ready => ids.every(id => ready.has(id)));
-    return holds ? [routed(live, ids.at(-1)!)] : [];
+    return holds ? [{ upstream: live.report.upstream, item: ids.at(-1)! }] : [];
 }
 
-function earlierVersion(live: LiveUpstream, target: Target): RoutedReplica[] {
+function earlierVersion(live: LiveUpstream, target: Target): Holder[] {
     const names = [target.model.name, target.adapter?.name].filter(name => name !== undefined);
     for (const ready of live.ready.values()) {
         const ids = names.map(name => [...ready].find(id => id.startsWith(`${name}@`)));
         if (ids.every(id => id !== undefined)) {
-            return [routed(live, ids.at(-1)!)];
+            return [{ upstream: live.report.upstream, item: ids.at(-1)! }];
         }
     }
     return [];
--- a/packages/routing/src/tests/routing.test.ts
+++ b/packages/routing/src/tests/routing.test.ts
@@ -1,6 +1,18 @@
+import { create } from "@bufbuild/protobuf";
+import { Catalogue } from "@winchpath/declarations";
+import { Timeline } from "@winchpath/timeline";
+import { Registrar, ReportRequestSchema } from "@winchpath/upstream";
 import { expect } from "earl";
 import { describe, it, type TestContext } from "node:test";
-import { EjectionBook, LoadAwarePicker, LoadBook, RoundRobinPicker, type RoutedReplica, Router } from "../index.js";
+import {
+    EjectionBook,
+    LoadAwarePicker,
+    LoadBook,
+    RoundRobinPicker,
+    type RoutedReplica,
+    Router,
+    RoutingTable,
+} from "../index.js";
 
 function replica(upstream: string, changes: Partial<RoutedReplica> = {}): RoutedReplica {
     return {
@@ -111,3 +123,59 @@
         expect(router.route([replica("b", { sequence: 2n })], tried, context).tag).toEqual("replica");
     });
 });
+
+describe("RoutingTable", () => {
+    const resident = { $typeName: "winchpath.upstream.v1.Resident" as const, accelerator: "a0", bytes: 1n };
+
+    function setUp() {
+        const registrar = new Registrar(new Timeline({ process: "t", host: "t", dataCentre: "d" }));
+        const spec = { version: "2", memory: "1 GiB" };
+        const catalogue = new Catalogue(1, [{
+            kind: "Model",
+            name: "m",
+            version: 1,
+            operator: "o",
+            changeId: "c",
+            spec,
+        }]);
+        const drained = new Map<string, number>();
+        const table = new RoutingTable({ registrar, catalogue: () => catalogue, drainedSince: () => drained });
+        let sequence = 0n;
+        const hear = (upstream: string, item: string, leaving = false) => {
+            sequence += 1n;
+            const residents = [{ ...resident, item, ready: true }];
+            registrar.take(
+                create(ReportRequestSchema, {
+                    upstream,
+                    incarnation: "1",
+                    service: "engine",
+                    residents,
+                    leaving,
+                    sequence,
+                }),
+            );
+        };
+        const items = () => table.replicasOf("m").map(({ upstream, item }) => `${upstream} ${item}`);
+        return { hear, items, drained };
+    }
+
+    it("gives an earlier version only until the declared one is ready anywhere", () => {
+        const { hear, items } = setUp();
+        hear("x", "m@1");
+        expect(items()).toEqual(["x m@1"]);
+        hear("y", "m@2");
+        expect(items()).toEqual(["y m@2"]);
+    });
+
+    it("gives a leaver only while there is no other, and never after its grace", t => {
+        mockTime(t);
+        const { hear, items, drained } = setUp();
+        hear("x", "m@2", true);
+        expect(items()).toEqual(["x m@2"]);
+        hear("y", "m@2");
+        expect(items()).toEqual(["y m@2"]);
+        drained.set("y", Date.now());
+        t.mock.timers.tick(1501);
+        expect(items()).toEqual([]);
+    });
+});
--- a/packages/testing/src/deployments/deployments.ts
+++ b/packages/testing/src/deployments/deployments.ts
@@ -35,6 +35,7 @@
     readonly name: string;
     readonly callers: string;
     readonly operators: string;
+    readonly peers: string;
     readonly settings: string;
     process: Process;
 }
@@ -218,6 +219,7 @@
                 name,
                 callers: `http://${this.address}:${callers}`,
                 operators: `http://${this.address}:${operators}`,
+                peers: `http://${this.address}:${peers}`,
                 settings,
                 process: Process.daemon(settings, name),
             });
--- /dev/null
+++ b/packages/testing/src/measure/capacity.ts
@@ -0,0 +1,300 @@
+/** `npm run measure -- --capacity`: the slopes that docs/CAPACITY.md works with, a JSON line a point. */
+import { create, toBinary } from "@bufbuild/protobuf";
+import {
+    ConsensusService,
+    consensusService,
+    MemoryLogStore,
+    Replica,
+    RpcPeerConnector,
+    type StateMachine,
+} from "@winchpath/consensus";
+import { Catalogue, Declarations, type Resource } from "@winchpath/declarations";
+import { acceleratorViews, IncrementalPlacer, Ledger } from "@winchpath/placement";
+import { Claims } from "@winchpath/requests";
+import { RpcClients, RpcServer } from "@winchpath/rpc";
+import { Timeline } from "@winchpath/timeline";
+import { Registrar, RegistrarService, type ReportRequest, ReportRequestSchema } from "@winchpath/upstream";
+import { readFile } from "node:fs/promises";
+import { Deployment } from "../deployments/deployments.js";
+import { freePorts } from "../deployments/ports.js";
+import { processorMs } from "./paths.js";
+
+const key = "a key for tests on loopback only";
+const loopback = "127.0.0.1";
+const gibibyte = 2n ** 30n;
+
+type Tell = (figure: { name: string; value: number; unit: string; [label: string]: unknown; }) => void;
+
+export async function measureCapacity(tell: Tell): Promise<void> {
+    measureState(tell);
+    measurePlans(tell);
+    measureReportSizes(tell);
+    for (const agents of [0, 100, 200, 400]) {
+        await measureReports(agents, tell);
+    }
+    for (const learners of [0, 30, 60, 120]) {
+        await measureLearners(learners, tell);
+    }
+}
+
+/** Bytes of snapshot, and time to make one, for each kind of state. */
+function measureState(tell: Tell): void {
+    for (const count of [10_000, 50_000]) {
+        const claims = new Claims();
+        for (let number = 0; number < count; number++) {
+            const place = { upstream: "booking-1", url: "http://10.0.0.1:7200", incarnation: "0mx684f1u-APzpuS2JsAAA" };
+            claims.apply({
+                op: "claim",
+                key: `booking-api/crew/${number}`,
+                requestId: "4VHBsTjSAuQh",
+                fingerprint: "x".repeat(22),
+                holder: "4VHBsTjSAuQh.1",
+                windowMs: 1e9,
+                ...place,
+            }, { time: number });
+        }
+        tellSnapshot(tell, "claims", count, () => claims.snapshot());
+    }
+    for (const count of [1000, 5000]) {
+        const declarations = new Declarations();
+        for (let number = 0; number < count; number++) {
+            const spec = { version: "1", memory: "2 GiB", cache: "0 B", priority: 5, minReplicas: 1, maxReplicas: 8 };
+            const items = [{ op: "put" as const, kind: "Model" as const, name: `m${number}`, baseVersion: 0, spec }];
+            declarations.apply({ changeId: `c${number}`, operator: "awa", items }, { index: number + 1 });
+        }
+        tellSnapshot(tell, "declarations", count, () => declarations.snapshot());
+    }
+    for (const upstreams of [1000, 5000]) {
+        tellSnapshot(tell, "holdings", upstreams * 8, () => ledgerOf(upstreams, 8, 50).snapshot());
+    }
+}
+
+function tellSnapshot(tell: Tell, kind: string, count: number, snapshot: () => unknown): void {
+    const startedAt = performance.now();
+    const bytes = Buffer.byteLength(JSON.stringify(snapshot()));
+    const labels = { kind, count, snapshotMs: Math.round(performance.now() - startedAt) };
+    tell({ name: "state_bytes", value: bytes / count, unit: "bytes/item", ...labels });
+}
+
+/** Time of one plan when everything is placed already, as it is in nearly every round. */
+function measurePlans(tell: Tell): void {
+    for (const [models, upstreams] of [[26, 8], [39, 13], [210, 100], [210, 500], [210, 2000]]) {
+        const ledger = ledgerOf(upstreams, 4, models);
+        const live = liveOf(upstreams, 4, models);
+        const view = {
+            catalogue: new Catalogue(1, modelResources(models)),
+            accelerators: acceleratorViews(ledger, live, new Set(), () => true),
+            demand: new Map(),
+            moveCost: 0.5,
+        };
+        const placer = new IncrementalPlacer(60_000);
+        placer.plan(view);
+        const startedAt = performance.now();
+        placer.plan(view);
+        tell({ name: "plan_time", value: performance.now() - startedAt, unit: "ms", models, upstreams });
+    }
+}
+
+function measureReportSizes(tell: Tell): void {
+    for (const items of [0, 10, 40]) {
+        const bytes = toBinary(ReportRequestSchema, reportOf(0, items, 100, 1n)).length;
+        tell({ name: "report_bytes", value: bytes, unit: "bytes", items });
+    }
+}
+
+/** What so many agents' reports cost one entry, each four times a second. */
+async function measureReports(agents: number, tell: Tell): Promise<void> {
+    const deployment = await Deployment.start({ dataCentres: ["a"], engines: [], services: [] });
+    const [entry] = deployment.entries;
+    const stop = new AbortController();
+    const timeline = new Timeline({ process: "m", host: "m", dataCentre: "d" });
+    const clients = new RpcClients({ key, timeline });
+    try {
+        const client = clients.client(RegistrarService, entry.peers);
+        let sent = 0;
+        const sender = async (agent: number): Promise<void> => {
+            for (let sequence = 1n; !stop.signal.aborted; sequence++) {
+                await client.report(reportOf(agent, 8, 50, sequence));
+                sent += 1;
+                await new Promise(resolve => setTimeout(resolve, 250));
+            }
+        };
+        const tasks = Array.from({ length: agents }, (_, agent) => sender(agent));
+        await new Promise(resolve => setTimeout(resolve, 2000));
+        const [before, sentBefore] = [await processorMs(entry.process.pid), sent];
+        const seconds = 6;
+        await new Promise(resolve => setTimeout(resolve, seconds * 1000));
+        const used = await processorMs(entry.process.pid) - before;
+        const labels = {
+            agents,
+            reportsPerSecond: (sent - sentBefore) / seconds,
+            residentMiB: await residentMiB(entry.process.pid),
+        };
+        tell({ name: "entry_core_share", value: used / seconds / 1000, unit: "cores", ...labels });
+        stop.abort();
+        await Promise.all(tasks);
+    }
+    finally {
+        stop.abort();
+        clients.close();
+        await deployment.stop();
+    }
+}
+
+/** What so many learners, in this process, cost the leader: idle, and at each change. */
+async function measureLearners(learners: number, tell: Tell): Promise<void> {
+    const deployment = await Deployment.start({ dataCentres: ["a", "b", "c"], engines: [], services: [] });
+    const stops: (() => Promise<void>)[] = [];
+    try {
+        const leader = await deployment.leader();
+        for (let number = 0; number < learners; number++) {
+            stops.push(await startLearner(number, deployment.entries.map(entry => entry.peers)));
+        }
+        const seconds = 5;
+        const share = async (work: () => Promise<unknown>): Promise<number> => {
+            const before = await processorMs(leader.process.pid);
+            await work();
+            return (await processorMs(leader.process.pid) - before) / seconds / 1000;
+        };
+        const idle = await share(() => new Promise(resolve => setTimeout(resolve, seconds * 1000)));
+        tell({ name: "leader_core_share", value: idle, unit: "cores", learners, changesPerSecond: 0 });
+        let changes = 0;
+        const busy = await share(async () => {
+            const end = Date.now() + seconds * 1000;
+            while (Date.now() < end) {
+                changes += 1;
+                const item = {
+                    op: "put" as const,
+                    kind: "Service" as const,
+                    name: `s${changes}`,
+                    baseVersion: 0,
+                    spec: {},
+                };
+                await deployment.client.change({ changeId: `c${changes}`, operator: "awa", items: [item] }, false);
+                await new Promise(resolve => setTimeout(resolve, 50));
+            }
+        });
+        const labels = {
+            learners,
+            changesPerSecond: changes / seconds,
+            residentMiB: await residentMiB(leader.process.pid),
+        };
+        tell({ name: "leader_core_share", value: busy, unit: "cores", ...labels });
+    }
+    finally {
+        await Promise.all(stops.map(stop => stop()));
+        await deployment.stop();
+    }
+}
+
+class NoMachine implements StateMachine {
+    public apply(): Uint8Array {
+        return new Uint8Array();
+    }
+
+    public snapshot(): Uint8Array {
+        return new Uint8Array();
+    }
+
+    public restore(): void {}
+}
+
+async function startLearner(number: number, seeds: readonly string[]): Promise<() => Promise<void>> {
+    const timeline = new Timeline({ process: `l${number}`, host: `l${number}`, dataCentre: "d" }, 10);
+    const clients = new RpcClients({ key, timeline });
+    const [port] = await freePorts(loopback, 1);
+    const replica = await Replica.open({
+        identity: { host: `l${number}`, url: `http://${loopback}:${port}` },
+        store: new MemoryLogStore(),
+        machine: new NoMachine(),
+        peers: new RpcPeerConnector(clients),
+        seeds,
+        timeline,
+        onFatal: () => undefined,
+    });
+    const rpc = await RpcServer.listen({ host: loopback, port }, router => {
+        router.service(ConsensusService, consensusService(replica));
+    }, { key, timeline });
+    replica.start();
+    await replica.joined(30_000);
+    return async () => {
+        await replica.stop();
+        clients.close();
+        await rpc.close(0);
+    };
+}
+
+function modelResources(count: number): Resource[] {
+    return Array.from({ length: count }, (_, index) => ({
+        kind: "Model" as const,
+        name: `m${index}`,
+        version: 1,
+        operator: "o",
+        changeId: "c",
+        spec: { version: "1", memory: "1 GiB" },
+    }));
+}
+
+function ledgerOf(upstreams: number, items: number, models: number): Ledger {
+    const ledger = new Ledger();
+    const names = Array.from({ length: upstreams }, (_, index) => `u${index}`);
+    const accelerators = [{ name: "a0", bytes: Number(gibibyte) * 24, speed: 1 }];
+    ledger.apply({
+        op: "register",
+        upstreams: names.map(name => ({ name, incarnation: "i", dataCentre: "d", accelerators })),
+    }, { term: 1, index: 1 });
+    const adoptions = names.flatMap((upstream, index) =>
+        Array.from(
+            { length: items },
+            (_, item) => ({
+                upstream,
+                accelerator: "a0",
+                item: itemName(index, item, items, models),
+                bytes: Number(gibibyte),
+            }),
+        )
+    );
+    ledger.apply({ op: "settle", settlements: [], adoptions }, { term: 1, index: 2 });
+    return ledger;
+}
+
+function liveOf(upstreams: number, items: number, models: number) {
+    const registrar = new Registrar(new Timeline({ process: "m", host: "m", dataCentre: "d" }, 10));
+    for (let index = 0; index < upstreams; index++) {
+        registrar.take(reportOf(index, items, models, 1n));
+    }
+    return registrar.live();
+}
+
+function reportOf(agent: number, items: number, models: number, sequence: bigint): ReportRequest {
+    return create(ReportRequestSchema, {
+        upstream: `u${agent}`,
+        incarnation: "0mx684f1u-APzpuS2JsAAA",
+        url: `http://10.0.${agent >> 8}.${agent & 255}:7200`,
+        host: `worker-${agent}`,
+        dataCentre: "d",
+        service: "engine",
+        accelerators: [{ name: "a0", memoryBytes: gibibyte * 24n, speed: 1 }],
+        settled: { term: 3n, index: 12345n },
+        stateKnown: true,
+        residents: Array.from({ length: items }, (_, item) => ({
+            accelerator: "a0",
+            item: itemName(agent, item, items, models),
+            bytes: gibibyte,
+            ready: true,
+        })),
+        load: { running: 3, waiting: 0, capacity: 8 },
+        knownRevision: 12345n,
+        checksFence: true,
+        sequence,
+    });
+}
+
+function itemName(upstream: number, item: number, items: number, models: number): string {
+    return `m${(upstream * items + item) % models}@1`;
+}
+
+async function residentMiB(pid: number): Promise<number> {
+    const status = await readFile(`/proc/${pid}/status`, "utf8");
+    return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)![1]) / 1024);
+}
--- a/packages/testing/src/measure/decisions.ts
+++ b/packages/testing/src/measure/decisions.ts
@@ -1,7 +1,7 @@
 /** Drives the decision code with a trace, on the paused clock, against engines in memory. */
 import { create } from "@bufbuild/protobuf";
 import { sleep } from "@winchpath/core";
-import { Catalogue, type Resource, type Target } from "@winchpath/declarations";
+import { Catalogue, type Resource } from "@winchpath/declarations";
 import {
     DemandBook,
     Ledger,
@@ -10,7 +10,7 @@
     ReportDemandRequestSchema,
 } from "@winchpath/placement";
 import { type Job } from "@winchpath/requests";
-import { replicasOf } from "@winchpath/routing";
+import { RoutingTable } from "@winchpath/routing";
 import { Timeline } from "@winchpath/timeline";
 import { Registrar, ReportRequestSchema } from "@winchpath/upstream";
 import { mock } from "node:test";
@@ -47,6 +47,7 @@
 interface Entry {
     readonly registrar: Registrar;
     readonly policy: EntryPolicy;
+    readonly table: RoutingTable;
     readonly dataCentre: string;
 }
 
@@ -89,7 +90,12 @@
         this.entries = dataCentres.map(dataCentre => {
             const registrar = new Registrar(this.timeline);
             const agents = { connect: (url: string) => this.clientOf(url, dataCentre) };
-            return { registrar, dataCentre, policy: policy.newEntry(dataCentre, agents, registrar) };
+            const table = new RoutingTable({
+                registrar,
+                catalogue: () => this.catalogue,
+                drainedSince: () => new Map(),
+            });
+            return { registrar, table, dataCentre, policy: policy.newEntry(dataCentre, agents, registrar) };
         });
     }
 
@@ -155,7 +161,6 @@
     }
 
     private jobFor(request: TraceRequest, entry: Entry): Job {
-        const target = (): Target => this.catalogue.target(request.target)!;
         const prefix = `${request.model}/${request.prefix}`;
         return {
             requestId: "r",
@@ -175,7 +180,7 @@
             signal: this.stopping.signal,
             endsWithMark: () => false,
             bodyFor: model => Buffer.from(JSON.stringify({ model, tokens: request.tokens, prefix })),
-            replicas: () => replicasOf(target(), entry.registrar.live(), new Map()),
+            replicas: () => entry.table.replicasOf(request.target),
             hopeless: () => undefined,
             revision: () => 1,
         };
--- a/packages/testing/src/measure/main.ts
+++ b/packages/testing/src/measure/main.ts
@@ -1,4 +1,5 @@
-/** `npm run measure [-- --quick]`: the figures of docs/MEASURES.md, a JSON line each. */
+/** `npm run measure [-- --quick | -- --capacity]`: the figures of docs/MEASURES.md and docs/CAPACITY.md, a JSON line each. */
+import { measureCapacity } from "./capacity.js";
 import { type DecisionFigures, measureDecisions } from "./decisions.js";
 import { measurePaths } from "./paths.js";
 import { NaivePolicy, WinchpathPolicy } from "./policies.js";
@@ -20,10 +21,15 @@
     process.stdout.write(`${JSON.stringify(figure)}\n`);
 }
 
-await measurePaths(quick, tell);
-for (const fleet of fleets) {
-    for (const seed of seeds) {
-        await tellDecisions(fleet, seed);
+if (process.argv.includes("--capacity")) {
+    await measureCapacity(tell);
+}
+else {
+    await measurePaths(quick, tell);
+    for (const fleet of fleets) {
+        for (const seed of seeds) {
+            await tellDecisions(fleet, seed);
+        }
     }
 }
 
--- a/packages/testing/src/tests/leaving.test.ts
+++ b/packages/testing/src/tests/leaving.test.ts
@@ -51,6 +51,13 @@
         }
     }
 
+    /** Goes on until well after the time at which no new work may reach a leaver. */
+    public async goOnAfter(toldAt: number): Promise<void> {
+        while (Date.now() < toldAt + noNewWorkMs + 2000) {
+            await this.more(5);
+        }
+    }
+
     public async stop(): Promise<void> {
         this.stopped = true;
         await Promise.all(this.tasks);
@@ -139,7 +146,7 @@
                     name === "m1" && condition === "ready" && !readyAt.includes(home)
                 ),
         );
-        await load.more(40);
+        await load.goOnAfter(toldAt);
         await load.stop();
         expectNothingCutOff(load);
         const { lastStartedAt } = await deployment.facts<EngineFacts>(home);
@@ -165,7 +172,7 @@
                     readyAt.filter(name => name !== home).length >= wantedReplicas
                 ),
         );
-        await load.more(40);
+        await load.goOnAfter(toldAt);
         await load.stop();
         expectNothingCutOff(load);
         const { lastStartedAt } = await deployment.facts<EngineFacts>(home);
--- a/packages/testing/src/tests/memory.test.ts
+++ b/packages/testing/src/tests/memory.test.ts
@@ -5,9 +5,9 @@
 const gibibyte = 2 ** 30;
 const memoryGiB = 10;
 
-/** Three models of 3 GiB each, at a version. Two engines of 10 GiB: one more fits beside them, never two. */
+/** Four models of 3 GiB each, at a version. Two engines of 10 GiB: one more fits beside two, never two more. */
 function models(version: number): string {
-    const names = ["m0", "m1", "m2"];
+    const names = ["m0", "m1", "m2", "m3"];
     return names.map(name => `[[model]]\nname = "${name}"\nversion = "${version}"\nmemory = "3 GiB"\n`).join("");
 }
 
@@ -40,8 +40,8 @@
             await deployment.declare(models(1));
             await deployment.untilReady();
             for (let version = 2; version <= 4; version++) {
-                await deployment.setFaults("e0", { loseAnswers: 1, delayOrdersMs: 400 });
-                await deployment.setFaults("e1", { loseOrders: 1, delayOrdersMs: 400 });
+                await deployment.setFaults("e0", { loseAnswers: 2, delayOrdersMs: 700 });
+                await deployment.setFaults("e1", { loseAnswers: 1, loseOrders: 1, delayOrdersMs: 700 });
                 await deployment.declare(models(version));
                 await deployment.untilReady();
             }
--- a/packages/upstream/src/registrars.ts
+++ b/packages/upstream/src/registrars.ts
@@ -22,9 +22,15 @@
     /** Notified when an upstream comes, goes, or tells something new besides its load. */
     public readonly changed = new Notifier();
     private readonly upstreams = new Map<string, LiveUpstream>();
+    private structureCount = 0;
 
     public constructor(private readonly timeline: Timeline) {}
 
+    /** Grows whenever `changed` is notified: what is derived from more than loads has to be made anew. */
+    public get structure(): number {
+        return this.structureCount;
+    }
+
     /** Upstreams with a lease, by name. */
     public live(): LiveUpstream[] {
         return [...this.upstreams.values()];
@@ -48,10 +54,15 @@
             this.timeline.record("upstream.joined", { detail: `${report.upstream} at ${report.url}` });
         }
         if (same === undefined || tellsNews(same.report, report)) {
-            this.changed.notify();
+            this.noteChange();
         }
     }
 
+    private noteChange(): void {
+        this.structureCount += 1;
+        this.changed.notify();
+    }
+
     /** Takes upstreams out whose lease has run out, until the signal is aborted. */
     public async run(signal: AbortSignal): Promise<void> {
         let sweptAt = Date.now();
@@ -71,7 +82,7 @@
             if (now - upstream.heardAt > leaseMs) {
                 this.upstreams.delete(name);
                 this.timeline.record("lease.expired", { detail: name });
-                this.changed.notify();
+                this.noteChange();
             }
         }
     }
--- /dev/null
+++ b/packages/upstream/src/tests/agents.test.ts
@@ -0,0 +1,109 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { RpcClients } from "@winchpath/rpc";
+import { parseSettings } from "@winchpath/settings";
+import { Timeline } from "@winchpath/timeline";
+import { expect } from "earl";
+import { describe, it, type TestContext } from "node:test";
+import { Agent, lateAfterMs, Refusal, type RunRequest, RunRequestSchema, type Upstream } from "../index.js";
+
+const settings = `
+role = "agent"
+host = "booking-1"
+dataCentre = "plateau"
+[listen]
+peers = "127.0.0.1:7201"
+[control]
+seeds = ["http://127.0.0.1:1"]
+[security]
+insecure = true
+[upstream]
+name = "booking-1"
+kind = "service"
+service = "booking-api"
+url = "http://127.0.0.1:1"
+concurrency = 1
+`;
+
+const silentUpstream: Upstream = {
+    readState: async () => undefined,
+    order: async () => "taken",
+    send: () => new Promise(() => undefined),
+    close: async () => undefined,
+};
+
+function setUp(t: TestContext) {
+    t.mock.timers.enable({ apis: ["setTimeout", "Date"], now: 1_000_000 });
+    const timeline = new Timeline({ process: "agent/t", host: "t", dataCentre: "d" });
+    const clients = new RpcClients({ key: undefined, timeline });
+    const agent = new Agent({
+        cfg: parseSettings(settings, "/").unwrap(),
+        upstream: silentUpstream,
+        clients,
+        timeline,
+    });
+    let number = 0;
+    /** The refusal that a request gets, or undefined where it begins. */
+    const ask = async (changes: MessageInitShape<typeof RunRequestSchema> = {}): Promise<Refusal | undefined> => {
+        number += 1;
+        const common = { requestId: `r${number}`, attempt: 1, incarnation: agent.incarnation, timeoutMs: 60_000 };
+        const req = create(
+            RunRequestSchema,
+            { ...common, seenReport: agent.report().sequence, ...changes } as RunRequest,
+        );
+        const reader = agent.runner.run(req);
+        const first = await Promise.race([
+            reader.next(),
+            new Promise<undefined>(resolve => setImmediate(resolve, undefined)),
+        ]);
+        const chunk = first?.value?.chunk;
+        return chunk?.case === "refused" ? chunk.value.refusal : undefined;
+    };
+    return { agent, ask };
+}
+
+describe("Agent", () => {
+    it("refuses work of an entry that acts on an older revision, and tells the newer", async t => {
+        const { agent, ask } = setUp(t);
+        const resources = [{
+            $typeName: "winchpath.upstream.v1.ResourceRevision" as const,
+            name: "booking-api",
+            revision: 7n,
+        }];
+        const answer = { revision: 7n, term: 1n, resources, member: "m", voters: 3, voter: true, members: [] };
+        agent.answered("http://e", { $typeName: "winchpath.upstream.v1.ReportResponse", ...answer });
+        expect(await ask({ resource: "booking-api", revision: 6n })).toEqual(Refusal.STALE_REVISION);
+        expect(await ask({ resource: "booking-api", revision: 7n })).toEqual(undefined);
+    });
+
+    it("refuses a request that was chosen long ago, as by an entry that was frozen in between", async t => {
+        const { agent, ask } = setUp(t);
+        const seenReport = agent.report().sequence;
+        t.mock.timers.tick(lateAfterMs);
+        expect(await ask({ seenReport })).toEqual(undefined);
+        t.mock.timers.tick(1);
+        expect(await ask({ seenReport })).toEqual(Refusal.LATE);
+    });
+
+    it("refuses a request that was meant for an earlier incarnation, or saw no report of this one", async t => {
+        const { ask } = setUp(t);
+        expect(await ask({ incarnation: "before" })).toEqual(Refusal.INCARNATION);
+        expect(await ask({ seenReport: 0n })).toEqual(Refusal.LATE);
+        expect(await ask({ seenReport: 99n })).toEqual(Refusal.LATE);
+    });
+
+    it("takes work for a short grace once it leaves, and none after", async t => {
+        const { agent, ask } = setUp(t);
+        const left = agent.leave(60_000);
+        expect(await ask()).toEqual(undefined);
+        t.mock.timers.tick(1501);
+        expect(await ask()).toEqual(Refusal.LEAVING);
+        void left;
+    });
+
+    it("refuses what is far over its upstream's capacity", async t => {
+        const { ask } = setUp(t);
+        const answers = await Promise.all(Array.from({ length: 9 }, () => ask()));
+        expect(answers.filter(answer => answer === undefined).length).toEqual(8);
+        expect(answers.at(-1)).toEqual(Refusal.OVERLOADED);
+    });
+});
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -28,7 +28,7 @@
     RpcOrderSender,
 } from "@winchpath/placement";
 import { callerServer, type ClaimResult, Claims, RequestHandler, RpcAgentConnector } from "@winchpath/requests";
-import { Router } from "@winchpath/routing";
+import { Router, RoutingTable } from "@winchpath/routing";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { type Settings } from "@winchpath/settings";
 import { Timeline, TimelineService, timelineService } from "@winchpath/timeline";
@@ -206,8 +206,11 @@
             this.callers = callerServer({
                 handler: this.handler,
                 catalogue: () => this.catalogues.current,
-                live: () => this.registrar.live(),
-                drainedSince: () => this.drains.current(),
+                table: new RoutingTable({
+                    registrar: this.registrar,
+                    catalogue: () => this.catalogues.current,
+                    drainedSince: () => this.drains.current(),
+                }),
                 unplaceable: model => this.unplaceable(model),
                 requestMs: cfg.limits.request,
                 firstTokenMs: cfg.limits.firstToken,
