--- a/packages/placement/src/placers.ts
+++ b/packages/placement/src/placers.ts
@@ -2,7 +2,7 @@
  * The placer: every model resident first, then replicas by priority and demand.
  * It changes what is there only where the gain is worth a move.
  */
-import { type Model, unitBytes } from "@winchpath/declarations";
+import { type Model, type Target, unitBytes } from "@winchpath/declarations";
 import { choosePlace } from "./places.js";
 import { RoomMaker } from "./rooms.js";
 import { type AcceleratorView, type Action, type HeldItem, type PlacementView, type Placer } from "./views.js";
@@ -142,7 +142,7 @@
                 if (item.state === "resident" && target === undefined) {
                     plan.unload(at, id, "not declared");
                 }
-                else if (item.state === "resident" && target?.adapter !== undefined && !held.has(target.model.name)) {
+                else if (item.state === "resident" && isOrphan(target, held) && at.free < at.bytes * headroomShare) {
                     plan.unload(at, id, "its model is not here any more");
                 }
             }
@@ -167,6 +167,11 @@
     }
 }
 
+/** An adapter whose model has gone: it does no harm while there is memory, and is there if the model comes back. */
+function isOrphan(target: Target | undefined, held: ReadonlySet<string>): boolean {
+    return target?.adapter !== undefined && !held.has(target.model.name);
+}
+
 /** Replicas' worth of demand beyond what the homes can carry at the target use. */
 export function gainOfReplica(plan: Plan, model: Model): number {
     const busy = plan.view.demand.get(model.name)?.busy ?? 0;
--- /dev/null
+++ b/packages/rpc/src/tests/rpc.test.ts
@@ -0,0 +1,44 @@
+import { Code, ConnectError } from "@connectrpc/connect";
+import { Timeline, TimelineService, timelineService } from "@winchpath/timeline";
+import { expect } from "earl";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { RpcClients, RpcServer } from "../index.js";
+
+const key = "a key of some length";
+
+describe("RPC between processes", () => {
+    const serverTimeline = new Timeline({ process: "server", host: "s", dataCentre: "d" });
+    let server: RpcServer;
+    let clients: RpcClients;
+    beforeEach(async () => {
+        server = await RpcServer.listen({ host: "127.0.0.1", port: 0 }, router => {
+            router.service(TimelineService, timelineService(serverTimeline));
+        }, { key, timeline: serverTimeline });
+    });
+    afterEach(async () => {
+        clients.close();
+        await server.close(100);
+    });
+
+    function call(withKey: string | undefined, timeline: Timeline) {
+        clients = new RpcClients({ key: withKey, timeline });
+        return clients.client(TimelineService, `http://127.0.0.1:${server.port}`).listEvents({});
+    }
+
+    for (const wrong of [undefined, "another key of that length"]) {
+        it(`refuses a caller with ${wrong ?? "no key"}`, async () => {
+            const timeline = new Timeline({ process: "client", host: "c", dataCentre: "d" });
+            const code = await call(wrong, timeline).then(() => undefined, (err: ConnectError) => err.code);
+            expect(code).toEqual(Code.Unauthenticated);
+        });
+    }
+
+    it("carries the logical clock both ways", async () => {
+        const timeline = new Timeline({ process: "client", host: "c", dataCentre: "d" });
+        timeline.observe(1000n);
+        await call(key, timeline);
+        serverTimeline.record("after the call");
+        expect(serverTimeline.list().at(-1)!.clock > 1001n).toEqual(true);
+        expect(timeline.tick() > 1002n).toEqual(true);
+    });
+});
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -114,10 +114,7 @@
         this.timeline.record("process.stopping");
         await this.replica.handOver(handOverMs);
         await sleep(balancerMs);
-        await this.callers?.close();
-        while (this.handler.running > 0 && Date.now() < deadline) {
-            await sleep(Math.min(glueMs, 50));
-        }
+        await this.closeCallers(deadline);
         this.handler.close();
         this.stopping.abort();
         await this.replica.stop();
@@ -126,6 +123,14 @@
         await this.rpc.close(balancerMs);
     }
 
+    /** Takes no new connections, and lets what runs end until the deadline. */
+    private async closeCallers(deadline: number): Promise<void> {
+        const closed = this.callers?.close();
+        await Promise.race([closed, sleep(deadline - Date.now())]);
+        this.callers?.server.closeAllConnections();
+        await closed;
+    }
+
     private async openControl(): Promise<void> {
         const { cfg, clients, timeline } = this;
         const options: Partial<ConsensusOptions> = {
