--- a/packages/consensus/src/replicas.ts
+++ b/packages/consensus/src/replicas.ts
@@ -141,7 +141,7 @@
     /** Adds or updates a member; asked of the leader. */
     public async join(member: Member): Promise<void> {
         if (this.leadership?.active) {
-            await this.leadership.join(member);
+            await this.leadership.members.join(member);
             return;
         }
         await this.leaderPeer().join(member, attemptMs);
@@ -167,7 +167,7 @@
             return [];
         }
         return (state.membership?.members ?? []).map(member => {
-            const progress = leadership.progress.get(member.id);
+            const progress = leadership.replications.get(member.id);
             const self = member.id === state.memberId;
             return {
                 host: member.host,
--- /dev/null
+++ b/packages/consensus/src/replications.ts
@@ -0,0 +1,111 @@
+/** The task by which the leader keeps one member up to date. */
+import { create } from "@bufbuild/protobuf";
+import { messageOf, Notifier } from "@winchpath/core";
+import {
+    type AppendRequest,
+    AppendRequestSchema,
+    type AppendResponse,
+} from "./gen/winchpath/consensus/v1/consensus_pb.js";
+import { memberOf } from "./members.js";
+import { type PeerConnector } from "./peers.js";
+import { type ReplicaState } from "./states.js";
+
+/** What the task asks of its leader. */
+export interface ReplicationLeader {
+    readonly term: bigint;
+    readonly active: boolean;
+    /** Newest round of heartbeats that somebody waits for. */
+    readonly round: bigint;
+    /** The member has answered. */
+    answered(): void;
+}
+
+export class Replication {
+    /** Last index that is known to agree with the leader's log. */
+    public matchIndex = 0n;
+    /** Newest round of heartbeats that the member has answered. */
+    public round = 0n;
+    /** Date.now() of the last answer. */
+    public heardAt = 0;
+    /** Notified when there is something to send. */
+    public readonly wake = new Notifier();
+    private nextIndex: bigint;
+
+    public constructor(
+        private readonly id: string,
+        private readonly leader: ReplicationLeader,
+        private readonly state: ReplicaState,
+        private readonly peers: PeerConnector,
+    ) {
+        this.nextIndex = state.log.lastIndex + 1n;
+    }
+
+    /** Sends what the member lacks, or a heartbeat, for as long as the leader leads and the member is one. */
+    public async run(): Promise<void> {
+        const { heartbeatMs, electionMs } = this.state.options;
+        while (this.leader.active) {
+            const member = memberOf(this.state.membership, this.id);
+            if (member === undefined) {
+                return;
+            }
+            const { round } = this.leader;
+            let failed = false;
+            try {
+                const req = this.request();
+                this.take(await this.peers.connect(member.url).append(req, electionMs), round);
+            }
+            catch (err) {
+                failed = true;
+                this.state.logger("append failed", { member: member.url, error: messageOf(err) });
+            }
+            if (failed || !this.isBehind()) {
+                await this.wake.wait(heartbeatMs);
+            }
+        }
+    }
+
+    private isBehind(): boolean {
+        return this.nextIndex <= this.state.log.lastIndex || this.round < this.leader.round;
+    }
+
+    /** The next entries, or the snapshot where they were compacted away. */
+    private request(): AppendRequest {
+        const { state } = this;
+        const { log } = state;
+        const snapshot = this.nextIndex < log.firstIndex ? log.snapshot : undefined;
+        if (snapshot !== undefined) {
+            this.nextIndex = snapshot.index + 1n;
+        }
+        const previousIndex = this.nextIndex - 1n;
+        return create(AppendRequestSchema, {
+            group: state.group,
+            to: this.id,
+            leader: state.memberId,
+            leaderUrl: state.identity.url,
+            term: this.leader.term,
+            previousIndex,
+            previousTerm: log.termAt(previousIndex) ?? 0n,
+            commitIndex: state.commitIndex,
+            entries: snapshot === undefined ? log.batchFrom(this.nextIndex) : [],
+            snapshot,
+        });
+    }
+
+    private take(res: AppendResponse, round: bigint): void {
+        if (res.term > this.leader.term) {
+            void this.state.follow(res.term, "", "");
+            this.leader.answered();
+            return;
+        }
+        this.heardAt = Date.now();
+        this.round = round;
+        if (res.accepted) {
+            this.matchIndex = res.matchIndex > this.matchIndex ? res.matchIndex : this.matchIndex;
+            this.nextIndex = this.matchIndex + 1n;
+        }
+        else {
+            this.nextIndex = res.matchIndex + 1n;
+        }
+        this.leader.answered();
+    }
+}
--- a/packages/consensus/src/states.ts
+++ b/packages/consensus/src/states.ts
@@ -7,7 +7,6 @@
     HardStateSchema,
     type Membership,
     MembershipSchema,
-    type Snapshot,
 } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 import { Log } from "./logs.js";
 import { memberOf } from "./members.js";
@@ -151,10 +150,6 @@
         return this.log.membershipUpTo(this.appliedIndex)?.membership ?? create(MembershipSchema);
     }
 
-    public newestSnapshot(): Snapshot | undefined {
-        return this.log.snapshot;
-    }
-
     private persist(records: Parameters<LogStore["append"]>[0]): Promise<void> {
         return this.guard(this.store.append(records));
     }
--- a/packages/timeline/src/renderers.ts
+++ b/packages/timeline/src/renderers.ts
@@ -49,7 +49,7 @@
 }
 
 function htmlCell(event: Event): string {
-    const style = /fail|lost|refused|broken|unknown|expired/.test(event.kind) ? " class=\"failure\"" : "";
+    const style = /fail|lost|refused|broken|unknown|expired|doubt/.test(event.kind) ? " class=\"failure\"" : "";
     return `<td${style}><b>${escape(event.kind)}</b> <small>${escape(describe(event))}</small></td>`;
 }
 
