--- a/packages/testing/src/tests/leaving.test.ts
+++ b/packages/testing/src/tests/leaving.test.ts
@@ -1,4 +1,4 @@
-import { sleep } from "@winchpath/core";
+import { Deferred, sleep } from "@winchpath/core";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
 import {
@@ -131,6 +131,17 @@
         expect(load.chats.length > 20).toEqual(true);
     }
 
+    /** A chat of over three seconds, once its first token has come. */
+    async function begunChat(entry: EntryHost): Promise<{ answer: Promise<ChatAnswer>; }> {
+        const begun = new Deferred<void>();
+        const answer = chat(entry.callers, "m0", `long at ${entry.name}`, {
+            tokens: 700,
+            onToken: () => begun.resolve(),
+        });
+        await begun.promise;
+        return { answer };
+    }
+
     it("of an agent cuts nothing off, and brings it no new work after seconds, also for what lived only there", async () => {
         await start();
         load = new Load(deployment, 6);
@@ -183,11 +194,17 @@
         await start();
         load = new Load(deployment, 6);
         for (const entry of deployment.entries) {
+            const long = await begunChat(entry);
             expect(await entry.process.stop()).toEqual(0);
+            expect((await long.answer).whole).toEqual(true);
             await deployment.restartEntry(entry);
         }
         for (const upstream of deployment.upstreams) {
+            const long = [0, 1, 2].map(number =>
+                book(deployment.entries[number].callers, `long-${upstream.name}-${number}`, undefined, 2500)
+            );
             expect(await upstream.agent.stop()).toEqual(0);
+            expect((await Promise.all(long)).map(({ status }) => status)).toEqual([200, 200, 200]);
             await deployment.restartAgent(upstream);
             await deployment.untilReady();
         }
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -42,6 +42,8 @@
 /** Time for the platform's balancer to see that an entry is not ready, before it stops to listen. */
 const balancerMs = 1000;
 const handOverMs = 5000;
+/** How often a stopping entry looks whether all requests have ended. */
+const drainPollMs = 50;
 /** A host that has heard no leader for this long is not ready: it may act on old declarations. */
 const cutOffMs = 3000;
 
@@ -125,9 +127,20 @@
 
     /** Takes no new connections, and lets what runs end until the deadline. */
     private async closeCallers(deadline: number): Promise<void> {
-        const closed = this.callers?.close();
-        await Promise.race([closed, sleep(deadline - Date.now())]);
-        this.callers?.server.closeAllConnections();
+        if (this.callers === undefined) {
+            return;
+        }
+        const { server } = this.callers;
+        let open = true;
+        const closed = this.callers.close().then(() => {
+            open = false;
+        });
+        while (open && Date.now() < deadline) {
+            // What ended after the listener was closed has left its connection open for another request.
+            server.closeIdleConnections();
+            await Promise.race([closed, sleep(drainPollMs)]);
+        }
+        server.closeAllConnections();
         await closed;
     }
 
