--- a/packages/bench/src/decisions.ts
+++ b/packages/bench/src/decisions.ts
@@ -181,7 +181,7 @@
             endsWithMark: () => false,
             bodyFor: model => Buffer.from(JSON.stringify({ model, tokens: request.tokens, prefix })),
             replicas: () => entry.table.replicasOf(request.target),
-            hopeless: () => undefined,
+            unplaceable: () => undefined,
             revision: () => 1,
         };
     }
--- a/packages/bench/src/paths.ts
+++ b/packages/bench/src/paths.ts
@@ -183,14 +183,14 @@
 
 async function measureHostLoss(deployment: Deployment, tell: TellFigure): Promise<void> {
     const { models } = await deployment.client.status();
-    const home = deployment.upstream(models[0].readyAt[0]);
+    const host = deployment.upstream(models[0].readyAt[0]);
     const startedAt = Date.now();
-    await Promise.all([home.agent.kill(), home.standIn.kill()]);
+    await Promise.all([host.agent.kill(), host.standIn.kill()]);
     const answer = await chat(deployment.entries[0].callers, "m", "are you there", { tokens: 1 });
     const value = answer.whole ? Date.now() - startedAt : Number.NaN;
     tell({ name: "recovery_after_host_loss", value, unit: "ms", readyReplicas: models[0].readyReplicas, loadMs: 500 });
-    await deployment.restartStandIn(home);
-    await deployment.restartAgent(home);
+    await deployment.restartStandIn(host);
+    await deployment.restartAgent(host);
 }
 
 /** From the kill of the leader to the next accepted change. */
--- a/packages/placement/src/naive.ts
+++ b/packages/placement/src/naive.ts
@@ -22,15 +22,15 @@
         const wanted = new Map(view.accelerators.map(each => [keyOf(each), new Map<string, number>()]));
         const free = new Map(view.accelerators.map(each => [keyOf(each), each.stays ? each.bytes : 0]));
         for (const model of view.catalogue.models) {
-            const homes = new Set<string>();
+            const replicas = new Set<string>();
             const count = this.spread ? model.minReplicas : wantedReplicas(model, view);
             for (const each of this.inOrder(view, free)) {
                 const key = keyOf(each);
                 if (
-                    homes.size < count && !homes.has(each.upstream)
+                    replicas.size < count && !replicas.has(each.upstream)
                     && unitBytes(model) <= free.get(key)!
                 ) {
-                    homes.add(each.upstream);
+                    replicas.add(each.upstream);
                     free.set(key, free.get(key)! - unitBytes(model));
                     [model, ...model.adapters].forEach(item => wanted.get(key)!.set(item.id, item.bytes));
                 }
--- a/packages/placement/src/placers.ts
+++ b/packages/placement/src/placers.ts
@@ -7,7 +7,7 @@
 import { RoomMaker } from "./rooms.js";
 import { type AcceleratorView, type Action, type HeldItem, type PlacementView, type Placer } from "./views.js";
 
-/** Share of the homes' capacity that demand may take before another replica is wanted. */
+/** Share of the replicas' capacity that demand may take before another replica is wanted. */
 const targetUse = 0.7;
 
 /** Replicas that a model has with its spare. */
@@ -25,13 +25,13 @@
     }
 
     /** Accelerators that stay, and that hold the model or are about to. */
-    public homesOf(model: Model): AcceleratorView[] {
+    public replicasOf(model: Model): AcceleratorView[] {
         return this.accelerators.filter(each => each.stays && isHeld(each.items.get(model.id)));
     }
 
     /** Whether the model and all its adapters are ready there. */
-    public isWholeAt(model: Model, home: AcceleratorView): boolean {
-        return [model, ...model.adapters].every(item => home.items.get(item.id)?.ready === true);
+    public isWholeAt(model: Model, replica: AcceleratorView): boolean {
+        return [model, ...model.adapters].every(item => replica.items.get(item.id)?.ready === true);
     }
 
     public load(at: AcceleratorView, item: { id: string; bytes: number; }, reason: string): void {
@@ -56,10 +56,10 @@
 }
 
 export class IncrementalPlacer implements Placer {
-    /** Date.now() since when each model has had one home only. */
+    /** Date.now() since when each model has had one replica only. */
     private readonly singleSince = new Map<string, number>();
 
-    /** `sparePatienceMs`: how long a model has one home before it gets a spare, so that an upstream that restarts costs no move. */
+    /** `sparePatienceMs`: how long a model has one replica before it gets a spare, so that an upstream that restarts costs no move. */
     public constructor(private readonly sparePatienceMs: number) {}
 
     public plan(view: PlacementView): Action[] {
@@ -68,25 +68,25 @@
         const models = inOrderOfNeed(plan, view.catalogue.models);
         this.unloadUndeclared(plan);
         models.forEach(model => this.completeAdapters(plan, model));
-        models.filter(model => plan.homesOf(model).length === 0).forEach(model =>
-            this.addHome(plan, rooms, model, "unreachable")
+        models.filter(model => plan.replicasOf(model).length === 0).forEach(model =>
+            this.addReplica(plan, rooms, model, "unreachable")
         );
-        models.forEach(model => this.addReplicas(plan, rooms, model));
+        models.forEach(model => this.scaleWithDemand(plan, rooms, model));
         models.forEach(model => this.retireOldVersions(plan, model));
         models.forEach(model => this.addSpare(plan, model));
         return plan.actions;
     }
 
-    private addReplicas(plan: Plan, rooms: RoomMaker, model: Model): void {
-        const homes = plan.homesOf(model);
-        if (homes.length === 0) {
+    private scaleWithDemand(plan: Plan, rooms: RoomMaker, model: Model): void {
+        const replicas = plan.replicasOf(model);
+        if (replicas.length === 0) {
             return;
         }
-        for (let count = homes.length; count < model.minReplicas; count++) {
-            this.addHome(plan, rooms, model, "below its least replicas");
+        for (let count = replicas.length; count < model.minReplicas; count++) {
+            this.addReplica(plan, rooms, model, "below its least replicas");
         }
         const gain = gainOfReplica(plan, model);
-        if (plan.homesOf(model).length < model.maxReplicas && gain > plan.view.moveCost) {
+        if (plan.replicasOf(model).length < model.maxReplicas && gain > plan.view.moveCost) {
             const place = choosePlace(plan, model, unitBytes(model));
             if (place !== undefined) {
                 plan.loadUnit(place, model, `demand above capacity by ${gain.toFixed(2)} replicas`);
@@ -96,8 +96,8 @@
 
     /** A second replica in another data centre where memory lies idle: what is lost with a host is not missed then. */
     private addSpare(plan: Plan, model: Model): void {
-        const homes = plan.homesOf(model);
-        if (homes.length !== 1 || model.maxReplicas < spareReplicas) {
+        const replicas = plan.replicasOf(model);
+        if (replicas.length !== 1 || model.maxReplicas < spareReplicas) {
             this.singleSince.delete(model.name);
             return;
         }
@@ -109,13 +109,14 @@
         const place = choosePlace(plan, model, unitBytes(model));
         const headroom = place === undefined ? 0 : place.free - unitBytes(model);
         if (
-            place !== undefined && place.dataCentre !== homes[0].dataCentre && headroom >= place.bytes * headroomShare
+            place !== undefined && place.dataCentre !== replicas[0].dataCentre
+            && headroom >= place.bytes * headroomShare
         ) {
             plan.loadUnit(place, model, "a spare in another data centre");
         }
     }
 
-    private addHome(plan: Plan, rooms: RoomMaker, model: Model, reason: string): void {
+    private addReplica(plan: Plan, rooms: RoomMaker, model: Model, reason: string): void {
         const place = choosePlace(plan, model, unitBytes(model));
         if (place !== undefined) {
             plan.loadUnit(place, model, reason);
@@ -126,10 +127,10 @@
     }
 
     private completeAdapters(plan: Plan, model: Model): void {
-        for (const home of plan.homesOf(model)) {
-            const missing = model.adapters.filter(adapter => !home.items.has(adapter.id));
-            for (const adapter of missing.filter(({ bytes }) => home.orderable && bytes <= home.free)) {
-                plan.load(home, adapter, `adapter of ${model.name}`);
+        for (const replica of plan.replicasOf(model)) {
+            const missing = model.adapters.filter(adapter => !replica.items.has(adapter.id));
+            for (const adapter of missing.filter(({ bytes }) => replica.orderable && bytes <= replica.free)) {
+                plan.load(replica, adapter, `adapter of ${model.name}`);
             }
         }
     }
@@ -149,9 +150,9 @@
         }
     }
 
-    /** An earlier version goes only when the declared one is ready in as many homes. */
+    /** An earlier version goes only when the declared one is ready in as many replicas. */
     private retireOldVersions(plan: Plan, model: Model): void {
-        const ready = plan.homesOf(model).filter(home => plan.isWholeAt(model, home)).length;
+        const ready = plan.replicasOf(model).filter(replica => plan.isWholeAt(model, replica)).length;
         for (const item of [model, ...model.adapters]) {
             const old = plan.accelerators.flatMap(at =>
                 [...at.items].filter(([id, held]) =>
@@ -172,13 +173,13 @@
     return target?.adapter !== undefined && !held.has(target.model.name);
 }
 
-/** Replicas' worth of demand beyond what the homes can carry at the target use. */
+/** Replicas' worth of demand beyond what the replicas can carry at the target use. */
 export function gainOfReplica(plan: Plan, model: Model): number {
     const busy = plan.view.demand.get(model.name)?.busy ?? 0;
-    const homes = plan.homesOf(model);
-    const capacity = homes.reduce((sum, home) => sum + home.capacity * home.speed, 0);
-    const each = capacity / Math.max(1, homes.length);
-    return each === 0 ? 0 : busy / (each * targetUse) - homes.length;
+    const replicas = plan.replicasOf(model);
+    const capacity = replicas.reduce((sum, replica) => sum + replica.capacity * replica.speed, 0);
+    const each = capacity / Math.max(1, replicas.length);
+    return each === 0 ? 0 : busy / (each * targetUse) - replicas.length;
 }
 
 export function nameOf(id: string): string {
--- a/packages/placement/src/rooms.ts
+++ b/packages/placement/src/rooms.ts
@@ -63,9 +63,9 @@
 
     private surplusAt(place: AcceleratorView, model: Model): Model[] {
         return this.plan.view.catalogue.models.filter(other => {
-            const ready = this.plan.homesOf(other).filter(home => this.plan.isWholeAt(other, home));
+            const ready = this.plan.replicasOf(other).filter(replica => this.plan.isWholeAt(other, replica));
             const needed = Math.max(other.priority > model.priority ? other.minReplicas : 1, 1);
-            const spare = ready.length > needed && ready.some(home => home === place);
+            const spare = ready.length > needed && ready.some(replica => replica === place);
             return other !== model && spare && gainOfReplica(this.plan, other) <= -1;
         });
     }
@@ -88,8 +88,8 @@
     }
 
     private mayMoveOn(place: AcceleratorView, other: Model): boolean {
-        const homes = this.plan.homesOf(other);
-        return homes.length === 1 && homes[0] === place && this.plan.isWholeAt(other, place);
+        const replicas = this.plan.replicasOf(other);
+        return replicas.length === 1 && replicas[0] === place && this.plan.isWholeAt(other, place);
     }
 
     private heldBytes(place: AcceleratorView, model: Model): number {
--- a/packages/placement/src/views.ts
+++ b/packages/placement/src/views.ts
@@ -13,7 +13,7 @@
     readonly bytes: number;
     /** Requests that the upstream serves at once at full speed. */
     readonly capacity: number;
-    /** Whether the upstream is there and is to stay: it counts as a home. */
+    /** Whether the upstream is there and is to stay: it counts as a replica. */
     readonly stays: boolean;
     /** Whether orders may go to it now. */
     readonly orderable: boolean;
--- a/packages/requests/src/jobs.ts
+++ b/packages/requests/src/jobs.ts
@@ -35,7 +35,7 @@
     /** Replicas that are ready now. */
     replicas(): RoutedReplica[];
     /** Why no replica will be ready however long it waits; undefined where one may be. */
-    hopeless(): string | undefined;
+    unplaceable(): string | undefined;
     /** Version of the declaration that the entry acts on. */
     revision(): number;
 }
--- a/packages/requests/src/parsers.ts
+++ b/packages/requests/src/parsers.ts
@@ -59,7 +59,7 @@
         endsWithMark: (status, headers) => status === okStatus && isEventStream(headers),
         bodyFor: item => Buffer.from(JSON.stringify({ ...chat, model: item })),
         replicas: () => context.table.replicasOf(chat.model),
-        hopeless: () => context.unplaceable(target.model),
+        unplaceable: () => context.unplaceable(target.model),
         revision: () => context.catalogue().target(chat.model)?.revision ?? 0,
     };
 }
@@ -86,7 +86,7 @@
         endsWithMark: () => false,
         bodyFor: () => body,
         replicas: () => context.table.replicasOfService(name),
-        hopeless: () => undefined,
+        unplaceable: () => undefined,
         revision: () => context.catalogue().services.get(name) ?? 0,
     };
 }
--- a/packages/requests/src/queues.ts
+++ b/packages/requests/src/queues.ts
@@ -6,10 +6,10 @@
 
 /** Others' requests end without this entry being told. */
 const lookAgainMs = 25;
-/** When to come back to a model that is between homes. */
+/** When to come back to a model without a ready replica. */
 const noReplicaRetryMs = 3000;
 /** When to come back to a model that fits nowhere: operators have to act first. */
-const hopelessRetryMs = 60_000;
+const unplaceableRetryMs = 60_000;
 /** Weight of the newest service time in the average. */
 const serviceWeight = 0.1;
 
@@ -44,7 +44,7 @@
                 return route.replica;
             }
         }
-        this.refuseIfHopeless(job);
+        this.refuseEarly(job);
         const ticket = { job, tried, admitted: new Deferred<RoutedReplica>(), number: this.issued++ };
         this.tickets.push(ticket);
         const leave = () =>
@@ -102,10 +102,10 @@
     }
 
     /** Gives the final answer at once where waiting would be in vain. */
-    private refuseIfHopeless(job: Job): void {
-        const reason = job.hopeless();
+    private refuseEarly(job: Job): void {
+        const reason = job.unplaceable();
         if (reason !== undefined) {
-            throw new RequestFailure(ProblemCode.noReplica, "not-run", reason, hopelessRetryMs);
+            throw new RequestFailure(ProblemCode.noReplica, "not-run", reason, unplaceableRetryMs);
         }
         if (this.tickets.length >= this.limit) {
             throw overloaded(`${this.limit} requests wait already`, this.expectedWaitMs(job));
--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -184,7 +184,7 @@
         endsWithMark: () => true,
         bodyFor: () => Buffer.from("r"),
         replicas: () => agents.replicas(),
-        hopeless: () => undefined,
+        unplaceable: () => undefined,
         revision: () => 1,
         ...changes,
     };
--- a/packages/requests/src/tests/queues.test.ts
+++ b/packages/requests/src/tests/queues.test.ts
@@ -71,7 +71,7 @@
         ]);
     });
 
-    it("lets a request wait for a model between homes until its deadline", async t => {
+    it("lets a request wait for a model without a ready replica until its deadline", async t => {
         const { queues, admit } = setUp(t);
         const failure = admit({ replicas: () => [], startBy: Date.now() + 10, deadline: Date.now() + 1000 })
             .then(() => undefined, (err: unknown) => err as RequestFailure);
--- a/packages/routing/src/pickers.ts
+++ b/packages/routing/src/pickers.ts
@@ -39,9 +39,12 @@
         if (candidates.length === 1) {
             return candidates[0];
         }
-        const home = context.prefix === undefined ? undefined : homeOf(context.prefix, candidates);
-        if (home !== undefined && this.use(home) <= this.averageUse(candidates) * affinityBound + affinitySlack) {
-            return home;
+        const preferred = context.prefix === undefined ? undefined : preferredOf(context.prefix, candidates);
+        if (
+            preferred !== undefined
+            && this.use(preferred) <= this.averageUse(candidates) * affinityBound + affinitySlack
+        ) {
+            return preferred;
         }
         const [first, second] = this.twoOf(candidates);
         return this.use(second) < this.use(first) ? second : first;
@@ -64,7 +67,7 @@
 }
 
 /** The candidate with the highest hash of prefix and name: few prefixes move when candidates come and go. */
-function homeOf(prefix: string, candidates: readonly RoutedReplica[]): RoutedReplica {
+function preferredOf(prefix: string, candidates: readonly RoutedReplica[]): RoutedReplica {
     const score = (candidate: RoutedReplica) => hash(`${prefix}/${candidate.upstream}`);
     return candidates.reduce((best, candidate) => score(candidate) > score(best) ? candidate : best);
 }
--- a/packages/routing/src/tests/routing.test.ts
+++ b/packages/routing/src/tests/routing.test.ts
@@ -67,10 +67,10 @@
         const loads = new LoadBook();
         const picker = new LoadAwarePicker(loads, () => 0);
         const candidates = ["a", "b", "c"].map(name => replica(name));
-        const home = picker.pick(candidates, { prefix: "p" }).upstream;
-        expect(picker.pick(candidates, { prefix: "p" }).upstream).toEqual(home);
-        Array.from({ length: 4 }, () => loads.started(home));
-        expect(picker.pick(candidates, { prefix: "p" }).upstream).not.toEqual(home);
+        const preferred = picker.pick(candidates, { prefix: "p" }).upstream;
+        expect(picker.pick(candidates, { prefix: "p" }).upstream).toEqual(preferred);
+        Array.from({ length: 4 }, () => loads.started(preferred));
+        expect(picker.pick(candidates, { prefix: "p" }).upstream).not.toEqual(preferred);
     });
 });
 
--- a/packages/settings/src/schemas.ts
+++ b/packages/settings/src/schemas.ts
@@ -95,7 +95,7 @@
     storeConcurrency: Type.Integer({ default: 8, minimum: 1 }),
     /** Price of one move, in the share of a replica's capacity that it has to win. */
     moveCost: Type.Number({ default: 0.5, minimum: 0 }),
-    /** How long a model has one home only before it gets a spare one in another data centre. */
+    /** How long a model has one replica only before it gets a spare in another data centre. */
     sparePatience: duration("1m"),
 }, { ...strict, default: {} });
 
--- a/packages/testing/src/tests/leaving.test.ts
+++ b/packages/testing/src/tests/leaving.test.ts
@@ -145,8 +145,8 @@
     it("of an agent cuts nothing off, and brings it no new work after seconds, also for what lived only there", async () => {
         await start();
         load = new Load(deployment, 6);
-        const home = (await deployment.untilReady()).models.find(model => model.name === "m1")!.readyAt[0];
-        const leaver = deployment.upstream(home);
+        const host = (await deployment.untilReady()).models.find(model => model.name === "m1")!.readyAt[0];
+        const leaver = deployment.upstream(host);
         const toldAt = Date.now();
         const code = await leaver.agent.stop();
         expect(code).toEqual(0);
@@ -154,39 +154,39 @@
             "with m1 elsewhere",
             status =>
                 status.models.some(({ name, condition, readyAt }) =>
-                    name === "m1" && condition === "ready" && !readyAt.includes(home)
+                    name === "m1" && condition === "ready" && !readyAt.includes(host)
                 ),
         );
         await load.goOnAfter(toldAt);
         await load.stop();
         expectNothingCutOff(load);
-        const { lastStartedAt } = await deployment.facts<EngineFacts>(home);
+        const { lastStartedAt } = await deployment.facts<EngineFacts>(host);
         expect(lastStartedAt - toldAt < noNewWorkMs).toEqual(true);
     });
 
     it("by a drain moves everything off, and brings no new work after seconds", async () => {
         await start();
         load = new Load(deployment, 6);
-        const home = (await deployment.untilReady()).models.find(model => model.name === "m1")!.readyAt[0];
+        const host = (await deployment.untilReady()).models.find(model => model.name === "m1")!.readyAt[0];
         const { items: none } = await deployment.client.list("Drain");
         expect(none).toEqual([]);
         const toldAt = Date.now();
         await deployment.client.change({
             changeId: "drain",
             operator: "awa",
-            items: [{ op: "put", kind: "Drain", name: home, baseVersion: 0, spec: { reason: "new cards" } }],
+            items: [{ op: "put", kind: "Drain", name: host, baseVersion: 0, spec: { reason: "new cards" } }],
         }, false);
         await deployment.untilStatus(
             "with all models elsewhere",
             status =>
                 status.models.every(({ readyAt, wantedReplicas }) =>
-                    readyAt.filter(name => name !== home).length >= wantedReplicas
+                    readyAt.filter(name => name !== host).length >= wantedReplicas
                 ),
         );
         await load.goOnAfter(toldAt);
         await load.stop();
         expectNothingCutOff(load);
-        const { lastStartedAt } = await deployment.facts<EngineFacts>(home);
+        const { lastStartedAt } = await deployment.facts<EngineFacts>(host);
         expect(lastStartedAt - toldAt < noNewWorkMs).toEqual(true);
     });
 
--- a/packages/testing/src/tests/reachable.test.ts
+++ b/packages/testing/src/tests/reachable.test.ts
@@ -83,7 +83,7 @@
         await expectAnswers();
     });
 
-    it("or waits within its time while it is between homes", async () => {
+    it("or waits within its time while no replica is ready", async () => {
         await start();
         await deployment.declare(models("[[model]]\nname = \"late\"\nversion = \"1\"\nmemory = \"1 GiB\"\n"));
         const answer = await chat(deployment.entries[0].callers, "late", "?");
--- a/packages/upstream/src/agents.ts
+++ b/packages/upstream/src/agents.ts
@@ -18,7 +18,7 @@
 import { type EngineState } from "./schemas.js";
 import { lateAfterMs } from "./tables.js";
 
-/** A leaver goes on taking work this long, for models that have no other home yet. */
+/** A leaver goes on taking work this long, for models that have no other replica yet. */
 const leaveGraceMs = 1500;
 /** Requests in the upstream, in multiples of what it serves at full speed, above which more are refused. */
 const overloadFactor = 8;
