Never run a booking again that an agent has forgotten, and survive the end of idle sessions

Cause, found by reading: an agent remembers an ended attempt for 60 s; asked to fence one it no longer knew, it said that it had never come. A copy under the same key an hour later, with an answer too large to keep, would have been run again. Cause, found by one red booking test under load (503, 503, 200): a copy fenced the claimed attempt before its holder could send it, took it over, and spent the retry budget on that. Ruled out: remembering attempts for ever (unbounded); more retries. Before: the new test told not-run with the agent's doubt off; after: ran, one run.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -41,7 +41,12 @@
     for (const count of [10_000, 50_000]) {
         const claims = new Claims();
         for (let number = 0; number < count; number++) {
-            const place = { upstream: "booking-1", url: `http://${loopback}:9`, incarnation: "0mx684f1u-APzpuS2JsAAA" };
+            const place = {
+                upstream: "booking-1",
+                url: `http://${loopback}:9`,
+                incarnation: "0mx684f1u-APzpuS2JsAAA",
+                seenReport: 12345,
+            };
             claims.apply({
                 op: "claim",
                 key: `booking-api/crew/${number}`,
--- a/packages/requests/src/agents.ts
+++ b/packages/requests/src/agents.ts
@@ -16,6 +16,8 @@
     readonly requestId: string;
     readonly attempt: number;
     readonly incarnation: string;
+    /** The report that its upstream was chosen by. */
+    readonly seenReport: bigint;
 }
 
 /** Finds an agent by its URL; tests put faults here. */
--- a/packages/requests/src/attempts.ts
+++ b/packages/requests/src/attempts.ts
@@ -105,7 +105,7 @@
     private cancelIfLeft(job: Job, plan: AttemptPlan): void {
         if (job.signal.aborted && job.repeatable) {
             const { requestId, attempt, replica } = plan;
-            const id = { requestId, attempt, incarnation: replica.incarnation };
+            const id = { requestId, attempt, incarnation: replica.incarnation, seenReport: replica.sequence };
             this.agents.connect(replica.url).cancel(id, cancelTimeoutMs).catch(() => undefined);
         }
     }
--- a/packages/requests/src/executions.ts
+++ b/packages/requests/src/executions.ts
@@ -102,7 +102,7 @@
     /** Asks the agent to settle the attempt: it answers for it, or never begins it. */
     public async verdictOn({ requestId, attempt, replica }: AttemptPlan): Promise<Verdict> {
         const agent = this.parts.agents.connect(replica.url);
-        const id = { requestId, attempt, incarnation: replica.incarnation };
+        const id = { requestId, attempt, incarnation: replica.incarnation, seenReport: replica.sequence };
         const outcome = await fenceAttempt(agent, id, fenceTimeoutMs);
         return neverRan(outcome) ? "never" : hasAnswer(outcome) ? "answer" : "unknown";
     }
--- a/packages/requests/src/handlers.ts
+++ b/packages/requests/src/handlers.ts
@@ -15,6 +15,7 @@
 import { AttemptWatch } from "./watches.js";
 
 const claimTimeoutMs = 5000;
+const joinPatienceMs = 500;
 /** One in so many requests that end well is told on the time line. */
 const sampleEvery = 20;
 
@@ -29,6 +30,8 @@
     readonly queueLimit: number;
     readonly retryShare: number;
     readonly claimWindowMs: number;
+    /** How long a copy waits for the claimed attempt to be sent; half a second where absent. */
+    readonly joinPatienceMs?: number;
 }
 
 export class RequestHandler {
@@ -54,6 +57,7 @@
             log: parts.log,
             windowMs: parts.claimWindowMs,
             claimTimeoutMs,
+            joinPatienceMs: parts.joinPatienceMs ?? joinPatienceMs,
         };
     }
 
--- a/packages/requests/src/keyed.ts
+++ b/packages/requests/src/keyed.ts
@@ -1,8 +1,8 @@
 /** Runs a request that may not be repeated and that carries an idempotency key: it is claimed before it is sent. */
 import { create } from "@bufbuild/protobuf";
-import { messageOf, newIdentity } from "@winchpath/core";
+import { messageOf, newIdentity, sleep } from "@winchpath/core";
 import { type RoutedReplica } from "@winchpath/routing";
-import { type Header, HeaderSchema } from "@winchpath/upstream";
+import { type Header, HeaderSchema, Refusal } from "@winchpath/upstream";
 import { type AttemptPlan } from "./attempts.js";
 import { Execution, type ExecutionParts } from "./executions.js";
 import { type AnswerEvent, type Job } from "./jobs.js";
@@ -14,6 +14,7 @@
 const maxKeptBytes = 8 * 1024;
 const maxRounds = 8;
 const controlRetryMs = 1000;
+const joinRetryMs = 20;
 
 /** The control log, as this slice needs it. */
 export interface ClaimLog {
@@ -27,6 +28,8 @@
     readonly windowMs: number;
     /** Time that one write of a claim may take, in milliseconds. */
     readonly claimTimeoutMs: number;
+    /** How long a copy waits for the claimed attempt to be sent, in milliseconds. */
+    readonly joinPatienceMs: number;
 }
 
 /** What the log says next, or that the caller has the whole answer. */
@@ -91,6 +94,10 @@
             return { tag: "whole" };
         }
         const plan = { ...planOf(claim), attach: true };
+        const joined = yield* this.join(plan);
+        if (joined.tag === "whole") {
+            return joined;
+        }
         const verdict = await this.execution.verdictOn(plan);
         this.note("request.joined", `attempt=${claim.attempt} at ${claim.upstream}: ${verdict}`);
         if (verdict === "never") {
@@ -98,17 +105,31 @@
         }
         this.mayHaveRun = true;
         if (verdict === "unknown") {
-            throw this.failure("the upstream that had the request does not answer for it");
+            throw claim.ran
+                ? answerNotKept()
+                : this.failure("the upstream that had the request does not answer for it");
         }
         const end = yield* this.attempt(plan);
         if (end.tag === "whole") {
             return { tag: "whole" };
         }
-        throw end.tag === "refused"
-            ? new RequestFailure(ProblemCode.answerLost, "ran", "it ran before, and its answer is not kept any more")
+        throw end.tag === "refused" || claim.ran
+            ? answerNotKept()
             : this.failure(end.tag === "different" ? "the answer began otherwise" : end.message);
     }
 
+    /** Attaches to another's attempt. Its holder is given a little time to send it before it would be fenced off. */
+    private async *join(plan: AttemptPlan): AsyncGenerator<AnswerEvent, AttemptEnd> {
+        for (let waitedMs = 0;; waitedMs += joinRetryMs) {
+            const end = yield* this.attempt(plan);
+            const notThere = end.tag === "refused" && end.refusal === Refusal.UNKNOWN_REQUEST;
+            if (!notThere || waitedMs >= this.parts.joinPatienceMs || this.job.signal.aborted) {
+                return end;
+            }
+            await sleep(joinRetryMs, this.job.signal);
+        }
+    }
+
     /** The claimed attempt will never run: the next one goes to whoever asks first. */
     private async passOn(claim: Claim): Promise<Step> {
         try {
@@ -194,10 +215,8 @@
     /** Copies that come after the agent has forgotten the answer find it with the claim. */
     private keepAnswer(claim: Claim): void {
         const answer = this.collector.answer();
-        if (answer !== undefined) {
-            const command: ClaimCommand = { op: "answer", key: this.key, attempt: claim.attempt, answer };
-            this.propose(command).catch(err => this.note("request.answer-not-kept", messageOf(err)));
-        }
+        const command: ClaimCommand = { op: "answer", key: this.key, attempt: claim.attempt, answer };
+        this.propose(command).catch(err => this.note("request.answer-not-kept", messageOf(err)));
     }
 
     /** New for each attempt, so that the log's answer to an earlier one is not taken for this one's. */
@@ -249,13 +268,17 @@
     yield { tag: "body", bytes: Buffer.from(answer.body, "base64") };
 }
 
-function placeOf({ upstream, url, incarnation }: RoutedReplica) {
-    return { upstream, url, incarnation };
+function placeOf({ upstream, url, incarnation, sequence }: RoutedReplica) {
+    return { upstream, url, incarnation, seenReport: Number(sequence) };
+}
+
+function answerNotKept(): RequestFailure {
+    return new RequestFailure(ProblemCode.answerLost, "ran", "it ran before, and its answer is not kept any more");
 }
 
 /** The claimed attempt; `chosen` is this entry's own choice where the attempt is its own. */
 function planOf(claim: Claim, chosen?: RoutedReplica): AttemptPlan {
-    const { requestId, attempt, upstream, url, incarnation } = claim;
-    const replica = { upstream, url, incarnation, item: chosen?.item ?? "", sequence: chosen?.sequence ?? 0n };
+    const { requestId, attempt, upstream, url, incarnation, seenReport } = claim;
+    const replica = { upstream, url, incarnation, item: chosen?.item ?? "", sequence: BigInt(seenReport) };
     return { requestId, attempt, replica, attach: false };
 }
--- a/packages/requests/src/schemas.ts
+++ b/packages/requests/src/schemas.ts
@@ -22,13 +22,18 @@
     upstream: Type.String(),
     url: Type.String(),
     incarnation: Type.String(),
+    /** The report that the attempt's upstream was chosen by. */
+    seenReport: Type.Integer(),
     /** Leader's clock in milliseconds since the epoch. */
     expiresAt: Type.Integer(),
+    /** It is known to have run to its end. */
+    ran: Type.Optional(Type.Boolean()),
+    /** Small answers, as long as there is room for them. */
     answer: Type.Optional(KeptAnswer),
 });
 export type Claim = Static<typeof Claim>;
 
-const Place = { upstream: Type.String(), url: Type.String(), incarnation: Type.String() };
+const Place = { upstream: Type.String(), url: Type.String(), incarnation: Type.String(), seenReport: Type.Integer() };
 
 export const ClaimCommand = Type.Union([
     Type.Object({
@@ -50,7 +55,13 @@
     }),
     /** The attempt was not run, and there will be no other. */
     Type.Object({ op: Type.Literal("release"), key: Type.String(), attempt: Type.Integer() }),
-    Type.Object({ op: Type.Literal("answer"), key: Type.String(), attempt: Type.Integer(), answer: KeptAnswer }),
+    /** The attempt has run to its end; its answer is kept where it is small. */
+    Type.Object({
+        op: Type.Literal("answer"),
+        key: Type.String(),
+        attempt: Type.Integer(),
+        answer: Type.Optional(KeptAnswer),
+    }),
 ]);
 export type ClaimCommand = Static<typeof ClaimCommand>;
 
--- a/packages/requests/src/tests/handlers.test.ts
+++ b/packages/requests/src/tests/handlers.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { Claims, RequestFailure } from "../index.js";
+import { type ClaimCommand, Claims, RequestFailure } from "../index.js";
 import { ask, FakeAgents, type Faults, handlerFor, jobFor, wholeText } from "./fakes.js";
 
 const seed = 20261202;
@@ -90,6 +90,30 @@
         });
     });
 
+    describe("a copy under a key, after the agent has forgotten the answer", () => {
+        /** A log that has lost the answer, as it does with one that is too large. */
+        class AnswerlessClaims extends Claims {
+            public override apply(command: ClaimCommand, context: { time: number; }) {
+                return super.apply(command.op === "answer" ? { ...command, answer: undefined } : command, context);
+            }
+        }
+
+        it("is told that it ran, and is not run again", async t => {
+            t.mock.timers.enable({ apis: ["Date"], now: 1_000_000 });
+            const agents = new FakeAgents({ cuts: [], breaks: [], restarts: [] }, ["a"]);
+            const claims = new AnswerlessClaims();
+            const askAgain = (requestId: string) =>
+                ask(handlerFor(agents, claims), jobFor(agents, { requestId, repeatable: false, idempotencyKey: "k" }));
+            expect((await askAgain("r0")).failure).toEqual(undefined);
+            t.mock.timers.tick(3600_000);
+            // Another request makes the agent look for what it may forget.
+            const other = { requestId: "other", bodyFor: () => Buffer.from("other") };
+            await ask(handlerFor(agents), jobFor(agents, other));
+            expect(outcomeOf((await askAgain("r1")).failure)).toEqual("ran");
+            expect(agents.upstream.runs.get("r")).toEqual(1);
+        });
+    });
+
     describe("an answer that broke off, and begins otherwise at the next replica", () => {
         it("is not continued with the other's text", async () => {
             const agents = new FakeAgents({ cuts: [], breaks: [3], restarts: [], varied: true }, ["a", "b"]);
--- a/packages/rpc/src/tests/rpc.test.ts
+++ b/packages/rpc/src/tests/rpc.test.ts
@@ -2,7 +2,7 @@
 import { Timeline, TimelineService, timelineService } from "@winchpath/timeline";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { RpcClients, RpcServer } from "../index.js";
+import { isEndOfSession, RpcClients, RpcServer } from "../index.js";
 
 const key = "a key of some length";
 
@@ -33,6 +33,14 @@
         });
     }
 
+    it("knows the library's error at the end of an idle session, and takes no other for it", () => {
+        expect(isEndOfSession(new ConnectError("received GOAWAY without any open streams", Code.Canceled))).toEqual(
+            true,
+        );
+        expect(isEndOfSession(new ConnectError("no such thing", Code.NotFound))).toEqual(false);
+        expect(isEndOfSession(new Error("GOAWAY"))).toEqual(false);
+    });
+
     it("carries the logical clock both ways", async () => {
         const timeline = new Timeline({ process: "client", host: "c", dataCentre: "d" });
         timeline.observe(1000n);
--- a/packages/testing/src/deployments/processes.ts
+++ b/packages/testing/src/deployments/processes.ts
@@ -12,6 +12,7 @@
 export class Process {
     public output = "";
     private exited = false;
+    private ending = false;
     private readonly ready = new Deferred<void>();
 
     private constructor(private readonly child: ChildProcess, public readonly name: string) {
@@ -25,6 +26,9 @@
         child.stderr?.on("data", take);
         child.once("exit", code => {
             this.exited = true;
+            if (!this.ending) {
+                process.stderr.write(`${name} ended by itself with ${code}: ${this.output}\n`);
+            }
             this.ready.reject(new Error(`${name} ended with ${code}: ${this.output}`));
         });
         this.ready.promise.catch(() => undefined);
@@ -68,6 +72,7 @@
     }
 
     private async end(signal: NodeJS.Signals): Promise<number | undefined> {
+        this.ending = true;
         if (this.running) {
             const exited = once(this.child, "exit");
             this.child.kill("SIGCONT");
--- a/packages/upstream/src/agents.ts
+++ b/packages/upstream/src/agents.ts
@@ -7,6 +7,7 @@
 import { type Upstream } from "./engines.js";
 import {
     type Fence,
+    type FenceOutcome,
     Refusal,
     type ReportRequest,
     ReportRequestSchema,
@@ -92,6 +93,11 @@
         this.parts.timeline.record("agent.left", { detail: `unfinished=${this.runner.table.running}` });
     }
 
+    /** Settles an attempt; see {@link RunTable.fence}. */
+    public fence(requestId: string, attempt: number, seenReport: bigint): FenceOutcome {
+        return this.runner.table.fence(requestId, attempt, this.reports.ageOf(Number(seenReport)));
+    }
+
     /** Ends all tasks, and cuts off what still runs. */
     public async stop(): Promise<void> {
         this.stopping.abort();
--- a/packages/upstream/src/services.ts
+++ b/packages/upstream/src/services.ts
@@ -16,7 +16,7 @@
             if (req.incarnation !== agent.incarnation) {
                 return { outcome: FenceOutcome.FORGOTTEN };
             }
-            return { outcome: agent.runner.table.fence(req.requestId, req.attempt) };
+            return { outcome: agent.fence(req.requestId, req.attempt, req.seenReport) };
         },
         cancel: req => {
             agent.runner.cancel(req.requestId, req.attempt);
--- a/packages/upstream/src/tables.ts
+++ b/packages/upstream/src/tables.ts
@@ -7,7 +7,7 @@
 /** A request that was chosen longer ago than this is refused as late. */
 export const lateAfterMs = 10_000;
 /** How long an ended attempt or a tombstone is remembered: well beyond the time after which a copy is late. */
-const rememberMs = 6 * lateAfterMs;
+export const rememberMs = 6 * lateAfterMs;
 const sweepMs = 1000;
 /** Bytes of ended answers that are kept in all. */
 const maxKeptBytes = 64 * 1024 * 1024;
@@ -40,12 +40,20 @@
         return record;
     }
 
-    /** Tells what became of an attempt; one that never came is refused from now on. */
-    public fence(requestId: string, attempt: number): FenceOutcome {
+    /**
+     * Tells what became of an attempt; one that never came is refused from now on.
+     * `chosenMsAgo`: the age of the report that its upstream was chosen by. An
+     * attempt that is not known, and that may have ended and been forgotten since,
+     * may have run.
+     */
+    public fence(requestId: string, attempt: number, chosenMsAgo: number): FenceOutcome {
         const known = this.find(requestId, attempt);
         if (known !== undefined) {
             return known.outcome;
         }
+        if (chosenMsAgo >= rememberMs) {
+            return FenceOutcome.FORGOTTEN;
+        }
         const tombstone = this.begin(requestId, attempt, true);
         tombstone.finish(FenceOutcome.NEVER, { refused: create(RunRefusedSchema) });
         return FenceOutcome.NEVER;
--- a/packages/winchpathd/src/main.ts
+++ b/packages/winchpathd/src/main.ts
@@ -1,10 +1,13 @@
 #!/usr/bin/env node
 /** `winchpathd --settings FILE`: one process of the system, in the role that its settings give. */
-import { Failure, formatIssue, messageOf } from "@winchpath/core";
+import { Failure, formatIssue, logger, messageOf } from "@winchpath/core";
+import { isEndOfSession } from "@winchpath/rpc";
 import { checkEnvironment, loadSettings } from "@winchpath/settings";
 import yargs from "yargs";
 import { startProcess } from "./processes.js";
 
+const log = logger("winchpathd");
+
 /** Exit codes: a stop as asked, a failure while running, settings or an environment that won't do. */
 const exitStopped = 0;
 const exitFailed = 1;
@@ -27,6 +30,13 @@
         return;
     }
     process.on("unhandledRejection", err => end(exitFailed, err));
+    process.on("uncaughtException", err => {
+        if (isEndOfSession(err)) {
+            log("a session has ended", { error: err.message });
+            return;
+        }
+        end(exitFailed, err);
+    });
     try {
         const running = await startProcess(settings.val, err => end(exitFailed, err));
         process.stdout.write(`${running.description}\n`);
