Measure durations by a clock that never jumps, and let five voters grow out of three seeds

Cause: a step of the time of day made followers stand for election, or not notice a dead leader for an hour; voters of hosts that were gone for good were never replaced; a member with a new identity was called at every append without a pause. Mend: steadyNow for all durations of consensus, voters up to a bound and in the place of silent ones, a pause after a failed append, sessions dropped that give no answer.

--- a/packages/consensus/src/elections.ts
+++ b/packages/consensus/src/elections.ts
@@ -1,6 +1,6 @@
 /** The task that stands for election when no leader is heard. */
 import { create } from "@bufbuild/protobuf";
-import { Notifier } from "@winchpath/core";
+import { Notifier, steadyNow } from "@winchpath/core";
 import { type VoteRequest, VoteRequestSchema } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 import { majorityOf, votersOf } from "./members.js";
 import { type PeerConnector } from "./peers.js";
@@ -44,7 +44,7 @@
     /** Random, so that two candidates seldom stand together. */
     private timeout(): number {
         const { electionMs } = this.state.options;
-        const sinceHeard = Date.now() - this.state.lastHeard;
+        const sinceHeard = steadyNow() - this.state.lastHeard;
         const base = Math.max(0, electionMs - sinceHeard);
         return base + Math.random() * electionMs;
     }
@@ -88,9 +88,9 @@
                 decided.notify();
             });
         }
-        const deadline = Date.now() + state.options.electionMs;
-        while (granted < needed && answers < others.length && Date.now() < deadline) {
-            await decided.wait(deadline - Date.now());
+        const deadline = steadyNow() + state.options.electionMs;
+        while (granted < needed && answers < others.length && steadyNow() < deadline) {
+            await decided.wait(deadline - steadyNow());
         }
         return granted >= needed;
     }
--- a/packages/consensus/src/followers.ts
+++ b/packages/consensus/src/followers.ts
@@ -1,6 +1,6 @@
 /** The follower's side: votes, and entries from the leader. */
 import { create } from "@bufbuild/protobuf";
-import { Failure, FailureCode } from "@winchpath/core";
+import { Failure, FailureCode, steadyNow } from "@winchpath/core";
 import { type Applier } from "./appliers.js";
 import {
     type AppendRequest,
@@ -34,7 +34,7 @@
         const granted = free && this.isUpToDate(req);
         const term = state.term;
         if (granted) {
-            state.lastHeard = Date.now();
+            state.lastHeard = steadyNow();
             await state.setVote(term, req.candidate);
         }
         await newer;
@@ -49,7 +49,7 @@
             return this.appendResponse(false, 0n);
         }
         const newer = state.follow(req.term, req.leader, req.leaderUrl);
-        state.lastHeard = Date.now();
+        state.lastHeard = steadyNow();
         if (req.snapshot !== undefined && req.snapshot.index > state.commitIndex) {
             const { index } = req.snapshot;
             state.timeline.record("log.snapshot-installed", { detail: `index=${index}` });
--- a/packages/consensus/src/formations.ts
+++ b/packages/consensus/src/formations.ts
@@ -1,6 +1,6 @@
 /** How a replica without a group finds one, or forms the first. */
 import { create } from "@bufbuild/protobuf";
-import { newIdentity, sleep } from "@winchpath/core";
+import { newIdentity, sleep, steadyNow } from "@winchpath/core";
 import {
     EntrySchema,
     type Member,
@@ -14,6 +14,10 @@
 const probeTimeoutMs = 500;
 const joinTimeoutMs = 5000;
 const retryMs = 100;
+/** How often a member looks whether it still belongs to the group, in milliseconds. */
+const checkMs = 1000;
+/** Without a leader for this long, a member asks to be let in again: it may have been replaced meanwhile. */
+const rejoinAfterMs = 3000;
 
 interface Found {
     readonly url: string;
@@ -24,10 +28,21 @@
     public constructor(
         private readonly state: ReplicaState,
         private readonly peers: PeerConnector,
-        /** URLs of all hosts that are to hold the control state, this one's among them where it does. */
-        private readonly seeds: readonly string[],
+        /** URLs of hosts that hold the control state; they may change while the process runs. */
+        private readonly seeds: () => readonly string[],
     ) {}
 
+    /** Keeps the replica a member of its group until the signal is aborted. */
+    public async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.establish(signal);
+            await sleep(checkMs, signal);
+            if (!signal.aborted && this.isLost()) {
+                await this.rejoin();
+            }
+        }
+    }
+
     /**
      * Returns once the replica belongs to a group under its present URL.
      *
@@ -37,7 +52,7 @@
      */
     public async establish(signal: AbortSignal): Promise<void> {
         while (!signal.aborted && !this.isEstablished()) {
-            const found = await this.probeSeeds();
+            const found = await this.probeAll();
             const grouped = found.filter(seed => seed.answer.group !== "");
             if (grouped.length > 0) {
                 await this.joinThrough(grouped);
@@ -51,13 +66,27 @@
         }
     }
 
+    /** Whether no leader was heard for so long that the group may go on without this member. */
+    private isLost(): boolean {
+        const { role, lastHeard } = this.state;
+        return role !== "leader" && steadyNow() - lastHeard > rejoinAfterMs;
+    }
+
+    /** A member that still belongs to the group is left as it is by this. */
+    private async rejoin(): Promise<void> {
+        const found = await this.probeAll();
+        await this.joinThrough(found.filter(({ answer }) => answer.group === this.state.group));
+    }
+
     private isEstablished(): boolean {
         const self = this.state.membership?.members.find(member => member.id === this.state.memberId);
         return self?.url === this.state.identity.url;
     }
 
-    private async probeSeeds(): Promise<Found[]> {
-        const probes = this.seeds.map(async url => {
+    /** Asks all seeds, and the members that this replica remembers. */
+    private async probeAll(): Promise<Found[]> {
+        const remembered = this.state.membership?.members.map(member => member.url) ?? [];
+        const probes = [...new Set([...this.seeds(), ...remembered])].map(async url => {
             try {
                 return [{ url, answer: await this.peers.connect(url).probe(probeTimeoutMs) }];
             }
@@ -70,8 +99,11 @@
 
     /** Of the hosts that could form the group, the one with the lowest identity does. */
     private mayForm(found: readonly Found[]): boolean {
-        const { memberId, store } = this.state;
-        const complete = found.length === this.seeds.length && found.every(seed => seed.answer.hasDisk);
+        const { memberId, store, options } = this.state;
+        if (!options.mayForm) {
+            return false;
+        }
+        const complete = found.length === this.seeds().length && found.every(seed => seed.answer.hasDisk);
         const ids = found.map(seed => seed.answer.memberId).sort();
         return store.durable && this.state.group === "" && complete && ids[0] === memberId;
     }
--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -1,6 +1,6 @@
 /** One term of leadership: proposals, commits, quorum reads, hand-over. */
 import { create } from "@bufbuild/protobuf";
-import { Failure, FailureCode, Notifier, until } from "@winchpath/core";
+import { Failure, FailureCode, Notifier, steadyNow, until } from "@winchpath/core";
 import { type Applied, type Applier } from "./appliers.js";
 import { type Entry, EntrySchema, type Member } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 import { majorityOf, memberOf, votersOf } from "./members.js";
@@ -21,7 +21,8 @@
     private readonly startIndex: bigint;
     private syncedIndex = 0n;
     private handingOver = false;
-    private lastQuorum = Date.now();
+    private lastQuorum = steadyNow();
+    private readonly leadsSince = steadyNow();
 
     public constructor(
         private readonly state: ReplicaState,
@@ -60,14 +61,14 @@
 
     /** An index that covers everything accepted so far, confirmed by a majority. */
     public async readIndex(timeoutMs: number): Promise<bigint> {
-        const deadline = Date.now() + timeoutMs;
+        const deadline = steadyNow() + timeoutMs;
         await until(() => this.ready || !this.active, this.applier.applied, timeoutMs, "the leader's first entry");
         const index = this.state.commitIndex;
         this.round += 1n;
         const { round } = this;
         this.wakeAll();
         const confirmed = () => !this.active || this.quorumAnswered(round);
-        await until(confirmed, this.answers, Math.max(1, deadline - Date.now()), "confirming leadership");
+        await until(confirmed, this.answers, Math.max(1, deadline - steadyNow()), "confirming leadership");
         if (!this.active) {
             throw Failure.of(FailureCode.noLeader, "leadership was lost");
         }
@@ -76,7 +77,7 @@
 
     /** Lets an up-to-date voter take over, and waits until it has. */
     public async handOver(timeoutMs: number): Promise<void> {
-        const deadline = Date.now() + timeoutMs;
+        const deadline = steadyNow() + timeoutMs;
         this.handingOver = true;
         try {
             await this.handOverBefore(deadline);
@@ -108,11 +109,28 @@
     }
 
     public isCaughtUp(id: string): boolean {
-        return this.isFresh(id) && this.replications.get(id)!.matchIndex >= this.state.commitIndex;
+        const replication = this.replications.get(id);
+        return replication !== undefined && this.isFresh(id) && replication.matchIndex >= this.state.commitIndex;
+    }
+
+    /** Milliseconds since a member was heard, or since this replica leads where it never was. */
+    public silentMs(id: string): number {
+        const heardAt = this.replications.get(id)?.heardAt ?? Number.NEGATIVE_INFINITY;
+        return steadyNow() - Math.max(heardAt, this.leadsSince);
+    }
+
+    /** Milliseconds for which this replica has led. */
+    public get ledMs(): number {
+        return steadyNow() - this.leadsSince;
+    }
+
+    /** Milliseconds since a majority was last heard; another leader may exist once it passes the election time. */
+    public get quorumAgeMs(): number {
+        return steadyNow() - this.lastQuorum;
     }
 
     private async handOverBefore(deadline: number): Promise<void> {
-        while (this.active && Date.now() < deadline) {
+        while (this.active && steadyNow() < deadline) {
             const heir = this.bestHeir();
             if (heir === undefined) {
                 return;
@@ -137,8 +155,7 @@
 
     /** Whether a member was heard within an election time. */
     private isFresh(id: string): boolean {
-        const heardAt = this.replications.get(id)?.heardAt ?? 0;
-        return Date.now() - heardAt < this.state.options.electionMs;
+        return this.silentMs(id) < this.state.options.electionMs;
     }
 
     private synced(index: bigint): void {
@@ -203,13 +220,14 @@
             const voters = votersOf(this.state.membership);
             const fresh = voters.filter(({ id }) => id === this.state.memberId || this.isFresh(id)).length;
             if (fresh >= majorityOf(voters.length)) {
-                this.lastQuorum = Date.now();
+                this.lastQuorum = steadyNow();
             }
-            if (this.active && Date.now() - this.lastQuorum > electionMs * 2) {
+            if (this.active && steadyNow() - this.lastQuorum > electionMs * 2) {
                 this.state.timeline.record("leader.lost-quorum", { detail: `term=${this.term}` });
                 void this.state.follow(this.term, "", "");
             }
             void this.members.promoteLearners();
+            void this.members.dropSilentLearners();
         }
         this.answers.notify();
     }
--- a/packages/consensus/src/memberships.ts
+++ b/packages/consensus/src/memberships.ts
@@ -3,7 +3,7 @@
 import { Failure, FailureCode, messageOf, until } from "@winchpath/core";
 import { type Applier } from "./appliers.js";
 import { type Entry, type Member, MemberSchema, type Membership } from "./gen/winchpath/consensus/v1/consensus_pb.js";
-import { memberOf, withMember, withoutMember } from "./members.js";
+import { memberOf, votersOf, withMember, withoutMember } from "./members.js";
 import { type ReplicaState } from "./states.js";
 
 /** Election times that a change may wait for the one before it. */
@@ -18,6 +18,8 @@
     appendEntry(payload: Entry["payload"]): bigint;
     /** Whether a member was heard lately, and has the log up to the commit index. */
     isCaughtUp(id: string): boolean;
+    /** Milliseconds since a member was heard. */
+    silentMs(id: string): number;
 }
 
 export class MembershipChanges {
@@ -53,7 +55,7 @@
         }
         this.promoting = true;
         try {
-            await this.change(membership => promote(membership, learner));
+            await this.change(membership => this.promote(membership, learner));
         }
         catch (err) {
             this.state.logger("promotion failed", { error: messageOf(err) });
@@ -63,9 +65,60 @@
         }
     }
 
+    /** Drops a learner that was not heard for long; it is most often gone for good. */
+    public async dropSilentLearners(): Promise<void> {
+        const { leader, state } = this;
+        const silent = state.membership?.members.find(member =>
+            !member.voter && member.id !== state.memberId && leader.silentMs(member.id) > state.options.forgetAfterMs
+        );
+        if (silent === undefined || this.promoting || !leader.ready) {
+            return;
+        }
+        this.promoting = true;
+        try {
+            await this.change(membership => withoutMember(membership, silent.id));
+        }
+        catch (err) {
+            state.logger("dropping a learner failed", { member: silent.url, error: messageOf(err) });
+        }
+        finally {
+            this.promoting = false;
+        }
+    }
+
+    /** One step: an earlier voter that the learner replaces goes, and only then the learner gets its vote. */
+    private promote(membership: Membership, learner: Member): Membership {
+        const replaced = this.replacedBy(membership, learner);
+        return replaced === undefined
+            ? withMember(membership, create(MemberSchema, { ...learner, voter: true }))
+            : withoutMember(membership, replaced.id);
+    }
+
+    /** The voter that has to go first: that of the same host, or a silent one where there are enough voters. */
+    private replacedBy(membership: Membership, learner: Member): Member | undefined {
+        const voters = votersOf(membership);
+        const sameHost = voters.find(voter => voter.host === learner.host);
+        return sameHost ?? (this.isFull(voters) ? this.silentVoter(voters) : undefined);
+    }
+
+    private isFull(voters: readonly Member[]): boolean {
+        return voters.length >= (this.state.options.maxVoters ?? Number.POSITIVE_INFINITY);
+    }
+
+    private silentVoter(voters: readonly Member[]): Member | undefined {
+        const { memberId, options } = this.state;
+        return voters.find(({ id }) => id !== memberId && this.leader.silentMs(id) > options.replaceAfterMs);
+    }
+
     private caughtUpLearner(): Member | undefined {
-        return this.state.membership?.members.find(member =>
+        const { membership } = this.state;
+        const voters = votersOf(membership);
+        const hasPlace = (learner: Member) =>
+            !this.isFull(voters) || this.silentVoter(voters) !== undefined
+            || voters.some(voter => voter.host === learner.host);
+        return membership?.members.find(member =>
             this.leader.ready && member.wantsVote && !member.voter && this.leader.isCaughtUp(member.id)
+            && hasPlace(member)
         );
     }
 
@@ -96,11 +149,3 @@
         return this.leader.ready && newest !== undefined && newest.index <= this.state.commitIndex;
     }
 }
-
-/** One step: the earlier voter of the host goes, and only then its new one comes. */
-function promote(membership: Membership, learner: Member): Membership {
-    const earlier = membership.members.find(member => member.voter && member.host === learner.host);
-    return earlier === undefined
-        ? withMember(membership, create(MemberSchema, { ...learner, voter: true }))
-        : withoutMember(membership, earlier.id);
-}
--- a/packages/consensus/src/peers.ts
+++ b/packages/consensus/src/peers.ts
@@ -1,7 +1,7 @@
 /** How a replica reaches the others. */
 import { type Client, Code, ConnectError } from "@connectrpc/connect";
 import { Failure, FailureCode, messageOf } from "@winchpath/core";
-import { type RpcClients } from "@winchpath/rpc";
+import { isSilence, type RpcClients } from "@winchpath/rpc";
 import {
     type AppendRequest,
     type AppendResponse,
@@ -33,52 +33,59 @@
     public constructor(private readonly clients: RpcClients) {}
 
     public connect(url: string): Peer {
-        return new RpcPeer(this.clients.client(ConsensusService, url));
+        return new RpcPeer(this.clients, url);
     }
 }
 
 class RpcPeer implements Peer {
-    public constructor(private readonly client: Client<typeof ConsensusService>) {}
+    private readonly client: Client<typeof ConsensusService>;
+
+    public constructor(private readonly clients: RpcClients, private readonly url: string) {
+        this.client = clients.client(ConsensusService, url);
+    }
 
     public vote(req: VoteRequest, timeoutMs: number): Promise<VoteResponse> {
-        return typed(this.client.vote(req, { timeoutMs }));
+        return this.typed(this.client.vote(req, { timeoutMs }));
     }
 
     public append(req: AppendRequest, timeoutMs: number): Promise<AppendResponse> {
-        return typed(this.client.append(req, { timeoutMs }));
+        return this.typed(this.client.append(req, { timeoutMs }));
     }
 
     public probe(timeoutMs: number): Promise<ProbeResponse> {
-        return typed(this.client.probe({}, { timeoutMs }));
+        return this.typed(this.client.probe({}, { timeoutMs }));
     }
 
     public async join(member: Member, timeoutMs: number): Promise<void> {
-        await typed(this.client.join({ member }, { timeoutMs }));
+        await this.typed(this.client.join({ member }, { timeoutMs }));
     }
 
     public propose(command: Uint8Array, timeoutMs: number): Promise<{ index: bigint; result: Uint8Array; }> {
-        return typed(this.client.propose({ command }, { timeoutMs }));
+        return this.typed(this.client.propose({ command }, { timeoutMs }));
     }
 
     public readIndex(timeoutMs: number): Promise<{ index: bigint; term: bigint; }> {
-        return typed(this.client.readIndex({}, { timeoutMs }));
+        return this.typed(this.client.readIndex({}, { timeoutMs }));
     }
 
     public async elect(term: bigint, timeoutMs: number): Promise<void> {
-        await typed(this.client.elect({ term }, { timeoutMs }));
+        await this.typed(this.client.elect({ term }, { timeoutMs }));
     }
-}
 
-/** `FailedPrecondition` is what {@link toConnectError} makes of "nothing was proposed". */
-async function typed<T>(call: Promise<T>): Promise<T> {
-    try {
-        return await call;
-    }
-    catch (err) {
-        const code = err instanceof ConnectError && err.code === Code.FailedPrecondition
-            ? FailureCode.noLeader
-            : FailureCode.outcomeUnknown;
-        throw Failure.of(code, messageOf(err));
+    /** `FailedPrecondition` is what {@link toConnectError} makes of "nothing was proposed". */
+    private async typed<T>(call: Promise<T>): Promise<T> {
+        try {
+            return await call;
+        }
+        catch (err) {
+            if (isSilence(err)) {
+                this.clients.forget(this.url);
+            }
+            const code = err instanceof ConnectError && err.code === Code.FailedPrecondition
+                ? FailureCode.noLeader
+                : FailureCode.outcomeUnknown;
+            throw Failure.of(code, messageOf(err));
+        }
     }
 }
 
--- a/packages/consensus/src/replicas.ts
+++ b/packages/consensus/src/replicas.ts
@@ -1,5 +1,5 @@
 /** One replica of the control group: what the rest of the process sees of consensus. */
-import { Failure, FailureCode, sleep, until, withTimeout } from "@winchpath/core";
+import { Failure, FailureCode, sleep, steadyNow, until, withTimeout } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import { setMaxListeners } from "node:events";
 import { type Applied, Applier } from "./appliers.js";
@@ -23,8 +23,8 @@
     readonly store: LogStore;
     readonly machine: StateMachine;
     readonly peers: PeerConnector;
-    /** URLs of all control hosts. */
-    readonly seeds: readonly string[];
+    /** URLs of control hosts, or a function that gives those of the moment. */
+    readonly seeds: readonly string[] | (() => readonly string[]);
     readonly timeline: Timeline;
     readonly options?: Partial<ConsensusOptions>;
     /** The store failed; the process has to stop. */
@@ -55,7 +55,8 @@
         this.applier = new Applier(state, parts.machine);
         this.follower = new Follower(state, this.applier);
         this.election = new Election(state, parts.peers, () => this.lead());
-        this.formation = new Formation(state, parts.peers, parts.seeds);
+        const { seeds } = parts;
+        this.formation = new Formation(state, parts.peers, typeof seeds === "function" ? seeds : () => seeds);
     }
 
     /** Reads the store; the replica answers others from now on, but does nothing of itself. */
@@ -69,7 +70,7 @@
     /** Joins or forms the group, and takes part in it. Call it once the listener is up. */
     public start(): void {
         const { signal } = this.stopping;
-        this.tasks = [this.formation.establish(signal), this.election.run(signal)];
+        this.tasks = [this.formation.run(signal), this.election.run(signal)];
     }
 
     /** The leadership of this replica, while it leads and has applied all that came before. */
@@ -87,11 +88,11 @@
      * when its outcome is not known, so it must be one that may be applied twice.
      */
     public async propose(command: Uint8Array, timeoutMs: number): Promise<Applied> {
-        const deadline = Date.now() + timeoutMs;
+        const deadline = steadyNow() + timeoutMs;
         let last: unknown = Failure.of(FailureCode.noLeader, "no leader is known");
-        while (Date.now() < deadline && !this.stopping.signal.aborted) {
+        while (steadyNow() < deadline && !this.stopping.signal.aborted) {
             try {
-                const applied = await this.proposeOnce(command, Math.min(attemptMs, deadline - Date.now()));
+                const applied = await this.proposeOnce(command, Math.min(attemptMs, deadline - steadyNow()));
                 await this.applier.caughtUp(applied.index, catchUpMs);
                 return applied;
             }
@@ -113,11 +114,11 @@
 
     /** Returns once everything accepted before the call is applied here. */
     public async barrier(timeoutMs: number): Promise<void> {
-        const deadline = Date.now() + timeoutMs;
+        const deadline = steadyNow() + timeoutMs;
         let last: unknown = Failure.of(FailureCode.noLeader, "no leader is known");
-        while (Date.now() < deadline && !this.stopping.signal.aborted) {
+        while (steadyNow() < deadline && !this.stopping.signal.aborted) {
             try {
-                const left = Math.min(attemptMs, deadline - Date.now());
+                const left = Math.min(attemptMs, deadline - steadyNow());
                 const index = await this.readIndex(left);
                 await this.applier.caughtUp(index, left);
                 return;
@@ -174,7 +175,7 @@
                 url: member.url,
                 voter: member.voter,
                 matchIndex: Number(self ? state.log.lastIndex : progress?.matchIndex ?? 0n),
-                silentMs: self ? 0 : Date.now() - (progress?.heardAt ?? 0),
+                silentMs: self ? 0 : leadership.silentMs(member.id),
             };
         });
     }
--- a/packages/consensus/src/replications.ts
+++ b/packages/consensus/src/replications.ts
@@ -1,6 +1,6 @@
 /** The task by which the leader keeps one member up to date. */
 import { create } from "@bufbuild/protobuf";
-import { messageOf, Notifier } from "@winchpath/core";
+import { messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
 import {
     type AppendRequest,
     AppendRequestSchema,
@@ -20,13 +20,16 @@
     answered(): void;
 }
 
+/** Longest pause between two tries to reach a member that does not answer, in milliseconds. */
+const maxBackoffMs = 1000;
+
 export class Replication {
     /** Last index that is known to agree with the leader's log. */
     public matchIndex = 0n;
     /** Newest round of heartbeats that the member has answered. */
     public round = 0n;
-    /** Date.now() of the last answer. */
-    public heardAt = 0;
+    /** Steady time of the last answer. */
+    public heardAt = Number.NEGATIVE_INFINITY;
     /** Notified when there is something to send. */
     public readonly wake = new Notifier();
     private nextIndex: bigint;
@@ -43,22 +46,27 @@
     /** Sends what the member lacks, or a heartbeat, for as long as the leader leads and the member is one. */
     public async run(): Promise<void> {
         const { heartbeatMs, electionMs } = this.state.options;
+        let failures = 0;
         while (this.leader.active) {
             const member = memberOf(this.state.membership, this.id);
             if (member === undefined) {
                 return;
             }
             const { round } = this.leader;
-            let failed = false;
             try {
                 const req = this.request();
                 this.take(await this.peers.connect(member.url).append(req, electionMs), round);
+                failures = 0;
             }
             catch (err) {
-                failed = true;
+                failures += 1;
                 this.state.logger("append failed", { member: member.url, error: messageOf(err) });
             }
-            if (failed || !this.isBehind()) {
+            if (failures > 0) {
+                // Not cut short by a wake: a member that is gone must not be called at every append.
+                await sleep(Math.min(maxBackoffMs, heartbeatMs * 2 ** (failures - 1)));
+            }
+            else if (!this.isBehind()) {
                 await this.wake.wait(heartbeatMs);
             }
         }
@@ -97,7 +105,7 @@
             this.leader.answered();
             return;
         }
-        this.heardAt = Date.now();
+        this.heardAt = steadyNow();
         this.round = round;
         if (res.accepted) {
             this.matchIndex = res.matchIndex > this.matchIndex ? res.matchIndex : this.matchIndex;
--- a/packages/consensus/src/states.ts
+++ b/packages/consensus/src/states.ts
@@ -1,6 +1,6 @@
 /** What all tasks of one replica share. */
 import { create } from "@bufbuild/protobuf";
-import { Failure, FailureCode, type Logger, logger, Notifier } from "@winchpath/core";
+import { Failure, FailureCode, type Logger, logger, Notifier, steadyNow } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import {
     type Entry,
@@ -24,6 +24,14 @@
     readonly snapshotEvery: number;
     /** Entries kept behind a snapshot for slow followers. */
     readonly trailing: number;
+    /** Voters that the group grows to; undefined where every replica with a disk may vote. */
+    readonly maxVoters: number | undefined;
+    /** A voter that is silent for this long may be replaced by a learner that has caught up. */
+    readonly replaceAfterMs: number;
+    /** A learner that is silent for this long is dropped; it joins anew when it comes back. */
+    readonly forgetAfterMs: number;
+    /** Whether this replica may take part in forming a first group. */
+    readonly mayForm: boolean;
 }
 
 export const defaultConsensusOptions: ConsensusOptions = {
@@ -31,6 +39,10 @@
     electionMs: 800,
     snapshotEvery: 2000,
     trailing: 500,
+    maxVoters: undefined,
+    replaceAfterMs: 1500,
+    forgetAfterMs: 30_000,
+    mayForm: true,
 };
 
 /** Who a replica is. */
@@ -53,7 +65,8 @@
     public role: Role = "follower";
     public leaderId = "";
     public leaderUrl = "";
-    public lastHeard = 0;
+    /** Steady time at which a leader or a candidate was last heard. */
+    public lastHeard = Number.NEGATIVE_INFINITY;
     public commitIndex: bigint;
     public appliedIndex: bigint;
     /** Set once the store has failed: the process must stop. */
@@ -100,7 +113,7 @@
 
     /** Whether a leader was heard from so lately that an election would only disturb. */
     public get hearsLeader(): boolean {
-        return this.role === "leader" || Date.now() - this.lastHeard < this.options.electionMs;
+        return this.role === "leader" || steadyNow() - this.lastHeard < this.options.electionMs;
     }
 
     /** Takes on a term and a vote; settles once they are synced. */
--- a/packages/consensus/src/tests/groups.ts
+++ b/packages/consensus/src/tests/groups.ts
@@ -9,6 +9,7 @@
 import {
     type CommandContext,
     type ConsensusOptions,
+    defaultConsensusOptions,
     FileLogStore,
     type LogStore,
     MemoryLogStore,
@@ -79,7 +80,15 @@
     readonly machine: ListMachine;
 }
 
-const options: ConsensusOptions = { heartbeatMs: 10, electionMs: 60, snapshotEvery: 40, trailing: 5 };
+const options: ConsensusOptions = {
+    ...defaultConsensusOptions,
+    heartbeatMs: 10,
+    electionMs: 60,
+    snapshotEvery: 40,
+    trailing: 5,
+    replaceAfterMs: 100,
+    forgetAfterMs: 500,
+};
 
 export class Group {
     public readonly nodes = new Map<string, Node>();
@@ -87,12 +96,19 @@
     /** Links that are cut, "from>to". */
     private readonly cuts = new Set<string>();
 
-    private constructor(private readonly folder: string, names: readonly string[]) {
+    private constructor(
+        private readonly folder: string,
+        names: readonly string[],
+        private readonly overrides: Partial<ConsensusOptions>,
+    ) {
         this.seeds = names.map(name => `mem://${name}`);
     }
 
-    public static async start(names: readonly string[]): Promise<Group> {
-        const group = new Group(await mkdtemp(join(tmpdir(), "winchpath-group-")), names);
+    public static async start(
+        names: readonly string[],
+        overrides: Partial<ConsensusOptions> = {},
+    ): Promise<Group> {
+        const group = new Group(await mkdtemp(join(tmpdir(), "winchpath-group-")), names, overrides);
         await Promise.all(names.map(name => group.startNode(name)));
         return group;
     }
@@ -106,9 +122,9 @@
             store: store ?? new FileLogStore(this.folderOf(name), disk),
             machine,
             peers: new CuttablePeers(this, name),
-            seeds: this.seeds,
+            seeds: () => this.seeds,
             timeline: new Timeline({ process: name, host: name, dataCentre: "d" }),
-            options,
+            options: { ...options, ...this.overrides },
             onFatal: () => this.crash(name),
         });
         const node = { name, disk, replica, machine };
@@ -142,7 +158,9 @@
 
     /** Cuts a node off from all others, both ways. */
     public isolate(name: string): void {
-        this.seeds.map(seed => seed.slice("mem://".length)).filter(other => other !== name).forEach(other => {
+        const others = new Set([...this.seeds.map(seed => seed.slice("mem://".length)), ...this.nodes.keys()]);
+        others.delete(name);
+        others.forEach(other => {
             this.cut(name, other);
             this.cut(other, name);
         });
--- /dev/null
+++ b/packages/core/src/clocks.ts
@@ -0,0 +1,13 @@
+/** The clock for durations: it never jumps, whatever happens to the time of day. */
+
+/** As it was when the process started; a test that pauses the clock puts another in its place. */
+const systemNow = Date.now;
+
+/**
+ * Milliseconds since some moment in the past. Timeouts, leases and ages are
+ * measured with it: the time of day may step by hours while a process runs.
+ * Where a test pauses `Date`, it follows the paused clock.
+ */
+export function steadyNow(): number {
+    return Date.now === systemNow ? performance.now() : Date.now();
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./clocks.js";
 export * from "./errors.js";
 export * from "./histograms.js";
 export * from "./logs.js";
--- a/packages/core/src/tasks.ts
+++ b/packages/core/src/tasks.ts
@@ -1,4 +1,5 @@
 /** Small tools for tasks that wait: for time, for an event, for one another. */
+import { steadyNow } from "./clocks.js";
 import { Failure, FailureCode } from "./errors.js";
 
 /** A promise that is settled from outside. */
@@ -78,9 +79,9 @@
 
 /** Waits until `condition` holds, looking again at every `event`; fails after `ms`. */
 export async function until(condition: () => boolean, event: Notifier, ms: number, what: string): Promise<void> {
-    const deadline = Date.now() + ms;
+    const deadline = steadyNow() + ms;
     while (!condition()) {
-        const left = deadline - Date.now();
+        const left = deadline - steadyNow();
         if (left <= 0) {
             throw Failure.of(FailureCode.timeout, `${what} took over ${ms} ms`);
         }
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -11,7 +11,7 @@
     Replica,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { logger, Metrics, sleep } from "@winchpath/core";
+import { logger, Metrics, sleep, steadyNow } from "@winchpath/core";
 import { CatalogueCache, Declarations, type Model } from "@winchpath/declarations";
 import { operatorServer } from "@winchpath/operators";
 import {
@@ -302,7 +302,7 @@
         if (!this.ready) {
             return this.stopping.signal.aborted ? "stopping" : "starting or stopping";
         }
-        const cutOff = state.role !== "leader" && Date.now() - state.lastHeard > cutOffMs;
+        const cutOff = state.role !== "leader" && steadyNow() - state.lastHeard > cutOffMs;
         return cutOff ? "cut off from the control group" : "";
     }
 
