--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./clocks.js";
 export * from "./errors.js";
+export * from "./eventlogs.js";
 export * from "./histograms.js";
 export * from "./logs.js";
 export * from "./names.js";
--- /dev/null
+++ b/packages/fleet/src/demands.ts
@@ -0,0 +1,111 @@
+/** What callers ask for, as the leader hears it from all entries. */
+import { type EventLog, steadyNow } from "@winchpath/core";
+import { type DemandRequest, type ItemDemand } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type ItemKey, itemName } from "./meters.js";
+
+/** An entry's counts are left out after this long without a report: three reports at the usual half second. */
+const staleMs = 2000;
+/** Rates halve in this time without requests; demand moves within a few seconds. */
+const halfLifeMs = 4000;
+/** A refused request may come again within this time, a third of a usual deadline. */
+const refusedMs = 3000;
+/** What was not asked for in this time is forgotten. */
+const forgetMs = 120_000;
+
+/** Demand for one model or adapter over all entries. */
+export interface ItemNeed {
+    readonly key: ItemKey;
+    /** Requests a second, smoothed. */
+    readonly rate: number;
+    /** Requests that run now. */
+    readonly running: number;
+    /** Requests that wait, or were refused lately, since nobody holds it. */
+    readonly lacking: number;
+    /** Milliseconds since it was last asked for. */
+    readonly idleMs: number;
+}
+
+interface Counts {
+    readonly at: number;
+    readonly running: number;
+    readonly waiting: number;
+}
+
+interface Item {
+    readonly key: ItemKey;
+    readonly byEntry: Map<string, Counts>;
+    rate: number;
+    ratedAt: number;
+    askedAt: number;
+    refusals: { readonly at: number; readonly count: number; }[];
+}
+
+export class DemandBook {
+    private readonly items = new Map<string, Item>();
+
+    public constructor(private readonly log: EventLog) {}
+
+    public take(report: DemandRequest): void {
+        report.items.forEach(demand => this.takeItem(report.entry, demand));
+    }
+
+    /** All that was asked for lately. */
+    public needs(): ItemNeed[] {
+        this.forgetOld();
+        return [...this.items.values()].map(needOf);
+    }
+
+    private takeItem(entry: string, demand: ItemDemand): void {
+        const now = steadyNow();
+        const key = { service: demand.service, model: demand.model, adapter: demand.adapter };
+        const name = itemName(key);
+        let item = this.items.get(name);
+        if (item === undefined) {
+            item = { key, byEntry: new Map(), rate: 0, ratedAt: now, askedAt: now, refusals: [] };
+            this.items.set(name, item);
+        }
+        item.byEntry.set(entry, { at: now, running: demand.running, waiting: demand.waiting });
+        item.rate = decayedRate(item, now) + demand.arrived * Math.LN2 / (halfLifeMs / 1000);
+        item.ratedAt = now;
+        if (demand.refused > 0) {
+            item.refusals.push({ at: now, count: demand.refused });
+        }
+        if (demand.arrived + demand.running + demand.waiting > 0) {
+            item.askedAt = now;
+        }
+        if (demand.waiting + demand.refused > 0) {
+            this.log.info("demand.lacking", { entry, item: name, waiting: demand.waiting, refused: demand.refused });
+        }
+    }
+
+    private forgetOld(): void {
+        const now = steadyNow();
+        for (const [name, item] of this.items) {
+            item.refusals = item.refusals.filter(refusal => now - refusal.at < refusedMs);
+            if (now - item.askedAt > forgetMs) {
+                this.items.delete(name);
+            }
+        }
+    }
+}
+
+function needOf(item: Item): ItemNeed {
+    const now = steadyNow();
+    const fresh = [...item.byEntry.values()].filter(counts => now - counts.at < staleMs);
+    const waiting = sum(fresh.map(counts => counts.waiting));
+    return {
+        key: item.key,
+        rate: decayedRate(item, now),
+        running: sum(fresh.map(counts => counts.running)),
+        lacking: waiting + sum(item.refusals.map(refusal => refusal.count)),
+        idleMs: now - item.askedAt,
+    };
+}
+
+function decayedRate(item: Item, now: number): number {
+    return item.rate * 2 ** (-(now - item.ratedAt) / halfLifeMs);
+}
+
+function sum(numbers: readonly number[]): number {
+    return numbers.reduce((total, number) => total + number, 0);
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,25 @@
+export * from "./announcements.js";
+export * from "./demands.js";
+export * from "./feeds.js";
+export * from "./followers.js";
+export {
+    type Announcement,
+    AnnouncementSchema,
+    FleetService,
+    type HeldModel,
+    HeldModelSchema,
+    type ItemDemand,
+    type Mismatch,
+    type Upstream,
+    UpstreamSchema,
+    UpstreamState,
+} from "./gen/winchpath/fleet/v1/fleet_pb.js";
+export * from "./meters.js";
+export * from "./orderlines.js";
+export * from "./orders.js";
+export * from "./placements.js";
+export * from "./plans.js";
+export * from "./registries.js";
+export * from "./services.js";
+export * from "./storepaces.js";
+export * from "./views.js";
--- /dev/null
+++ b/packages/fleet/src/meters.ts
@@ -0,0 +1,117 @@
+/** Counts at an entry what callers ask for, and tells the leader. */
+import { create } from "@bufbuild/protobuf";
+import { type EventLog, messageOf, Notifier, sleep } from "@winchpath/core";
+import { type RpcClients } from "@winchpath/rpc";
+import { FleetService, type ItemDemand, ItemDemandSchema, type Mismatch } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+
+/** How often demand is told, in milliseconds; a model's load takes a second and more. */
+const reportMs = 500;
+/** A request that nobody can serve is told after this long, with others of its moment. */
+const urgentMs = 5;
+const reportTimeoutMs = 800;
+/** Wrong beliefs about engines that are told at once. */
+const maxMismatches = 20;
+
+/** What a request asks of an engine; the adapter is empty where the model alone is asked for. */
+export interface ItemKey {
+    readonly service: string;
+    readonly model: string;
+    readonly adapter: string;
+}
+
+export class DemandMeter {
+    private readonly items = new Map<string, ItemDemand>();
+    private mismatches: Mismatch[] = [];
+    private readonly urgent = new Notifier();
+
+    public constructor(private readonly log: EventLog) {}
+
+    public arrived(key: ItemKey): void {
+        this.item(key).arrived += 1;
+    }
+
+    public started(key: ItemKey): void {
+        this.item(key).running += 1;
+    }
+
+    public ended(key: ItemKey): void {
+        this.item(key).running -= 1;
+    }
+
+    /** A request waits since nobody holds what it asks for. */
+    public waits(key: ItemKey): void {
+        this.item(key).waiting += 1;
+        this.urgent.notify();
+    }
+
+    public waitsNoMore(key: ItemKey): void {
+        this.item(key).waiting -= 1;
+    }
+
+    /** A request was refused since nobody holds what it asks for; it may come again. */
+    public refused(key: ItemKey): void {
+        this.item(key).refused += 1;
+        this.urgent.notify();
+    }
+
+    /** An upstream said that it does not hold what it was thought to hold. */
+    public mismatch(mismatch: Mismatch): void {
+        if (this.mismatches.length < maxMismatches) {
+            this.mismatches.push(mismatch);
+            this.urgent.notify();
+        }
+    }
+
+    /** Tells the leader until the signal is aborted. */
+    public async run(entry: string, clients: RpcClients, leader: () => string, signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.urgent.wait(reportMs);
+            await sleep(urgentMs, signal);
+            const url = leader();
+            if (url === "" || signal.aborted || (this.items.size === 0 && this.mismatches.length === 0)) {
+                continue;
+            }
+            await this.report(entry, clients, url);
+        }
+    }
+
+    private async report(entry: string, clients: RpcClients, url: string): Promise<void> {
+        const items = [...this.items.values()].map(item => create(ItemDemandSchema, item));
+        const mismatches = this.mismatches;
+        this.settle();
+        try {
+            const req = { entry, intervalMs: reportMs, items, mismatches };
+            await clients.client(FleetService, url).reportDemand(req, { timeoutMs: reportTimeoutMs });
+        }
+        catch (err) {
+            // The next report tells what runs and waits; arrivals of one interval are not missed much.
+            this.log.warn("demand.untold", { leader: url, error: messageOf(err) });
+        }
+    }
+
+    private settle(): void {
+        this.mismatches = [];
+        for (const [key, item] of this.items) {
+            item.arrived = 0;
+            item.refused = 0;
+            if (item.running === 0 && item.waiting === 0) {
+                this.items.delete(key);
+            }
+        }
+    }
+
+    private item(key: ItemKey): ItemDemand {
+        const name = itemName(key);
+        let item = this.items.get(name);
+        if (item === undefined) {
+            item = create(ItemDemandSchema, key);
+            this.items.set(name, item);
+        }
+        return item;
+    }
+}
+
+/** One string for an item, for maps. */
+export function itemName(key: ItemKey): string {
+    return `${key.service}/${key.model}/${key.adapter}`;
+}
--- /dev/null
+++ b/packages/fleet/src/orderlines.ts
@@ -0,0 +1,279 @@
+/** The task that gives orders to one engine, one after the other, and knows what became of them. */
+import { clone } from "@bufbuild/protobuf";
+import { type EventLog, sleep, steadyNow } from "@winchpath/core";
+import { type HeldModel, HeldModelSchema, type Upstream } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { describeOrder, type EngineCalls, type EngineOrder, type Fence, OrderReply } from "./orders.js";
+import { heldModel, type Registry } from "./registries.js";
+
+/** Pause before an order without an answer is sent again, in milliseconds. */
+const resendMs = 300;
+/** A report tells of some hundred milliseconds before; after a conflict it is read this much later. */
+const reportLagMs = 400;
+/** Tries before the engine is read anew, or left alone for now. */
+const maxTries = 8;
+/** Adapters are looked after at these times, in milliseconds; one that is fetched anew takes tens to hundreds. */
+const adapterChecksMs = [15, 30, 60, 100, 150, 200, 300, 400, 600];
+/** Models are looked after this long after the time that they should take, and again. */
+const modelCheckMs = 150;
+/** A load that takes this many times as long as it should has failed, or the store is overloaded. */
+const modelPatience = 5;
+/** Adapters that may be under way to one engine at the same time. */
+const maxTransits = 4;
+
+/** What a line asks of the one who owns it. */
+export interface OrderLineOwner {
+    /** Undefined once orders may not be given any more. */
+    fence(): Fence | undefined;
+    /** Another leader gives orders. */
+    fenced(upstream: string): void;
+    /** What an engine holds has changed, or it takes orders again. */
+    settled(): void;
+}
+
+export class OrderLine {
+    /** Models, with those that are being loaded; undefined until the engine was read. */
+    private readonly loading = new Map<string, number>();
+    private readonly transits = new Set<string>();
+    private expected: number | undefined;
+    private occupied = false;
+    private ended = false;
+
+    public constructor(
+        private readonly id: string,
+        private readonly registry: Registry,
+        private readonly calls: EngineCalls,
+        private readonly owner: OrderLineOwner,
+        private readonly log: EventLog,
+    ) {}
+
+    /** Whether the next order can be given. */
+    public get free(): boolean {
+        return !this.occupied && !this.ended && this.expected !== undefined;
+    }
+
+    public get loadingModels(): readonly string[] {
+        return [...this.loading.keys()];
+    }
+
+    /** Adapters under way, "model/adapter". */
+    public get adaptersUnderWay(): ReadonlySet<string> {
+        return this.transits;
+    }
+
+    public get freeTransits(): number {
+        return this.free ? maxTransits - this.transits.size : 0;
+    }
+
+    /** Gives no more orders. */
+    public end(): void {
+        this.ended = true;
+    }
+
+    /** Reads what the engine holds and how many orders it has accepted. */
+    public async sync(): Promise<void> {
+        const upstream = this.upstream;
+        if (upstream === undefined || this.occupied) {
+            return;
+        }
+        this.occupied = true;
+        try {
+            await this.read(upstream);
+        }
+        finally {
+            this.occupied = false;
+            this.owner.settled();
+        }
+    }
+
+    /** Carries an order out; returns once the engine can take another. */
+    public async give(order: EngineOrder, expectedMs: number): Promise<void> {
+        this.occupied = true;
+        try {
+            await this.carryOut(order, expectedMs);
+        }
+        finally {
+            this.occupied = false;
+            this.owner.settled();
+        }
+    }
+
+    private get upstream(): Upstream | undefined {
+        return this.ended ? undefined : this.registry.get(this.id)?.upstream;
+    }
+
+    private async carryOut(order: EngineOrder, expectedMs: number): Promise<void> {
+        if (order.kind === "unload" && order.adapter === "") {
+            this.markLeaving(order.model);
+        }
+        for (let tries = 0; tries < maxTries; tries++) {
+            switch (await this.send(order)) {
+                case OrderReply.accepted:
+                    this.expected! += 1;
+                    await this.follow(order, expectedMs);
+                    return;
+                case OrderReply.holds:
+                    this.tookEffect(order);
+                    return;
+                case OrderReply.fenced:
+                case OrderReply.refused:
+                    this.expected = undefined;
+                    return;
+                case OrderReply.conflict:
+                    await sleep(reportLagMs);
+                    if (!await this.reread()) {
+                        return;
+                    }
+                    break;
+                case OrderReply.unknown:
+                    // Sent again under the same number: whichever copy is taken first makes the other fail.
+                    await sleep(resendMs);
+                    break;
+            }
+        }
+        this.expected = undefined;
+    }
+
+    private async send(order: EngineOrder): Promise<OrderReply> {
+        const { upstream } = this;
+        const fence = this.owner.fence();
+        if (upstream === undefined || fence === undefined || this.expected === undefined) {
+            return OrderReply.refused;
+        }
+        const sentAt = steadyNow();
+        const reply = await this.calls.order(upstream, order, this.expected, fence);
+        this.log.info("order.sent", {
+            upstream: this.id,
+            order: describeOrder(order),
+            expected: this.expected,
+            token: fence.token,
+            reply,
+            tookMs: Math.round(steadyNow() - sentAt),
+        });
+        if (reply === OrderReply.fenced) {
+            this.owner.fenced(this.id);
+        }
+        return reply;
+    }
+
+    private async follow(order: EngineOrder, expectedMs: number): Promise<void> {
+        if (order.adapter === "") {
+            await this.followModel(order, expectedMs);
+        }
+        else if (order.kind === "load") {
+            // The engine takes other orders meanwhile.
+            void this.followAdapter(order);
+        }
+        else {
+            this.tookEffect(order);
+        }
+    }
+
+    private async followModel(order: EngineOrder, expectedMs: number): Promise<void> {
+        const deadline = steadyNow() + expectedMs * modelPatience + modelPatience * 1000;
+        this.loading.set(order.model, steadyNow());
+        await sleep(expectedMs);
+        while (steadyNow() < deadline && this.upstream !== undefined) {
+            await sleep(modelCheckMs);
+            const reply = await this.send(order);
+            if (reply === OrderReply.holds) {
+                this.loading.delete(order.model);
+                this.tookEffect(order);
+                return;
+            }
+            if (reply === OrderReply.accepted) {
+                this.expected! += 1;
+            }
+            if (reply === OrderReply.fenced || reply === OrderReply.refused) {
+                break;
+            }
+        }
+        this.loading.delete(order.model);
+        this.expected = undefined;
+    }
+
+    private async followAdapter(order: EngineOrder): Promise<void> {
+        const name = `${order.model}/${order.adapter}`;
+        this.transits.add(name);
+        this.owner.settled();
+        for (const pauseMs of adapterChecksMs) {
+            await sleep(pauseMs);
+            const reply = await this.send(order);
+            if (reply === OrderReply.holds) {
+                this.tookEffect(order);
+                break;
+            }
+            if (reply === OrderReply.fenced || reply === OrderReply.refused) {
+                break;
+            }
+        }
+        this.transits.delete(name);
+        this.owner.settled();
+    }
+
+    private markLeaving(model: string): void {
+        this.change(models => models.filter(held => held.name === model).forEach(held => held.leaving = true));
+    }
+
+    private tookEffect(order: EngineOrder): void {
+        this.change(models => applyOrder(models, order));
+        this.owner.settled();
+    }
+
+    private change(edit: (models: HeldModel[]) => void): void {
+        const { upstream } = this;
+        if (upstream !== undefined) {
+            const models = upstream.models.map(model => clone(HeldModelSchema, model));
+            edit(models);
+            this.registry.setModels(this.id, models);
+        }
+    }
+
+    /** After a conflict: whether the engine could be read, so that the order can be tried again. */
+    private async reread(): Promise<boolean> {
+        const { upstream } = this;
+        this.expected = undefined;
+        return upstream !== undefined && this.read(upstream);
+    }
+
+    private async read(upstream: Upstream): Promise<boolean> {
+        const report = await this.calls.report(upstream);
+        if (report === undefined) {
+            return false;
+        }
+        this.expected = report.orders;
+        const leaving = new Set(upstream.models.filter(model => model.leaving).map(model => model.name));
+        const models = report.models.map(model => {
+            const copy = clone(HeldModelSchema, model);
+            copy.leaving = leaving.has(model.name);
+            return copy;
+        });
+        this.registry.setModels(this.id, models);
+        this.log.info("engine.read", {
+            upstream: this.id,
+            orders: report.orders,
+            busy: report.busy,
+            models: report.models.map(model => model.name),
+        });
+        return true;
+    }
+}
+
+function applyOrder(models: HeldModel[], order: EngineOrder): void {
+    const index = models.findIndex(model => model.name === order.model);
+    if (order.adapter === "") {
+        if (order.kind === "load" && index === -1) {
+            models.push(heldModel(order.model));
+        }
+        if (order.kind === "unload" && index !== -1) {
+            models.splice(index, 1);
+        }
+        return;
+    }
+    const held = models[index];
+    if (held !== undefined) {
+        held.adapters = held.adapters.filter(adapter => adapter !== order.adapter);
+        if (order.kind === "load") {
+            held.adapters.push(order.adapter);
+        }
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/placements.ts
@@ -0,0 +1,212 @@
+/** The leader's task that sees to it that engines hold what callers ask for. */
+import { type EventLog, messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
+import { type Configuration, type EngineSpec } from "@winchpath/declarations";
+import { type DemandBook } from "./demands.js";
+import { type Mismatch, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { OrderLine, type OrderLineOwner } from "./orderlines.js";
+import { describeOrder, type EngineCalls, type Fence } from "./orders.js";
+import { type PlannedEngine, type PlannedModel, type PlannedOrder, planOrders } from "./plans.js";
+import { type RegisteredUpstream, type Registry } from "./registries.js";
+import { StorePace } from "./storepaces.js";
+
+/** How often is planned where nothing happens, in milliseconds. */
+const planMs = 500;
+/** Plans are at least this far apart. */
+const planPauseMs = 10;
+/** An unload waits for what runs; it is looked after from then on. */
+const unloadMs = 50;
+/** An engine that could not be read is asked again after this long. */
+const rereadMs = 2000;
+/** How long an earlier leader's loads count against the store's pace: its window of five seconds. */
+const storeWindowMs = 5000;
+
+export interface PlacementControl {
+    /** Who may give orders now; undefined where this host may not. */
+    fence(): Fence | undefined;
+    readonly configuration: Configuration | undefined;
+}
+
+/** Gives orders for as long as one leadership lasts. */
+export class EnginePlacement implements OrderLineOwner {
+    private readonly lines = new Map<string, OrderLine>();
+    private readonly reads = new Map<string, number>();
+    private readonly wake = new Notifier();
+    private readonly pace = new StorePace(storeWindowMs);
+    private fencedOff = false;
+
+    public constructor(
+        private readonly control: PlacementControl,
+        private readonly registry: Registry,
+        private readonly demand: DemandBook,
+        private readonly calls: EngineCalls,
+        private readonly log: EventLog,
+    ) {}
+
+    /** Something changed that a plan depends on. */
+    public notify(): void {
+        this.wake.notify();
+    }
+
+    public fence(): Fence | undefined {
+        return this.fencedOff ? undefined : this.control.fence();
+    }
+
+    public fenced(upstream: string): void {
+        if (!this.fencedOff) {
+            this.fencedOff = true;
+            this.log.warn("orders.fenced", { upstream });
+        }
+    }
+
+    public settled(): void {
+        this.wake.notify();
+    }
+
+    /** An entry was told that an engine does not hold what it should: it is read anew. */
+    public doubt(mismatch: Mismatch): void {
+        const line = this.lines.get(mismatch.upstream);
+        const name = mismatch.adapter === "" ? mismatch.model : `${mismatch.model}/${mismatch.adapter}`;
+        if (line !== undefined && this.mayRead(mismatch.upstream)) {
+            this.log.warn("engine.mismatch", { upstream: mismatch.upstream, item: name });
+            void line.sync();
+        }
+    }
+
+    /** Plans and gives orders until the signal is aborted. */
+    public async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.wake.wait(planMs);
+            await sleep(planPauseMs, signal);
+            if (signal.aborted || this.fence() === undefined) {
+                continue;
+            }
+            try {
+                this.plan();
+            }
+            catch (err) {
+                this.log.warn("plan.failed", { error: messageOf(err) });
+            }
+        }
+        this.lines.forEach(line => line.end());
+    }
+
+    private plan(): void {
+        this.keepLines();
+        const { configuration } = this.control;
+        for (const service of configuration?.services ?? []) {
+            if (service.engine !== undefined) {
+                this.planService(service.name, service.engine);
+            }
+        }
+    }
+
+    private planService(service: string, spec: EngineSpec): void {
+        const engines = this.registry.all()
+            .filter(({ upstream }) => upstream.service === service && upstream.state === UpstreamState.READY)
+            .map(known => this.plannedEngine(known));
+        const orders = planOrders({
+            service,
+            spec,
+            engines,
+            needs: this.demand.needs().filter(need => need.key.service === service),
+            storeOpen: this.pace.mayStart(spec.storeLoadsPerSecond),
+        });
+        orders.forEach(planned => this.give(planned, spec));
+    }
+
+    private give(planned: PlannedOrder, spec: EngineSpec): void {
+        const line = this.lines.get(planned.engine);
+        if (line === undefined || !line.free) {
+            return;
+        }
+        this.log.info("order.planned", {
+            upstream: planned.engine,
+            order: describeOrder(planned.order),
+            fromStore: planned.fromStore,
+            reason: planned.reason,
+        });
+        if (planned.fromStore) {
+            this.pace.started();
+        }
+        void line.give(planned.order, this.expectedMs(planned, spec));
+    }
+
+    private expectedMs(planned: PlannedOrder, spec: EngineSpec): number {
+        const { order, engine } = planned;
+        const model = spec.models.find(({ name }) => name === order.model);
+        if (order.kind === "unload" || model === undefined) {
+            return unloadMs;
+        }
+        if (planned.fromStore) {
+            return model.loadMs;
+        }
+        return this.registry.get(engine)?.inMemory.has(model.name) ? model.memoryLoadMs : model.diskLoadMs;
+    }
+
+    /** A line for every engine that is there, and none for those that are gone. */
+    private keepLines(): void {
+        const engineServices = new Set(
+            this.control.configuration?.services.filter(service => service.engine !== undefined).map(({ name }) =>
+                name
+            ),
+        );
+        for (const { upstream } of this.registry.all()) {
+            if (!engineServices.has(upstream.service)) {
+                continue;
+            }
+            let line = this.lines.get(upstream.id);
+            if (line === undefined) {
+                line = new OrderLine(upstream.id, this.registry, this.calls, this, this.log);
+                this.lines.set(upstream.id, line);
+            }
+            if (!line.free && upstream.state === UpstreamState.READY && this.mayRead(upstream.id)) {
+                void line.sync();
+            }
+        }
+        for (const [id, line] of this.lines) {
+            if (this.registry.get(id) === undefined) {
+                line.end();
+                this.lines.delete(id);
+                this.reads.delete(id);
+            }
+        }
+    }
+
+    private mayRead(id: string): boolean {
+        const now = steadyNow();
+        if (now - (this.reads.get(id) ?? Number.NEGATIVE_INFINITY) < rereadMs) {
+            return false;
+        }
+        this.reads.set(id, now);
+        return true;
+    }
+
+    private plannedEngine(known: RegisteredUpstream): PlannedEngine {
+        const { upstream, inMemory, onDisk } = known;
+        const line = this.lines.get(upstream.id);
+        const models = new Map<string, PlannedModel>();
+        const underWay = [...line?.adaptersUnderWay ?? []];
+        for (const held of upstream.models) {
+            const adapters = new Map(held.adapters.map(adapter => [adapter, true]));
+            underWay.filter(name => name.startsWith(`${held.name}/`)).forEach(name =>
+                adapters.set(name.slice(held.name.length + 1), false)
+            );
+            models.set(held.name, { ready: true, leaving: held.leaving, adapters });
+        }
+        for (const name of line?.loadingModels ?? []) {
+            if (!models.has(name)) {
+                models.set(name, { ready: false, leaving: false, adapters: new Map() });
+            }
+        }
+        return {
+            id: upstream.id,
+            service: upstream.service,
+            dataCentre: upstream.dataCentre,
+            models,
+            takesModels: line?.free === true,
+            freeTransits: line?.freeTransits ?? 0,
+            inMemory,
+            onDisk,
+        };
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/plans.ts
@@ -0,0 +1,300 @@
+/**
+ * Which orders are worth giving now. A pure function of what is known: the
+ * engines, what they hold, and what callers ask for.
+ */
+import { type EngineModel, type EngineSpec } from "@winchpath/declarations";
+import { type ItemNeed } from "./demands.js";
+import { type EngineOrder } from "./orders.js";
+
+/** An engine that takes orders, as the plan sees it. */
+export interface PlannedEngine {
+    readonly id: string;
+    readonly service: string;
+    readonly dataCentre: string;
+    /** What it holds and what is under way to it, by model. */
+    readonly models: ReadonlyMap<string, PlannedModel>;
+    /** Whether it can be given an order that loads or unloads a model. */
+    readonly takesModels: boolean;
+    /** Adapters that may be ordered before one of those under way has arrived. */
+    readonly freeTransits: number;
+    readonly inMemory: ReadonlySet<string>;
+    readonly onDisk: ReadonlySet<string>;
+}
+
+export interface PlannedModel {
+    readonly ready: boolean;
+    readonly leaving: boolean;
+    /** Adapters by name; false while one is under way. */
+    readonly adapters: ReadonlyMap<string, boolean>;
+}
+
+/** What a plan is made for: one service with its engines and its demand. */
+export interface PlanInput {
+    readonly service: string;
+    readonly spec: EngineSpec;
+    readonly engines: readonly PlannedEngine[];
+    readonly needs: readonly ItemNeed[];
+    /** Whether a load from the weight store may start now. */
+    readonly storeOpen: boolean;
+}
+
+/** An order with the engine that is to get it, and why. */
+export interface PlannedOrder {
+    readonly engine: string;
+    readonly order: EngineOrder;
+    readonly fromStore: boolean;
+    readonly reason: string;
+}
+
+/**
+ * Requests that run on one replica before another is worth a load: half of the
+ * slots, so that a burst finds room while a replica is added.
+ */
+const fullShare = 0.5;
+/** A model that was not asked for in this time may give up its last replica to one that is lacking. */
+const idleLastMs = 4000;
+/** A second replica has to be worth this much more than what it takes the place of. */
+const swapGain = 2;
+/** An adapter that was asked for in this time keeps its place, unless all places are as busy. */
+const adapterIdleMs = 1500;
+
+interface ModelNeed {
+    readonly model: EngineModel;
+    readonly rate: number;
+    readonly running: number;
+    readonly lacking: number;
+    readonly idleMs: number;
+}
+
+/** The next orders, at most one for each engine, the most useful first. */
+export function planOrders(input: PlanInput): PlannedOrder[] {
+    const planner = new Planner(input);
+    return [...planner.adapterOrders(), ...planner.modelOrders()];
+}
+
+class Planner {
+    private readonly needs: Map<string, ModelNeed>;
+    private readonly taken = new Set<string>();
+    private storeOpen: boolean;
+
+    public constructor(private readonly input: PlanInput) {
+        this.storeOpen = input.storeOpen;
+        this.needs = new Map(input.spec.models.map(model => [model.name, needOfModel(model, input.needs)]));
+    }
+
+    /** Loads of adapters that somebody asks for and no ready engine holds, or too few do. */
+    public adapterOrders(): PlannedOrder[] {
+        const wanted = this.input.needs
+            .filter(need => need.key.adapter !== "" && need.rate + need.lacking + need.running > 0)
+            .sort((a, b) => b.lacking - a.lacking || b.rate - a.rate);
+        return wanted.flatMap(need => this.adapterOrder(need) ?? []);
+    }
+
+    /** Loads of models that are lacking or overloaded, and the unloads that make room for them. */
+    public modelOrders(): PlannedOrder[] {
+        const wanted = [...this.needs.values()]
+            .filter(need => this.missingReplicas(need) > 0)
+            .sort((a, b) => b.lacking - a.lacking || valueOf(b) - valueOf(a));
+        return wanted.flatMap(need => this.modelOrder(need) ?? []);
+    }
+
+    private adapterOrder(need: ItemNeed): PlannedOrder | undefined {
+        const { model, adapter } = need.key;
+        const holders = this.holders(model).filter(engine => engine.models.get(model)!.ready);
+        const having = holders.filter(engine => engine.models.get(model)!.adapters.has(adapter));
+        const enough = having.length >= 1 + Math.floor(need.running / (this.input.spec.slots * fullShare));
+        if (enough && having.length > 0) {
+            return undefined;
+        }
+        const candidates = holders
+            .filter(engine => !having.includes(engine) && engine.freeTransits > 0 && !this.taken.has(engine.id))
+            .sort((a, b) => this.adapterPressure(a) - this.adapterPressure(b));
+        for (const engine of candidates) {
+            const order = this.placeAdapter(engine, need);
+            if (order !== undefined) {
+                this.taken.add(engine.id);
+                return order;
+            }
+        }
+        return undefined;
+    }
+
+    private placeAdapter(engine: PlannedEngine, need: ItemNeed): PlannedOrder | undefined {
+        const { model, adapter } = need.key;
+        const reason = `asked for ${need.rate.toFixed(1)}/s, ${need.lacking} lacking`;
+        if (adapterCount(engine) < this.input.spec.adapterPlaces && this.fits(engine, this.adapterMb(model))) {
+            return { engine: engine.id, order: { kind: "load", model, adapter }, fromStore: false, reason };
+        }
+        const victim = this.idleAdapter(engine);
+        return victim === undefined ? undefined : {
+            engine: engine.id,
+            order: { kind: "unload", ...victim },
+            fromStore: false,
+            reason: `makes room for ${model}/${adapter}`,
+        };
+    }
+
+    /** The adapter that was not asked for the longest. */
+    private idleAdapter(engine: PlannedEngine): { model: string; adapter: string; } | undefined {
+        const idle = [...engine.models].flatMap(([model, held]) =>
+            [...held.adapters].filter(([, ready]) => ready).map(([adapter]) => ({
+                model,
+                adapter,
+                idleMs: this.adapterNeed(model, adapter)?.idleMs ?? Number.POSITIVE_INFINITY,
+                running: this.adapterNeed(model, adapter)?.running ?? 0,
+            }))
+        );
+        const victim = idle.filter(({ idleMs, running }) => idleMs > adapterIdleMs && running === 0)
+            .sort((a, b) => b.idleMs - a.idleMs)[0];
+        return victim === undefined ? undefined : { model: victim.model, adapter: victim.adapter };
+    }
+
+    private modelOrder(need: ModelNeed): PlannedOrder | undefined {
+        const candidates = this.input.engines
+            .filter(engine => engine.takesModels && !engine.models.has(need.model.name) && !this.taken.has(engine.id))
+            .map(engine => ({ engine, cost: this.costOf(engine, need) }))
+            .filter(({ cost }) => cost !== undefined)
+            .sort((a, b) => a.cost! - b.cost!);
+        for (const { engine } of candidates) {
+            const order = this.makeRoom(engine, need) ?? this.load(engine, need);
+            if (order !== undefined) {
+                this.taken.add(engine.id);
+                return order;
+            }
+        }
+        return undefined;
+    }
+
+    private load(engine: PlannedEngine, need: ModelNeed): PlannedOrder | undefined {
+        const { name } = need.model;
+        const fromStore = !engine.inMemory.has(name) && !engine.onDisk.has(name);
+        if (fromStore && !this.storeOpen) {
+            return undefined;
+        }
+        this.storeOpen &&= !fromStore;
+        const reason = `asked for ${need.rate.toFixed(1)}/s, ${need.running} running, ${need.lacking} lacking`;
+        return { engine: engine.id, order: { kind: "load", model: name, adapter: "" }, fromStore, reason };
+    }
+
+    /** The unload that is due before the load fits; undefined where it fits. */
+    private makeRoom(engine: PlannedEngine, need: ModelNeed): PlannedOrder | undefined {
+        if (this.fits(engine, need.model.sizeMb)) {
+            return undefined;
+        }
+        const victim = this.victim(engine)!;
+        return {
+            engine: engine.id,
+            order: { kind: "unload", model: victim.model.name, adapter: "" },
+            fromStore: false,
+            reason: `makes room for ${need.model.name}`,
+        };
+    }
+
+    /** Time to load in milliseconds and the value that is given up; undefined where it is not worth it. */
+    private costOf(engine: PlannedEngine, need: ModelNeed): number | undefined {
+        const loadMs = loadTime(engine, need.model);
+        if (this.fits(engine, need.model.sizeMb)) {
+            return loadMs;
+        }
+        const victim = this.victim(engine);
+        if (victim === undefined || !this.isWorth(need, victim)) {
+            return undefined;
+        }
+        return loadMs + this.replicaValue(victim) * 1000;
+    }
+
+    private isWorth(need: ModelNeed, victim: ModelNeed): boolean {
+        if (this.readyHolders(victim.model.name) <= 1 && victim.idleMs < idleLastMs) {
+            return false;
+        }
+        const lacking = this.holders(need.model.name).length === 0 && need.lacking > 0;
+        return lacking
+            || valueOf(need) / (1 + this.holders(need.model.name).length) > swapGain * this.replicaValue(victim);
+    }
+
+    /** The held model whose replica is worth least. */
+    private victim(engine: PlannedEngine): ModelNeed | undefined {
+        const held = [...engine.models]
+            .filter(([, model]) => model.ready && !model.leaving)
+            .map(([name]) => this.needs.get(name))
+            .filter(need => need !== undefined);
+        return held.sort((a, b) => this.replicaValue(a) - this.replicaValue(b))[0];
+    }
+
+    /** What one replica of a model is worth: its share of the demand. */
+    private replicaValue(need: ModelNeed): number {
+        const holders = Math.max(1, this.readyHolders(need.model.name));
+        const last = holders === 1 && need.idleMs < idleLastMs ? valueOf(need) + 1 : 0;
+        return valueOf(need) / holders + last;
+    }
+
+    private missingReplicas(need: ModelNeed): number {
+        if (need.idleMs > idleLastMs && need.lacking === 0) {
+            return 0;
+        }
+        const wanted = 1 + Math.floor(need.running / (this.input.spec.slots * fullShare));
+        return wanted - this.holders(need.model.name).length;
+    }
+
+    private holders(model: string): PlannedEngine[] {
+        return this.input.engines.filter(engine => engine.models.get(model)?.leaving === false);
+    }
+
+    private readyHolders(model: string): number {
+        return this.holders(model).filter(engine => engine.models.get(model)!.ready).length;
+    }
+
+    private adapterNeed(model: string, adapter: string): ItemNeed | undefined {
+        return this.input.needs.find(({ key }) => key.model === model && key.adapter === adapter);
+    }
+
+    /** Demand for the adapters that an engine holds. */
+    private adapterPressure(engine: PlannedEngine): number {
+        let rate = 0;
+        for (const [model, held] of engine.models) {
+            for (const adapter of held.adapters.keys()) {
+                rate += 0.5 + (this.adapterNeed(model, adapter)?.rate ?? 0);
+            }
+        }
+        return rate;
+    }
+
+    private adapterMb(model: string): number {
+        return this.needs.get(model)?.model.adapterMb ?? 0;
+    }
+
+    private fits(engine: PlannedEngine, extraMb: number): boolean {
+        let usedMb = 0;
+        for (const [name, held] of engine.models) {
+            usedMb += (this.needs.get(name)?.model.sizeMb ?? 0) + held.adapters.size * this.adapterMb(name);
+        }
+        return usedMb + extraMb <= this.input.spec.memoryMb;
+    }
+}
+
+function needOfModel(model: EngineModel, needs: readonly ItemNeed[]): ModelNeed {
+    const own = needs.filter(need => need.key.model === model.name);
+    const total = (pick: (need: ItemNeed) => number) => own.reduce((sum, need) => sum + pick(need), 0);
+    return {
+        model,
+        rate: total(need => need.rate),
+        running: total(need => need.running),
+        lacking: total(need => need.lacking),
+        idleMs: Math.min(Number.POSITIVE_INFINITY, ...own.map(need => need.idleMs)),
+    };
+}
+
+function valueOf(need: ModelNeed): number {
+    return need.rate + need.running + need.lacking;
+}
+
+function loadTime(engine: PlannedEngine, model: EngineModel): number {
+    if (engine.inMemory.has(model.name)) {
+        return model.memoryLoadMs;
+    }
+    return engine.onDisk.has(model.name) ? model.diskLoadMs : model.loadMs;
+}
+
+function adapterCount(engine: PlannedEngine): number {
+    return [...engine.models.values()].reduce((count, held) => count + held.adapters.size, 0);
+}
--- /dev/null
+++ b/packages/fleet/src/registries.ts
@@ -0,0 +1,239 @@
+/** The upstreams that have announced themselves, as the leader of the control group knows them. */
+import { clone, create, equals } from "@bufbuild/protobuf";
+import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
+import {
+    type Announcement,
+    type HeldModel,
+    HeldModelSchema,
+    type Upstream,
+    UpstreamSchema,
+    UpstreamState,
+} from "./gen/winchpath/fleet/v1/fleet_pb.js";
+
+/**
+ * After this long without an announcement an upstream is forgotten. Entries
+ * find out by themselves that one is down, so this only clears what is left:
+ * ten announcements at the usual 1.2 s.
+ */
+const forgetAfterMs = 12_000;
+/** Ids of upstreams that left are remembered for this long, against announcements that come late. */
+const departedMs = 60_000;
+/** Removals that a poll may be behind before it gets everything anew. */
+const rememberedRemovals = 2000;
+/** An announcement sent before an order took effect may arrive after it; held models are not taken from it. */
+const orderSettleMs = 1000;
+
+/** What the leader knows of one upstream. */
+export interface RegisteredUpstream {
+    readonly upstream: Upstream;
+    /** Steady time of the last announcement. */
+    readonly heardAt: number;
+    /** Models of which its host keeps a copy. */
+    readonly inMemory: ReadonlySet<string>;
+    readonly onDisk: ReadonlySet<string>;
+}
+
+interface Entry extends RegisteredUpstream {
+    upstream: Upstream;
+    heardAt: number;
+    inMemory: ReadonlySet<string>;
+    onDisk: ReadonlySet<string>;
+    sequence: bigint;
+    position: number;
+    /** Steady time until which held models follow from orders alone. */
+    ordersSettleAt: number;
+}
+
+/** What changed after a position. */
+export interface RegistryChanges {
+    readonly position: number;
+    readonly changed: readonly Upstream[];
+    readonly removed: readonly string[];
+    /** Whether `changed` is everything there is. */
+    readonly whole: boolean;
+}
+
+export class Registry {
+    /** Notified after each change. */
+    public readonly changed = new Notifier();
+    private readonly upstreams = new Map<string, Entry>();
+    private readonly departed = new Map<string, number>();
+    private removals: { readonly id: string; readonly position: number; }[] = [];
+    private removalFloor = 0;
+    private newest = 0;
+
+    public constructor(private readonly log: EventLog) {}
+
+    /** Position of the newest change. */
+    public get position(): number {
+        return this.newest;
+    }
+
+    public get(id: string): RegisteredUpstream | undefined {
+        return this.upstreams.get(id);
+    }
+
+    public all(): RegisteredUpstream[] {
+        return [...this.upstreams.values()];
+    }
+
+    /** Takes in what an upstream tells; gives the position from which on entries know it. */
+    public announce(announcement: Announcement): number {
+        const upstream = announcement.upstream!;
+        const known = this.upstreams.get(upstream.id);
+        if (this.departed.has(upstream.id) || (known !== undefined && announcement.sequence <= known.sequence)) {
+            return this.newest;
+        }
+        this.dropOthersAt(upstream.address, upstream.id);
+        const entry: Entry = known ?? {
+            upstream,
+            sequence: announcement.sequence,
+            heardAt: 0,
+            inMemory: new Set(),
+            onDisk: new Set(),
+            position: 0,
+            ordersSettleAt: 0,
+        };
+        this.upstreams.set(upstream.id, entry);
+        entry.sequence = announcement.sequence;
+        entry.heardAt = steadyNow();
+        entry.inMemory = new Set(announcement.inMemory);
+        entry.onDisk = new Set(announcement.onDisk);
+        this.takeIn(entry, upstream, known === undefined);
+        return entry.position;
+    }
+
+    /** Forgets an upstream that has left; gives the position from which on entries know it. */
+    public leave(id: string): number {
+        this.departed.set(id, steadyNow());
+        return this.remove(id, "left");
+    }
+
+    /** Sets what an engine holds, after an order to it took effect. */
+    public setModels(id: string, models: readonly HeldModel[]): void {
+        const entry = this.upstreams.get(id);
+        if (entry === undefined) {
+            return;
+        }
+        entry.ordersSettleAt = steadyNow() + orderSettleMs;
+        const next = clone(UpstreamSchema, entry.upstream);
+        next.models = models.map(model => clone(HeldModelSchema, model));
+        this.replace(entry, next);
+    }
+
+    /** Forgets what was not heard for long. */
+    public expire(): void {
+        const now = steadyNow();
+        for (const [id, entry] of this.upstreams) {
+            if (now - entry.heardAt > forgetAfterMs) {
+                this.remove(id, "silent");
+            }
+        }
+        for (const [id, at] of this.departed) {
+            if (now - at > departedMs) {
+                this.departed.delete(id);
+            }
+        }
+    }
+
+    /** All that changed after `position`. */
+    public since(position: number): RegistryChanges {
+        const whole = position < this.removalFloor;
+        const changed = [...this.upstreams.values()].filter(entry => whole || entry.position > position);
+        const removed = this.removals.filter(removal => removal.position > position).map(removal => removal.id);
+        return { position: this.newest, changed: changed.map(entry => entry.upstream), removed, whole };
+    }
+
+    /** Forgets everything, at the start of a leadership: what was known may be old. */
+    public clear(): void {
+        this.upstreams.clear();
+        this.departed.clear();
+        this.removals = [];
+        this.removalFloor = 0;
+    }
+
+    private takeIn(entry: Entry, told: Upstream, isNew: boolean): void {
+        const next = clone(UpstreamSchema, told);
+        if (!isNew) {
+            // Draining is final: an announcement that says otherwise was sent before.
+            if (entry.upstream.state === UpstreamState.DRAINING) {
+                next.state = UpstreamState.DRAINING;
+            }
+            if (steadyNow() < entry.ordersSettleAt) {
+                next.models = entry.upstream.models;
+            }
+            else {
+                keepLeaving(entry.upstream.models, next.models);
+            }
+        }
+        if (isNew) {
+            this.log.info("upstream.learnt", describe(next));
+            this.touch(entry, next);
+            return;
+        }
+        this.replace(entry, next);
+    }
+
+    private replace(entry: Entry, next: Upstream): void {
+        if (equals(UpstreamSchema, entry.upstream, next)) {
+            return;
+        }
+        if (entry.upstream.state !== next.state) {
+            this.log.info("upstream.state", describe(next));
+        }
+        this.touch(entry, next);
+    }
+
+    private touch(entry: Entry, next: Upstream): void {
+        entry.upstream = next;
+        this.newest += 1;
+        entry.position = this.newest;
+        this.changed.notify();
+    }
+
+    /** An address belongs to the upstream that announced it last. */
+    private dropOthersAt(address: string, id: string): void {
+        for (const [other, entry] of this.upstreams) {
+            if (other !== id && entry.upstream.address === address) {
+                this.remove(other, "its address is another upstream's now");
+            }
+        }
+    }
+
+    private remove(id: string, reason: string): number {
+        if (this.upstreams.delete(id)) {
+            this.log.info("upstream.gone", { upstream: id, reason });
+        }
+        this.newest += 1;
+        this.removals.push({ id, position: this.newest });
+        while (this.removals.length > rememberedRemovals) {
+            this.removalFloor = this.removals.shift()!.position;
+        }
+        this.changed.notify();
+        return this.newest;
+    }
+}
+
+/** A model that is to be unloaded stays so until it is gone. */
+function keepLeaving(before: readonly HeldModel[], after: readonly HeldModel[]): void {
+    const leaving = new Set(before.filter(model => model.leaving).map(model => model.name));
+    after.filter(model => leaving.has(model.name)).forEach(model => {
+        model.leaving = true;
+    });
+}
+
+function describe(upstream: Upstream) {
+    return {
+        upstream: upstream.id,
+        service: upstream.service,
+        address: upstream.address,
+        dataCentre: upstream.dataCentre,
+        state: upstream.state === UpstreamState.DRAINING ? "draining" : "ready",
+        models: upstream.models.map(model => model.name),
+    };
+}
+
+/** A model as it is held right after it was loaded. */
+export function heldModel(name: string, version = 0n): HeldModel {
+    return create(HeldModelSchema, { name, version });
+}
--- /dev/null
+++ b/packages/forwarding/src/answers.ts
@@ -0,0 +1,47 @@
+/** Answers of the system's own, in place of an upstream's. */
+import { type ServerResponse } from "node:http";
+
+/** Why a request got no answer of an upstream. The status of each promises what callers rely on. */
+export const OwnAnswer = {
+    /** No configuration is known here yet; not run. */
+    unconfigured: { status: 503, reason: "unconfigured" },
+    /** No route matches. */
+    unrouted: { status: 404, reason: "unrouted" },
+    headersTooLarge: { status: 431, reason: "headers-too-large" },
+    bodyTooLarge: { status: 413, reason: "body-too-large" },
+    /** The body did not come in time; not run. */
+    bodyLate: { status: 408, reason: "body-late" },
+    /** All upstreams are busy; not run. */
+    overloaded: { status: 503, reason: "overloaded" },
+    /** What it asks for is not loaded anywhere; not run. */
+    lacking: { status: 503, reason: "lacking" },
+    /** The service has no upstream that takes requests; not run. */
+    noUpstream: { status: 503, reason: "no-upstream" },
+    /** Upstreams stated that they have not run it, and no other may be tried. */
+    declined: { status: 503, reason: "declined" },
+    /** An upstream failed that may have run it. */
+    failed: { status: 502, reason: "failed" },
+    /** Time ran out, and an upstream may have run it. */
+    late: { status: 504, reason: "late" },
+    /** The process is stopping; not run. */
+    stopping: { status: 503, reason: "stopping" },
+} as const;
+export type OwnAnswer = typeof OwnAnswer[keyof typeof OwnAnswer];
+
+/** Writes an answer; `retryAfterMs` where the request has not run and may come again. */
+export function writeOwnAnswer(
+    res: ServerResponse,
+    answer: OwnAnswer,
+    options: { readonly retryAfterMs?: number; readonly close: boolean; },
+): void {
+    const body = JSON.stringify({ error: answer.reason });
+    const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(body))];
+    if (options.retryAfterMs !== undefined) {
+        headers.push("Retry-After", (options.retryAfterMs / 1000).toFixed(2));
+    }
+    if (options.close) {
+        headers.push("Connection", "close");
+    }
+    res.writeHead(answer.status, headers);
+    res.end(body);
+}
--- /dev/null
+++ b/packages/forwarding/src/doors.ts
@@ -0,0 +1,210 @@
+/**
+ * The listener for callers. It reads paths, headers and bodies as they are
+ * written, and hands each request to the forwarder.
+ */
+import { type EventLog, sleep, steadyNow } from "@winchpath/core";
+import { type Configuration, type ListenerLimits } from "@winchpath/declarations";
+import { type FleetView } from "@winchpath/fleet";
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import { type AddressInfo } from "node:net";
+import { OwnAnswer, writeOwnAnswer } from "./answers.js";
+import { headerOf, type RequestCodec } from "./codecs.js";
+import { type Forwarder } from "./forwarders.js";
+import { type Job } from "./jobs.js";
+import { drawTarget, RouteTable } from "./routetables.js";
+
+/** Largest headers that are read at all; the configured bound is checked behind it. */
+const parserHeaderBytes = 256 * 1024;
+/** How often connections that are too slow are looked for, in milliseconds. */
+const slowCheckMs = 500;
+/** When to come back while no configuration is known. */
+const unconfiguredRetryMs = 500;
+/** How often a stopping listener closes connections that have become idle, in milliseconds. */
+const idleCheckMs = 50;
+
+export interface DoorParts {
+    readonly view: FleetView<Configuration>;
+    readonly codec: RequestCodec;
+    readonly forwarder: Forwarder;
+    readonly log: EventLog;
+    readonly stopping: () => boolean;
+}
+
+export class CallerDoor {
+    private readonly server = createServer({
+        maxHeaderSize: parserHeaderBytes,
+        connectionsCheckingInterval: slowCheckMs,
+        noDelay: true,
+    }, (req, res) => void this.take(req, res));
+    private table: RouteTable | undefined;
+    private requests = 0;
+
+    public constructor(private readonly parts: DoorParts) {}
+
+    public get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    /** Requests that are being served. */
+    public get open(): number {
+        return this.requests;
+    }
+
+    public async listen(address: { readonly host: string; readonly port: number; }): Promise<void> {
+        this.server.listen(address.port, address.host);
+        await once(this.server, "listening");
+    }
+
+    /** Follows the configuration that the view holds now. */
+    public refresh(): void {
+        const { configuration } = this.parts.view;
+        if (configuration === undefined || configuration === this.table?.configuration) {
+            return;
+        }
+        this.table = new RouteTable(configuration);
+        const { headerTimeoutMs, idleTimeoutMs } = configuration.limits;
+        this.server.headersTimeout = headerTimeoutMs;
+        this.server.keepAliveTimeout = idleTimeoutMs;
+    }
+
+    /** Takes no new connections, and returns once what runs has ended or the time has passed. */
+    public async close(graceMs: number): Promise<void> {
+        const deadline = steadyNow() + graceMs;
+        this.server.close();
+        while (this.requests > 0 && steadyNow() < deadline) {
+            this.server.closeIdleConnections();
+            await sleep(idleCheckMs);
+        }
+        this.server.closeIdleConnections();
+        if (this.requests > 0) {
+            this.parts.log.warn("requests.cut", { count: this.requests });
+        }
+        this.server.closeAllConnections();
+    }
+
+    private async take(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const startedAt = steadyNow();
+        const gone = new AbortController();
+        res.once("close", () => gone.abort());
+        res.sendDate = false;
+        this.requests += 1;
+        try {
+            const job = await this.admit(req, res, startedAt, gone.signal);
+            if (job !== undefined) {
+                await this.parts.forwarder.serve(job, res);
+            }
+        }
+        catch (err) {
+            this.parts.log.warn("request.crashed", { error: err instanceof Error ? err.stack : String(err) });
+            res.destroy();
+        }
+        finally {
+            this.requests -= 1;
+        }
+    }
+
+    /** Reads and checks a request; answers it here where it goes no further. */
+    private async admit(
+        req: IncomingMessage,
+        res: ServerResponse,
+        startedAt: number,
+        gone: AbortSignal,
+    ): Promise<Job | undefined> {
+        const { table } = this;
+        const facts = this.parts.codec.requestFacts(req.rawHeaders);
+        const refuse = (answer: OwnAnswer, retryAfterMs?: number) => {
+            this.refuse(req, res, facts.id, answer, retryAfterMs);
+            return undefined;
+        };
+        if (table === undefined) {
+            return refuse(OwnAnswer.unconfigured, unconfiguredRetryMs);
+        }
+        const { limits } = table.configuration;
+        if (headerBytes(req.rawHeaders) > limits.headerBytes) {
+            return refuse(OwnAnswer.headersTooLarge);
+        }
+        const route = table.match(req.headers.host ?? "", req.url!);
+        if (route === undefined) {
+            return refuse(OwnAnswer.unrouted);
+        }
+        const body = await readBody(req, limits);
+        if (gone.aborted) {
+            return undefined;
+        }
+        if (!Buffer.isBuffer(body)) {
+            return refuse(body);
+        }
+        const waitMs = Math.min(route.timeoutMs, facts.deadlineMs ?? route.timeoutMs);
+        return {
+            id: facts.id ?? "",
+            method: req.method!,
+            url: req.url!,
+            headers: req.rawHeaders,
+            body,
+            facts,
+            route,
+            service: drawTarget(route.targets, Math.random()),
+            startedAt,
+            deadlineAt: startedAt + waitMs,
+            gone,
+            tried: [],
+            declined: new Set(),
+            lastEventId: undefined,
+            answerStarted: false,
+        };
+    }
+
+    private refuse(
+        req: IncomingMessage,
+        res: ServerResponse,
+        id: string | undefined,
+        answer: OwnAnswer,
+        retryAfterMs: number | undefined,
+    ): void {
+        this.parts.log.warn("request.own-answer", {
+            request: id,
+            status: answer.status,
+            reason: answer.reason,
+            host: headerOf(req.rawHeaders, "host"),
+            path: req.url,
+            configuration: this.parts.view.version,
+            viewAgeMs: Math.round(this.parts.view.ageMs),
+        });
+        // What is left of a body that was not read would be taken for the next request.
+        const unread = !req.complete;
+        writeOwnAnswer(res, answer, { retryAfterMs, close: unread || this.parts.stopping() });
+    }
+}
+
+/** Reads a body whole, or gives the answer where it is too large or too slow. */
+async function readBody(req: IncomingMessage, limits: ListenerLimits): Promise<Buffer | OwnAnswer> {
+    if (Number(req.headers["content-length"] ?? 0) > limits.bodyBytes) {
+        return OwnAnswer.bodyTooLarge;
+    }
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const timer = setTimeout(() => req.destroy(), limits.idleTimeoutMs);
+    try {
+        for await (const chunk of req.iterator({ destroyOnReturn: false })) {
+            size += (chunk as Buffer).length;
+            if (size > limits.bodyBytes) {
+                return OwnAnswer.bodyTooLarge;
+            }
+            chunks.push(chunk as Buffer);
+        }
+    }
+    catch {
+        // The caller is gone, or was too slow; there is nobody left to answer.
+        return OwnAnswer.bodyLate;
+    }
+    finally {
+        clearTimeout(timer);
+    }
+    return Buffer.concat(chunks);
+}
+
+function headerBytes(headers: readonly string[]): number {
+    const overhead = 2;
+    return headers.reduce((sum, part) => sum + part.length + overhead, 0);
+}
--- /dev/null
+++ b/packages/forwarding/src/forwarders.ts
@@ -0,0 +1,377 @@
+/** What happens to a request between its headers and its final answer. */
+import { type EventLog, Metrics, steadyNow } from "@winchpath/core";
+import { type Configuration, type EngineSpec } from "@winchpath/declarations";
+import { type DemandMeter, type FleetView, type ItemKey } from "@winchpath/fleet";
+import { EjectionBook } from "@winchpath/routing";
+import { type ServerResponse } from "node:http";
+import { OwnAnswer, writeOwnAnswer } from "./answers.js";
+import { attempt, type AttemptOutcome, writeHeldAnswer } from "./attempts.js";
+import { type RetryBudgetOptions, WindowBudget } from "./budgets.js";
+import { type RequestCodec } from "./codecs.js";
+import { ageMs, isRepeatable, type Job, leftMs, tokensOf } from "./jobs.js";
+import { type UpstreamLink } from "./links.js";
+import { LinkTable } from "./linktables.js";
+import { type Pick, Picker } from "./pickers.js";
+import { WaitingRoom } from "./waitingrooms.js";
+
+/** A request that can't be served is refused within this share of its objective, while a second try can still be in time. */
+const refusalShare = 0.2;
+/** A request waits for a load that is expected to end within this share of its objective. */
+const loadWaitShare = 0.7;
+/** A load with its unload and the order to it takes this many times as long as the model's own time. */
+const loadMargin = 1.6;
+/** When to come back after all upstreams were busy. */
+const busyRetryMs = 400;
+/** When to come back where no upstream is known. */
+const noUpstreamRetryMs = 1000;
+/** Upstreams that may decline a request before it is given up. */
+const maxDeclined = 3;
+/** A try with less time than this left is not made. */
+const leastAttemptMs = 20;
+
+export interface ForwarderParts {
+    readonly view: FleetView<Configuration>;
+    readonly codec: RequestCodec;
+    readonly meter: DemandMeter;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+    readonly dataCentre: string;
+    readonly budget: RetryBudgetOptions;
+    /** Whether the process is stopping: answers tell callers to close their connections. */
+    readonly stopping: () => boolean;
+}
+
+type Place = { readonly kind: "upstream"; readonly link: UpstreamLink; } | Refusal;
+
+interface Refusal {
+    readonly kind: "refused";
+    readonly answer: OwnAnswer;
+    readonly retryAfterMs: number;
+}
+
+/** Whether the flow goes on with another try. */
+type Verdict = "again" | "done";
+
+export class Forwarder {
+    private readonly ejections = new EjectionBook();
+    private readonly links: LinkTable;
+    private readonly picker: Picker;
+    private readonly room = new WaitingRoom<Place>();
+    private readonly budgets = new Map<string, WindowBudget>();
+
+    public constructor(private readonly parts: ForwarderParts) {
+        this.links = new LinkTable(parts.view);
+        this.picker = new Picker(this.ejections, parts.dataCentre);
+    }
+
+    /** Follows what the view knows now, and lets those that wait try again. */
+    public refresh(): void {
+        this.links.refresh();
+        this.room.pump();
+    }
+
+    public close(): void {
+        this.links.close();
+    }
+
+    /** Serves one request; returns once its final answer was given, or its caller is gone. */
+    public async serve(job: Job, res: ServerResponse): Promise<void> {
+        this.budget(job.service).request();
+        const key = itemKeyOf(job);
+        this.parts.meter.arrived(key);
+        for (let tries = 0;; tries++) {
+            const place = await this.place(job);
+            if (job.gone.aborted) {
+                this.tell(job, "caller-gone", {});
+                return;
+            }
+            if (place.kind === "refused") {
+                this.refuse(job, res, place);
+                return;
+            }
+            const outcome = await this.tryAt(job, place.link, res, key, tries);
+            if (this.conclude(job, place.link, outcome, res) === "done") {
+                return;
+            }
+        }
+    }
+
+    /** Finds an upstream, waiting for one as long as that is of use. */
+    private async place(job: Job): Promise<Place> {
+        const found = this.placeNow(job);
+        if (found.kind === "upstream") {
+            return found;
+        }
+        const waitMs = Math.min(this.patience(job, found.kind), leftMs(job) - leastAttemptMs) - 0;
+        const key = itemKeyOf(job);
+        const lacking = found.kind === "lacking";
+        if (lacking) {
+            this.parts.meter.waits(key);
+        }
+        try {
+            const later = waitMs <= 0 ? undefined : await this.room.wait(job.route.priority, waitMs, job.gone, () => {
+                const now = this.placeNow(job);
+                return now.kind === "upstream" ? now : undefined;
+            });
+            return later ?? this.refusal(job, this.placeNow(job).kind);
+        }
+        finally {
+            if (lacking) {
+                this.parts.meter.waitsNoMore(key);
+            }
+        }
+    }
+
+    private placeNow(job: Job): Pick {
+        return this.picker.pick(job, this.links.ready(job.service), this.engineOf(job.service));
+    }
+
+    /** How long a request may wait at the entry, from now on, in milliseconds. */
+    private patience(job: Job, why: Pick["kind"]): number {
+        const { objectiveMs } = job.route;
+        const early = objectiveMs * refusalShare - ageMs(job);
+        if (why !== "lacking") {
+            return early;
+        }
+        const loadMs = this.loadMs(job) * loadMargin;
+        const inTime = objectiveMs * loadWaitShare - ageMs(job);
+        return loadMs <= inTime ? inTime : early;
+    }
+
+    /** How long it takes to load what a request asks for, from the host's disk. */
+    private loadMs(job: Job): number {
+        const { model, adapter } = job.facts;
+        const spec = this.engineOf(job.service)?.models.find(({ name }) => name === model);
+        const held = this.links.ready(job.service).some(({ description }) =>
+            description.models.some(({ name, leaving }) => name === model && !leaving)
+        );
+        // An adapter of a model that is there takes a fraction of a second.
+        return held && adapter !== "" ? 0 : spec?.diskLoadMs ?? Number.POSITIVE_INFINITY;
+    }
+
+    private refusal(job: Job, why: Pick["kind"]): Refusal {
+        switch (why) {
+            case "lacking":
+                this.parts.meter.refused(itemKeyOf(job));
+                return {
+                    kind: "refused",
+                    answer: OwnAnswer.lacking,
+                    retryAfterMs: Math.max(busyRetryMs, this.loadMs(job) * loadMargin - ageMs(job)),
+                };
+            case "none":
+                return { kind: "refused", answer: OwnAnswer.noUpstream, retryAfterMs: noUpstreamRetryMs };
+            default:
+                return { kind: "refused", answer: OwnAnswer.overloaded, retryAfterMs: busyRetryMs };
+        }
+    }
+
+    private refuse(job: Job, res: ServerResponse, refusal: Refusal): void {
+        if (job.tried.length > 0) {
+            // An upstream may have run it: "not run" would not be true.
+            this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.failed);
+            return;
+        }
+        this.answer(job, res, refusal.answer, refusal.retryAfterMs);
+    }
+
+    private async tryAt(
+        job: Job,
+        link: UpstreamLink,
+        res: ServerResponse,
+        key: ItemKey,
+        tries: number,
+    ): Promise<AttemptOutcome> {
+        const { meter, codec, stopping } = this.parts;
+        const startedAt = steadyNow();
+        const tokens = tokensOf(job);
+        link.inFlight += 1;
+        link.tokensInFlight += tokens;
+        meter.started(key);
+        this.ejections.sent(link.id);
+        job.tried.push(link.id);
+        try {
+            const outcome = await attempt(job, link, {
+                codec,
+                res,
+                urgency: this.engineOf(job.service) === undefined ? undefined : Math.min(9, job.route.priority),
+                closing: stopping,
+                onAnswer: () =>
+                    this.parts.metrics.histogram("first_byte", { route: job.route.name }).record(ageMs(job)),
+            });
+            this.tell(job, "attempt", {
+                upstream: link.id,
+                try: tries + 1,
+                load: Math.round(link.load),
+                viewAgeMs: Math.round(this.parts.view.ageMs),
+                outcome: outcome.kind,
+                reason: "reason" in outcome ? outcome.reason : undefined,
+                tookMs: Math.round(steadyNow() - startedAt),
+            });
+            return outcome;
+        }
+        finally {
+            link.inFlight -= 1;
+            link.tokensInFlight -= tokens;
+            meter.ended(key);
+            this.room.pump();
+        }
+    }
+
+    private conclude(job: Job, link: UpstreamLink, outcome: AttemptOutcome, res: ServerResponse): Verdict {
+        this.judge(job, link, outcome);
+        switch (outcome.kind) {
+            case "answered":
+                this.count(job, "answered");
+                return "done";
+            case "caller-gone":
+                this.count(job, "caller-gone");
+                return "done";
+            case "late":
+                this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.late);
+                return "done";
+            case "not-run":
+                job.tried.splice(job.tried.lastIndexOf(link.id), 1);
+                job.declined.add(link.id);
+                return this.afterDeclined(job, res);
+            case "failure":
+                if (isRepeatable(job) && outcome.answer.status >= 500 && this.mayTryAgain(job)) {
+                    return "again";
+                }
+                this.handOn(job, res, outcome.answer);
+                return "done";
+            case "unknown":
+            case "broken":
+                return this.afterFailed(job, res, outcome.kind === "broken");
+        }
+    }
+
+    private afterDeclined(job: Job, res: ServerResponse): Verdict {
+        if (job.declined.size < maxDeclined && leftMs(job) > leastAttemptMs && this.spend(job)) {
+            return "again";
+        }
+        this.refuse(job, res, { kind: "refused", answer: OwnAnswer.declined, retryAfterMs: busyRetryMs });
+        return "done";
+    }
+
+    private afterFailed(job: Job, res: ServerResponse, broken: boolean): Verdict {
+        const resumable = !broken || (job.route.resumable && job.lastEventId !== undefined);
+        if (isRepeatable(job) && resumable && this.mayTryAgain(job)) {
+            return "again";
+        }
+        this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.failed);
+        return "done";
+    }
+
+    private mayTryAgain(job: Job): boolean {
+        return job.tried.length < job.route.maxAttempts && leftMs(job) > leastAttemptMs && this.spend(job);
+    }
+
+    private spend(job: Job): boolean {
+        const spent = this.budget(job.service).spend(this.parts.view.entries);
+        if (!spent) {
+            this.parts.metrics.count("retries_denied_total", { service: job.service });
+        }
+        return spent;
+    }
+
+    /** What an outcome says of the upstream's health. */
+    private judge(job: Job, link: UpstreamLink, outcome: AttemptOutcome): void {
+        switch (outcome.kind) {
+            case "answered":
+                this.ejections.succeeded(link.id);
+                return;
+            case "not-run":
+                if (outcome.misdirected) {
+                    const { model, adapter } = job.facts;
+                    this.parts.meter.mismatch({
+                        $typeName: "winchpath.fleet.v1.Mismatch",
+                        upstream: link.id,
+                        model,
+                        adapter,
+                    });
+                }
+                if (outcome.unreachable) {
+                    this.ejections.unreachable(link.id);
+                    this.parts.log.warn("upstream.ejected", { upstream: link.id, reason: outcome.reason });
+                }
+                return;
+            case "failure":
+            case "unknown":
+            case "broken":
+                if (this.ejections.failed(link.id)) {
+                    this.parts.log.warn("upstream.ejected", { upstream: link.id, reason: outcome.kind });
+                }
+                return;
+            default:
+                return;
+        }
+    }
+
+    private handOn(job: Job, res: ServerResponse, answer: Parameters<typeof writeHeldAnswer>[1]): void {
+        if (job.answerStarted) {
+            this.answer(job, res, undefined);
+            return;
+        }
+        this.count(job, "failure");
+        writeHeldAnswer(res, answer, this.parts.stopping());
+    }
+
+    /** Gives the final answer; without one, the connection ends, since part of an answer is out already. */
+    private answer(job: Job, res: ServerResponse, answer: OwnAnswer | undefined, retryAfterMs?: number): void {
+        this.count(job, answer?.reason ?? "cut");
+        this.tell(job, answer === undefined ? "cut" : "own-answer", {
+            status: answer?.status,
+            reason: answer?.reason,
+            retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
+            configuration: this.parts.view.version,
+            viewAgeMs: Math.round(this.parts.view.ageMs),
+            waiting: this.room.size,
+        });
+        if (answer === undefined) {
+            res.destroy();
+            return;
+        }
+        writeOwnAnswer(res, answer, { retryAfterMs, close: this.parts.stopping() });
+    }
+
+    private count(job: Job, outcome: string): void {
+        this.parts.metrics.count("requests_total", { route: job.route.name, outcome });
+        this.parts.metrics.histogram("request", { route: job.route.name, outcome }).record(ageMs(job));
+    }
+
+    private tell(job: Job, what: string, values: Readonly<Record<string, unknown>>): void {
+        const { model, adapter } = job.facts;
+        const failed = what !== "attempt" || values.outcome !== "answered";
+        const line = {
+            request: job.id,
+            route: job.route.name,
+            model: model === "" ? undefined : model,
+            adapter: adapter === "" ? undefined : adapter,
+            ageMs: Math.round(ageMs(job)),
+            ...values,
+        };
+        if (failed) {
+            this.parts.log.warn(`request.${what}`, line);
+        }
+        else {
+            this.parts.log.info(`request.${what}`, line);
+        }
+    }
+
+    private engineOf(service: string): EngineSpec | undefined {
+        return this.parts.view.configuration?.services.find(({ name }) => name === service)?.engine;
+    }
+
+    private budget(service: string): WindowBudget {
+        let budget = this.budgets.get(service);
+        if (budget === undefined) {
+            budget = new WindowBudget(this.parts.budget);
+            this.budgets.set(service, budget);
+        }
+        return budget;
+    }
+}
+
+function itemKeyOf(job: Job): ItemKey {
+    return { service: job.service, model: job.facts.model, adapter: job.facts.adapter };
+}
--- /dev/null
+++ b/packages/forwarding/src/jobs.ts
@@ -0,0 +1,50 @@
+/** One request of a caller on its way. */
+import { steadyNow } from "@winchpath/core";
+import { type Route } from "@winchpath/declarations";
+import { type RawHeaders, type RequestFacts } from "./codecs.js";
+
+/** A request with its body, and what was found out about it. */
+export interface Job {
+    readonly id: string;
+    readonly method: string;
+    /** Path and query, as the caller wrote them. */
+    readonly url: string;
+    readonly headers: RawHeaders;
+    readonly body: Buffer;
+    readonly facts: RequestFacts;
+    readonly route: Route;
+    readonly service: string;
+    /** Steady time at which its headers were read. */
+    readonly startedAt: number;
+    /** Steady time by which the final answer goes out: the caller's deadline or the route's timeout. */
+    readonly deadlineAt: number;
+    /** Aborted when the caller is gone. */
+    readonly gone: AbortSignal;
+    /** Upstreams that were sent the request and may have run it. */
+    readonly tried: string[];
+    /** Upstreams that stated that they have not run it. */
+    readonly declined: Set<string>;
+    /** Last event that the caller has got whole. */
+    lastEventId: string | undefined;
+    /** Whether part of an answer has gone out. */
+    answerStarted: boolean;
+}
+
+/** Whether the request may run more than once. */
+export function isRepeatable(job: Job): boolean {
+    const { kind, resumable } = job.route;
+    return kind === "safe" || (kind === "streaming" && resumable);
+}
+
+export function leftMs(job: Job): number {
+    return job.deadlineAt - steadyNow();
+}
+
+export function ageMs(job: Job): number {
+    return steadyNow() - job.startedAt;
+}
+
+/** Tokens that the request needs in an engine's cache. */
+export function tokensOf(job: Job): number {
+    return job.facts.promptTokens + job.facts.maxOutputTokens;
+}
--- a/packages/routing/src/ejections.ts
+++ b/packages/routing/src/ejections.ts
@@ -1,5 +1,5 @@
 /** Replicas that fail are left out for a while, and let in again by a single request. */
-import { type RoutedReplica } from "./replicas.js";
+import { steadyNow } from "@winchpath/core";
 
 const failuresToEject = 3;
 const firstEjectionMs = 1000;
@@ -12,9 +12,9 @@
 interface Health {
     failures: number;
     ejections: number;
-    /** Date.now() until which it is left out. */
+    /** Steady time until which it is left out. */
     until: number;
-    /** Date.now() until which a request under way may show whether it has recovered; 0 where there is none. */
+    /** Steady time until which a request under way may show whether it has recovered; 0 where there is none. */
     probeUntil: number;
 }
 
@@ -35,22 +35,34 @@
         if (eject) {
             health.failures = 0;
             health.ejections += 1;
-            health.until = Date.now() + Math.min(longestEjectionMs, firstEjectionMs * 2 ** (health.ejections - 1));
+            health.until = steadyNow() + Math.min(longestEjectionMs, firstEjectionMs * 2 ** (health.ejections - 1));
         }
         return eject;
     }
 
+    /** Leaves one out at once that refuses connections, or was found gone. */
+    public unreachable(upstream: string): void {
+        const health = this.replicas.get(upstream);
+        this.replicas.set(upstream, {
+            failures: failuresToEject - 1,
+            ejections: health?.ejections ?? 0,
+            until: health?.until ?? 0,
+            probeUntil: health?.probeUntil ?? 0,
+        });
+        this.failed(upstream);
+    }
+
     /** Tells that a request goes to the replica; the first after an ejection is its probe. */
     public sent(upstream: string): void {
         const health = this.replicas.get(upstream);
         if (health !== undefined && health.ejections > 0) {
-            health.probeUntil = Date.now() + probeMs;
+            health.probeUntil = steadyNow() + probeMs;
         }
     }
 
     /** The replicas that are not left out; never fewer than the floor. */
-    public admitted(replicas: readonly RoutedReplica[]): RoutedReplica[] {
-        const now = Date.now();
+    public admitted<R extends { readonly upstream: string; }>(replicas: readonly R[]): R[] {
+        const now = steadyNow();
         const good = replicas.filter(({ upstream }) => {
             const health = this.replicas.get(upstream);
             return health === undefined || (health.until <= now && health.probeUntil <= now);
--- a/packages/winchpathd/src/main.ts
+++ b/packages/winchpathd/src/main.ts
@@ -1,9 +1,13 @@
 #!/usr/bin/env node
-/** `winchpathd --settings FILE`: one process of the system, in the role that its settings give. */
-import { Failure, formatIssue, logger, messageOf } from "@winchpath/core";
+/**
+ * `winchpathd --settings FILE`: one process of the system, in the role that its settings give;
+ * `winchpathd --platform ROLE`: one on the users' platform, with the settings that it writes.
+ */
+import { Failure, formatIssue, logger, messageOf, StandardEventLog } from "@winchpath/core";
 import { isEndOfSession } from "@winchpath/rpc";
 import { checkEnvironment, loadSettings } from "@winchpath/settings";
 import yargs from "yargs";
+import { type PlatformRole, platformRoles, startOnPlatform } from "./platforms.js";
 import { startProcess } from "./processes.js";
 
 const log = logger("winchpathd");
@@ -15,12 +19,50 @@
 
 const argv = await yargs(process.argv.slice(2))
     .scriptName("winchpathd")
-    .usage("$0 --settings FILE")
-    .option("settings", { type: "string", demandOption: true, describe: "settings file (TOML)" })
+    .usage("$0 --settings FILE\n$0 --platform ROLE")
+    .option("settings", { type: "string", describe: "settings file (TOML)" })
+    .option("platform", { choices: platformRoles, describe: "role on the users' platform" })
+    .conflicts("settings", "platform")
+    .check(({ settings, platform }) =>
+        settings !== undefined || platform !== undefined || "give --settings or --platform"
+    )
     .strict()
     .parseAsync();
 
-await main(argv.settings);
+if (argv.platform !== undefined) {
+    await serveOnPlatform(argv.platform);
+}
+else {
+    await main(argv.settings!);
+}
+
+async function serveOnPlatform(role: PlatformRole): Promise<void> {
+    const events = new StandardEventLog(role);
+    const finish = (code: number, err?: unknown) => {
+        if (err !== undefined) {
+            events.warn("process.failed", {
+                error: messageOf(err),
+                stack: err instanceof Error ? err.stack : undefined,
+            });
+        }
+        events.end();
+        process.exit(code);
+    };
+    const fail = (err: unknown) => isEndOfSession(err) ? events.info("session.ended") : finish(exitFailed, err);
+    process.on("unhandledRejection", fail);
+    process.on("uncaughtException", fail);
+    try {
+        const running = await startOnPlatform(role, events, err => finish(exitFailed, err));
+        process.on("SIGHUP", () => running.reload());
+        stopOnSignals(async () => {
+            await running.stop();
+            events.end();
+        });
+    }
+    catch (err) {
+        finish(err instanceof Failure ? exitSettings : exitFailed, err);
+    }
+}
 
 async function main(file: string): Promise<void> {
     const environment = checkEnvironment(process.env);
--- /dev/null
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -0,0 +1,301 @@
+/** A control host on the platform: configuration, upstreams, orders to engines. */
+import {
+    ComposedMachine,
+    ConsensusService,
+    consensusService,
+    encodeCommand,
+    FileLogStore,
+    Replica,
+    RpcPeerConnector,
+} from "@winchpath/consensus";
+import { type EventLog, messageOf } from "@winchpath/core";
+import {
+    type Configuration,
+    type ConfigurationDocument,
+    type DocumentResult,
+    Documents,
+} from "@winchpath/declarations";
+import {
+    AnnouncementDesk,
+    DemandBook,
+    EnginePlacement,
+    Feed,
+    type Fence,
+    FleetService,
+    fleetService,
+    type Mismatch,
+    Registry,
+} from "@winchpath/fleet";
+import { type ControlCalls, controlServer, parseDocument, peerUrl, PlatformEngineCalls } from "@winchpath/platform";
+import { RpcClients, RpcServer } from "@winchpath/rpc";
+import { Timeline } from "@winchpath/timeline";
+import { type LiveSettings } from "./platformsettings.js";
+
+/** Heartbeats cost processor time at every control host; three fit into an election time. */
+const heartbeatMs = 300;
+/** A failed leader is replaced after one to two of these; acknowledgements are due within a few seconds. */
+const electionMs = 1000;
+/** Documents may be large: the log is kept short. */
+const snapshotEvery = 64;
+const trailing = 16;
+/** Within this time of its last quorum no other leader can have been elected: orders may be given. */
+const orderQuorumMs = 700;
+/** Beyond the lease of the earlier giver, for orders of its last moment that are still on their way. */
+const orderMarginMs = 200;
+/** An operator tries elsewhere after a second without an answer. */
+const callMs = 900;
+const handOverMs = 1500;
+const rpcGraceMs = 300;
+const lookMs = 1000;
+const expireMs = 1000;
+
+export class PlatformControl implements ControlCalls {
+    private readonly stopping = new AbortController();
+    private readonly timeline: Timeline;
+    private readonly clients: RpcClients;
+    private readonly documents = new Documents();
+    private readonly registry: Registry;
+    private readonly feed: Feed;
+    private readonly desk: AnnouncementDesk;
+    private readonly engines: PlatformEngineCalls;
+    private readonly server;
+    private demand: DemandBook;
+    private replica!: Replica;
+    private rpc!: RpcServer;
+    private leadership:
+        | { readonly epoch: string; readonly end: AbortController; readonly placement: EnginePlacement; }
+        | undefined;
+    private parsed: { readonly version: number; readonly configuration: Configuration | undefined; } | undefined;
+    private followed = "";
+
+    public constructor(
+        private readonly settings: LiveSettings,
+        private readonly log: EventLog,
+        private readonly onFatal: (err: Error) => void,
+    ) {
+        const { host, dataCentre, control } = settings.current;
+        this.timeline = new Timeline({ process: `control/${host}`, host, dataCentre });
+        this.clients = new RpcClients({ key: undefined, timeline: this.timeline });
+        this.registry = new Registry(log);
+        this.demand = new DemandBook(log);
+        this.feed = new Feed(this.registry, this.feedControl(), log);
+        this.desk = new AnnouncementDesk(this.registry, this.feed, this.deskControl(), this.clients);
+        this.engines = new PlatformEngineCalls(log);
+        this.server = controlServer(this, control!.port, log);
+    }
+
+    public async start(): Promise<void> {
+        const { current: cfg } = this.settings;
+        const url = peerUrl(cfg.peers.host, cfg.peers.port);
+        this.replica = await Replica.open({
+            identity: { host: cfg.host, url },
+            store: new FileLogStore(cfg.dataFolder!),
+            machine: new ComposedMachine([this.documents]),
+            peers: new RpcPeerConnector(this.clients),
+            seeds: () => this.settings.current.seeds,
+            timeline: this.timeline,
+            options: {
+                heartbeatMs,
+                electionMs,
+                snapshotEvery,
+                trailing,
+                maxVoters: 2 * cfg.tolerated + 1,
+                mayForm: cfg.firstStart,
+            },
+            onFatal: this.onFatal,
+        });
+        this.rpc = await RpcServer.listen(cfg.peers, router => {
+            router.service(ConsensusService, consensusService(this.replica));
+            router.service(FleetService, fleetService(this.fleetParts()));
+        }, { key: undefined, timeline: this.timeline });
+        this.replica.start();
+        void this.followReplica();
+        void this.followRegistry();
+        await this.server.listen(cfg.control!);
+    }
+
+    public async stop(): Promise<void> {
+        await this.replica.handOver(handOverMs);
+        this.endLeadership();
+        await this.server.close();
+        this.stopping.abort();
+        await this.replica.stop();
+        this.clients.close();
+        await this.engines.close();
+        await this.rpc.close(rpcGraceMs);
+    }
+
+    public async putDocument(document: ConfigurationDocument): Promise<DocumentResult> {
+        const { result } = await this.replica.propose(encodeCommand("documents", document), callMs);
+        return JSON.parse(Buffer.from(result).toString()) as DocumentResult;
+    }
+
+    public async readDocument(): Promise<ConfigurationDocument | undefined> {
+        await this.replica.barrier(callMs);
+        return this.documents.current;
+    }
+
+    public announce(...args: Parameters<AnnouncementDesk["announce"]>): Promise<void> {
+        return this.desk.announce(...args);
+    }
+
+    public leave(id: string): Promise<void> {
+        return this.desk.leave(id);
+    }
+
+    public leaderHost(): string | undefined {
+        const { leaderUrl } = this.replica.state;
+        return leaderUrl === "" ? undefined : new URL(leaderUrl).hostname;
+    }
+
+    private get epoch(): string | undefined {
+        const leading = this.replica.leading;
+        // A leader that is cut off finds out within an election time; until then it tells nobody anything new.
+        const valid = leading !== undefined && leading.quorumAgeMs < electionMs;
+        return valid ? `${leading.term}/${this.replica.state.memberId}` : undefined;
+    }
+
+    private get configuration(): Configuration | undefined {
+        const { current } = this.documents;
+        if (current !== undefined && current.version !== this.parsed?.version) {
+            const parsed = parseDocument(current.text);
+            if (parsed.err) {
+                this.log.warn("configuration.unreadable", { version: current.version, error: parsed.val.message });
+            }
+            const configuration = parsed.err ? undefined : parsed.val as Configuration;
+            this.parsed = { version: current.version, configuration };
+        }
+        return this.parsed?.configuration;
+    }
+
+    private feedControl() {
+        const control = this;
+        return {
+            get epoch() {
+                return control.epoch;
+            },
+            get ledMs() {
+                return control.replica.leading?.ledMs ?? 0;
+            },
+            get leaderUrl() {
+                return control.replica.state.leaderUrl;
+            },
+            get controlUrls() {
+                return control.replica.state.membership?.members.map(member => member.url) ?? [];
+            },
+            get document() {
+                return control.documents.current;
+            },
+            barrier: () => control.replica.barrier(callMs),
+        };
+    }
+
+    private deskControl() {
+        const control = this;
+        return {
+            get leads() {
+                return control.epoch !== undefined;
+            },
+            get leaderUrl() {
+                const { state } = control.replica;
+                return state.role === "leader" ? "" : state.leaderUrl;
+            },
+        };
+    }
+
+    private fleetParts() {
+        return {
+            feed: this.feed,
+            desk: this.desk,
+            demand: { take: (report: Parameters<DemandBook["take"]>[0]) => this.demand.take(report) },
+            leads: () => this.epoch !== undefined,
+            demanded: (mismatches: readonly Mismatch[]) => {
+                mismatches.forEach(mismatch => this.leadership?.placement.doubt(mismatch));
+                this.leadership?.placement.notify();
+            },
+        };
+    }
+
+    private async followReplica(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            await this.replica.changed.wait(lookMs);
+            this.tellLeader();
+            this.followLeadership();
+            this.feed.wake();
+            this.leadership?.placement.notify();
+        }
+    }
+
+    private tellLeader(): void {
+        const { role, term, leaderUrl } = this.replica.state;
+        const now = `${term} ${role} ${leaderUrl}`;
+        if (now !== this.followed) {
+            this.followed = now;
+            this.log.info("control.leader", { term: Number(term), role, leader: leaderUrl });
+        }
+    }
+
+    private followLeadership(): void {
+        const leading = this.replica.leading;
+        const epoch = leading === undefined ? undefined : `${leading.term}/${this.replica.state.memberId}`;
+        if (epoch === this.leadership?.epoch) {
+            return;
+        }
+        this.endLeadership();
+        if (epoch !== undefined) {
+            this.beginLeadership(epoch);
+        }
+    }
+
+    /** What an earlier leadership knew of upstreams may be old by now. */
+    private beginLeadership(epoch: string): void {
+        this.registry.clear();
+        this.demand = new DemandBook(this.log);
+        const end = new AbortController();
+        const control = this;
+        const placement = new EnginePlacement(
+            {
+                fence: () => this.fence(),
+                get configuration() {
+                    return control.configuration;
+                },
+            },
+            this.registry,
+            this.demand,
+            this.engines,
+            this.log,
+        );
+        this.leadership = { epoch, end, placement };
+        this.log.info("leadership.begun", { epoch });
+        placement.run(end.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
+    }
+
+    private endLeadership(): void {
+        if (this.leadership !== undefined) {
+            this.log.info("leadership.ended", { epoch: this.leadership.epoch });
+            this.leadership.end.abort();
+            this.leadership = undefined;
+        }
+    }
+
+    /** Orders wait until the earlier leader's lease is over, and need a majority that was heard just now. */
+    private fence(): Fence | undefined {
+        const leading = this.replica.leading;
+        if (leading === undefined || leading.quorumAgeMs > orderQuorumMs) {
+            return undefined;
+        }
+        const { host, orderLeaseMs } = this.settings.current;
+        return leading.ledMs < orderLeaseMs + orderMarginMs
+            ? undefined
+            : { holder: host, token: Number(leading.term) };
+    }
+
+    private async followRegistry(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            await this.registry.changed.wait(expireMs);
+            this.registry.expire();
+            this.feed.wake();
+            this.leadership?.placement.notify();
+        }
+    }
+}
--- /dev/null
+++ b/packages/winchpathd/src/platformentries.ts
@@ -0,0 +1,103 @@
+/** An entry on the platform: takes callers' requests and forwards them. */
+import { type EventLog, Metrics, sleep, steadyNow } from "@winchpath/core";
+import { type Configuration } from "@winchpath/declarations";
+import { DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
+import { CallerDoor, Forwarder } from "@winchpath/forwarding";
+import { parseDocument, PlatformRequestCodec, readinessServer } from "@winchpath/platform";
+import { RpcClients } from "@winchpath/rpc";
+import { Timeline } from "@winchpath/timeline";
+import { type LiveSettings } from "./platformsettings.js";
+
+/** The balancer asks once a second and needs two misses; until then callers still come. */
+const balancerMs = 2500;
+/** Time that a stopping process keeps for itself at the end of its grace. */
+const reserveMs = 700;
+const lookMs = 1000;
+
+export class PlatformEntry {
+    private readonly stopping = new AbortController();
+    private readonly metrics = new Metrics();
+    private readonly clients: RpcClients;
+    private readonly view: FleetView<Configuration>;
+    private readonly follower: FeedFollower<Configuration>;
+    private readonly meter: DemandMeter;
+    private readonly forwarder: Forwarder;
+    private readonly door: CallerDoor;
+    private readonly readiness = readinessServer(() => this.isReady());
+    private leaving = false;
+    private wasReady = false;
+
+    public constructor(private readonly settings: LiveSettings, private readonly log: EventLog) {
+        const { host, dataCentre, retryBudget } = settings.current;
+        const timeline = new Timeline({ process: `entry/${host}`, host, dataCentre });
+        this.clients = new RpcClients({ key: undefined, timeline });
+        this.view = new FleetView((text, version) => this.readDocument(text, version), log);
+        this.follower = new FeedFollower(this.view, this.clients, {
+            entry: host,
+            dataCentre,
+            seeds: () => settings.current.seeds,
+        }, log);
+        this.meter = new DemandMeter(log);
+        const codec = new PlatformRequestCodec();
+        const stopping = () => this.leaving;
+        this.forwarder = new Forwarder({
+            view: this.view,
+            codec,
+            meter: this.meter,
+            log,
+            metrics: this.metrics,
+            dataCentre,
+            budget: retryBudget,
+            stopping,
+        });
+        this.door = new CallerDoor({ view: this.view, codec, forwarder: this.forwarder, log, stopping });
+    }
+
+    public async start(): Promise<void> {
+        const { callers, readiness, host } = this.settings.current;
+        const { signal } = this.stopping;
+        void this.follower.run(signal);
+        void this.meter.run(host, this.clients, () => this.follower.leader, signal);
+        void this.followView(signal);
+        await this.door.listen(callers!);
+        await this.readiness.listen(readiness!);
+    }
+
+    public async stop(): Promise<void> {
+        const startedAt = steadyNow();
+        this.leaving = true;
+        await sleep(balancerMs);
+        const left = this.settings.current.graceMs - reserveMs - (steadyNow() - startedAt);
+        await this.door.close(left);
+        this.stopping.abort();
+        this.forwarder.close();
+        this.clients.close();
+        await this.readiness.close();
+    }
+
+    private isReady(): boolean {
+        const ready = !this.leaving && this.view.configuration !== undefined;
+        if (ready !== this.wasReady) {
+            this.wasReady = ready;
+            this.log.info("entry.ready", { ready, configuration: this.view.version });
+        }
+        return ready;
+    }
+
+    private async followView(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            await this.view.changed.wait(lookMs);
+            this.door.refresh();
+            this.forwarder.refresh();
+        }
+    }
+
+    private readDocument(text: string, version: number): Configuration | undefined {
+        const parsed = parseDocument(text);
+        if (parsed.err) {
+            this.log.warn("configuration.unreadable", { version, error: parsed.val.message });
+            return undefined;
+        }
+        return parsed.val as Configuration;
+    }
+}
--- /dev/null
+++ b/packages/winchpathd/src/platforms.ts
@@ -0,0 +1,47 @@
+/** Starts an entry or a control host on the platform. */
+import { type EventLog, type Failure } from "@winchpath/core";
+import { loadPlatformSettings, type PlatformSettings } from "@winchpath/platform";
+import { PlatformControl } from "./platformcontrols.js";
+import { PlatformEntry } from "./platformentries.js";
+import { LiveSettings } from "./platformsettings.js";
+
+export const platformRoles = ["entry", "control"] as const;
+export type PlatformRole = typeof platformRoles[number];
+
+/** Names the settings file of a process on the platform. */
+export const settingsVariable = "WINCHPATH_SETTINGS";
+
+/** A process that was started. */
+export interface PlatformProcess {
+    reload(): void;
+    stop(): Promise<void>;
+}
+
+/** Reads the settings and starts; throws a `Failure` where they can't be used. */
+export async function startOnPlatform(
+    role: PlatformRole,
+    log: EventLog,
+    onFatal: (err: Error) => void,
+): Promise<PlatformProcess> {
+    const path = process.env[settingsVariable] ?? "";
+    const loaded = loadPlatformSettings(path);
+    if (loaded.err) {
+        throw loaded.val as Failure;
+    }
+    const cfg = loaded.val as PlatformSettings;
+    const settings = new LiveSettings(path, cfg, log);
+    const running = role === "entry" ? new PlatformEntry(settings, log) : new PlatformControl(settings, log, onFatal);
+    await running.start();
+    log.info("process.started", { role, host: cfg.host, dataCentre: cfg.dataCentre, seeds: cfg.seeds });
+    const ended = new AbortController();
+    void settings.run(ended.signal);
+    return {
+        reload: () => settings.reload("SIGHUP"),
+        stop: async () => {
+            log.info("process.stopping", { role, host: cfg.host });
+            await running.stop();
+            ended.abort();
+            log.info("process.stopped", { role, host: cfg.host });
+        },
+    };
+}
