--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "**/gen/**"] },
+    { ignores: ["target/**", "**/dist/**", "**/node_modules/**", "**/gen/**"] },
     ...tseslint.configs.recommended,
     {
         rules: {
--- a/packages/core/src/clocks.ts
+++ b/packages/core/src/clocks.ts
@@ -4,10 +4,11 @@
 const systemNow = Date.now;
 
 /**
- * Milliseconds since some moment in the past. Timeouts, leases and ages are
- * measured with it: the time of day may step by hours while a process runs.
+ * Whole milliseconds since some moment in the past. Timeouts, leases and ages
+ * are measured with it: the time of day may step by hours while a process runs.
+ * They are whole since timeouts of RPCs have to be.
  * Where a test pauses `Date`, it follows the paused clock.
  */
 export function steadyNow(): number {
-    return Date.now === systemNow ? performance.now() : Date.now();
+    return Date.now === systemNow ? Math.floor(performance.now()) : Date.now();
 }
--- a/packages/core/src/tests/clocks.test.ts
+++ b/packages/core/src/tests/clocks.test.ts
@@ -11,6 +11,10 @@
         expect(Math.abs(after - timeOfDay)).toBeGreaterThan(60_000);
     });
 
+    it("gives whole milliseconds, as timeouts of RPCs have to be", () => {
+        expect(Number.isInteger(steadyNow())).toEqual(true);
+    });
+
     it("follows the clock that a test has paused", t => {
         t.mock.timers.enable({ apis: ["Date"], now: 5000 });
         const before = steadyNow();
--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -170,7 +170,9 @@
 
     private async followModel(order: EngineOrder, expectedMs: number): Promise<void> {
         const deadline = steadyNow() + expectedMs * modelPatience + modelPatience * 1000;
-        this.loading.set(order.model, steadyNow());
+        if (order.kind === "load") {
+            this.loading.set(order.model, steadyNow());
+        }
         await sleep(expectedMs);
         while (steadyNow() < deadline && this.upstream !== undefined) {
             await sleep(modelCheckMs);
@@ -180,9 +182,7 @@
                 this.tookEffect(order);
                 return;
             }
-            if (reply === OrderReply.accepted) {
-                this.expected! += 1;
-            }
+            // Accepted once more: it is still under way, and was counted before.
             if (reply === OrderReply.fenced || reply === OrderReply.refused) {
                 break;
             }
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -19,6 +19,8 @@
 const rereadMs = 2000;
 /** How long an earlier leader's loads count against the store's pace: its window of five seconds. */
 const storeWindowMs = 5000;
+/** Room that was made for a model is kept for it this long; an unload waits for what runs. */
+const intentMs = 15_000;
 
 export interface PlacementControl {
     /** Who may give orders now; undefined where this host may not. */
@@ -30,6 +32,8 @@
 export class EnginePlacement implements OrderLineOwner {
     private readonly lines = new Map<string, OrderLine>();
     private readonly reads = new Map<string, number>();
+    /** Models that room is being made for, by engine. */
+    private readonly coming = new Map<string, { readonly model: string; readonly until: number; }>();
     private readonly wake = new Notifier();
     private readonly pace = new StorePace(storeWindowMs);
     private fencedOff = false;
@@ -128,6 +132,12 @@
         if (planned.fromStore) {
             this.pace.started();
         }
+        if (planned.coming !== undefined) {
+            this.coming.set(planned.engine, { model: planned.coming, until: steadyNow() + intentMs });
+        }
+        else if (planned.order.kind === "load" && planned.order.adapter === "") {
+            this.coming.delete(planned.engine);
+        }
         void line.give(planned.order, this.expectedMs(planned, spec));
     }
 
@@ -168,6 +178,7 @@
                 line.end();
                 this.lines.delete(id);
                 this.reads.delete(id);
+                this.coming.delete(id);
             }
         }
     }
@@ -198,7 +209,9 @@
                 models.set(name, { ready: false, leaving: false, adapters: new Map() });
             }
         }
+        const coming = this.coming.get(upstream.id);
         return {
+            coming: coming !== undefined && steadyNow() < coming.until ? coming.model : undefined,
             id: upstream.id,
             service: upstream.service,
             dataCentre: upstream.dataCentre,
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -13,6 +13,8 @@
     readonly dataCentre: string;
     /** What it holds and what is under way to it, by model. */
     readonly models: ReadonlyMap<string, PlannedModel>;
+    /** The model that room is being made for; it counts as under way. */
+    readonly coming: string | undefined;
     /** Whether it can be given an order that loads or unloads a model. */
     readonly takesModels: boolean;
     /** Adapters that may be ordered before one of those under way has arrived. */
@@ -44,6 +46,8 @@
     readonly order: EngineOrder;
     readonly fromStore: boolean;
     readonly reason: string;
+    /** The model that an unload makes room for. */
+    readonly coming?: string;
 }
 
 /**
@@ -95,7 +99,19 @@
         const wanted = [...this.needs.values()]
             .filter(need => this.missingReplicas(need) > 0)
             .sort((a, b) => b.lacking - a.lacking || valueOf(b) - valueOf(a));
-        return wanted.flatMap(need => this.modelOrder(need) ?? []);
+        return [...this.pendingOrders(), ...wanted.flatMap(need => this.modelOrder(need) ?? [])];
+    }
+
+    /** Loads that room was made for. */
+    private pendingOrders(): PlannedOrder[] {
+        return this.input.engines.flatMap(engine => {
+            const need = engine.coming === undefined ? undefined : this.needs.get(engine.coming);
+            if (need === undefined || !engine.takesModels || this.taken.has(engine.id) || engine.models.has(engine.coming!)) {
+                return [];
+            }
+            this.taken.add(engine.id);
+            return this.makeRoom(engine, need) ?? this.load(engine, need) ?? [];
+        });
     }
 
     private adapterOrder(need: ItemNeed): PlannedOrder | undefined {
@@ -151,7 +167,8 @@
 
     private modelOrder(need: ModelNeed): PlannedOrder | undefined {
         const candidates = this.input.engines
-            .filter(engine => engine.takesModels && !engine.models.has(need.model.name) && !this.taken.has(engine.id))
+            .filter(engine => engine.takesModels && engine.coming === undefined && !this.taken.has(engine.id))
+            .filter(engine => !engine.models.has(need.model.name))
             .map(engine => ({ engine, cost: this.costOf(engine, need) }))
             .filter(({ cost }) => cost !== undefined)
             .sort((a, b) => a.cost! - b.cost!);
@@ -181,9 +198,13 @@
         if (this.fits(engine, need.model.sizeMb)) {
             return undefined;
         }
-        const victim = this.victim(engine)!;
+        const victim = this.victim(engine);
+        if (victim === undefined) {
+            return undefined;
+        }
         return {
             engine: engine.id,
+            coming: need.model.name,
             order: { kind: "unload", model: victim.model.name, adapter: "" },
             fromStore: false,
             reason: `makes room for ${need.model.name}`,
@@ -233,13 +254,19 @@
             return 0;
         }
         const wanted = 1 + Math.floor(need.running / (this.input.spec.slots * fullShare));
-        return wanted - this.holders(need.model.name).length;
+        return wanted - this.comingOrHeld(need.model.name);
     }
 
     private holders(model: string): PlannedEngine[] {
         return this.input.engines.filter(engine => engine.models.get(model)?.leaving === false);
     }
 
+    /** Those that hold a model, and those to which it is under way. */
+    private comingOrHeld(model: string): number {
+        const coming = this.input.engines.filter(engine => engine.coming === model && !engine.models.has(model));
+        return this.holders(model).length + coming.length;
+    }
+
     private readyHolders(model: string): number {
         return this.holders(model).filter(engine => engine.models.get(model)!.ready).length;
     }
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -18,12 +18,15 @@
 import {
     AnnouncementDesk,
     DemandBook,
+    type DeskControl,
     EnginePlacement,
     Feed,
+    type FeedControl,
     type Fence,
     FleetService,
     fleetService,
     type Mismatch,
+    type PlacementControl,
     Registry,
 } from "@winchpath/fleet";
 import { type ControlCalls, controlServer, parseDocument, peerUrl, PlatformEngineCalls } from "@winchpath/platform";
@@ -49,7 +52,7 @@
 const lookMs = 1000;
 const expireMs = 1000;
 
-export class PlatformControl implements ControlCalls {
+export class PlatformControl implements ControlCalls, FeedControl, DeskControl, PlacementControl {
     private readonly stopping = new AbortController();
     private readonly timeline: Timeline;
     private readonly clients: RpcClients;
@@ -78,8 +81,8 @@
         this.clients = new RpcClients({ key: undefined, timeline: this.timeline });
         this.registry = new Registry(log);
         this.demand = new DemandBook(log);
-        this.feed = new Feed(this.registry, this.feedControl(), log);
-        this.desk = new AnnouncementDesk(this.registry, this.feed, this.deskControl(), this.clients);
+        this.feed = new Feed(this.registry, this, log);
+        this.desk = new AnnouncementDesk(this.registry, this.feed, this, this.clients);
         this.engines = new PlatformEngineCalls(log);
         this.server = controlServer(this, control!.port, log);
     }
@@ -131,7 +134,7 @@
     }
 
     public async readDocument(): Promise<ConfigurationDocument | undefined> {
-        await this.replica.barrier(callMs);
+        await this.barrier();
         return this.documents.current;
     }
 
@@ -148,14 +151,40 @@
         return leaderUrl === "" ? undefined : new URL(leaderUrl).hostname;
     }
 
-    private get epoch(): string | undefined {
+    public get leads(): boolean {
+        return this.epoch !== undefined;
+    }
+
+    public get ledMs(): number {
+        return this.replica.leading?.ledMs ?? 0;
+    }
+
+    /** URL of another host that leads; empty where none is known. */
+    public get leaderUrl(): string {
+        const { role, leaderUrl } = this.replica.state;
+        return role === "leader" ? "" : leaderUrl;
+    }
+
+    public get controlUrls(): readonly string[] {
+        return this.replica.state.membership?.members.map(member => member.url) ?? [];
+    }
+
+    public get document(): ConfigurationDocument | undefined {
+        return this.documents.current;
+    }
+
+    public barrier(): Promise<void> {
+        return this.replica.barrier(callMs);
+    }
+
+    public get epoch(): string | undefined {
         const leading = this.replica.leading;
         // A leader that is cut off finds out within an election time; until then it tells nobody anything new.
         const valid = leading !== undefined && leading.quorumAgeMs < electionMs;
         return valid ? `${leading.term}/${this.replica.state.memberId}` : undefined;
     }
 
-    private get configuration(): Configuration | undefined {
+    public get configuration(): Configuration | undefined {
         const { current } = this.documents;
         if (current !== undefined && current.version !== this.parsed?.version) {
             const parsed = parseDocument(current.text);
@@ -168,47 +197,12 @@
         return this.parsed?.configuration;
     }
 
-    private feedControl() {
-        const control = this;
-        return {
-            get epoch() {
-                return control.epoch;
-            },
-            get ledMs() {
-                return control.replica.leading?.ledMs ?? 0;
-            },
-            get leaderUrl() {
-                return control.replica.state.leaderUrl;
-            },
-            get controlUrls() {
-                return control.replica.state.membership?.members.map(member => member.url) ?? [];
-            },
-            get document() {
-                return control.documents.current;
-            },
-            barrier: () => control.replica.barrier(callMs),
-        };
-    }
-
-    private deskControl() {
-        const control = this;
-        return {
-            get leads() {
-                return control.epoch !== undefined;
-            },
-            get leaderUrl() {
-                const { state } = control.replica;
-                return state.role === "leader" ? "" : state.leaderUrl;
-            },
-        };
-    }
-
     private fleetParts() {
         return {
             feed: this.feed,
             desk: this.desk,
             demand: { take: (report: Parameters<DemandBook["take"]>[0]) => this.demand.take(report) },
-            leads: () => this.epoch !== undefined,
+            leads: () => this.leads,
             demanded: (mismatches: readonly Mismatch[]) => {
                 mismatches.forEach(mismatch => this.leadership?.placement.doubt(mismatch));
                 this.leadership?.placement.notify();
@@ -252,19 +246,7 @@
         this.registry.clear();
         this.demand = new DemandBook(this.log);
         const end = new AbortController();
-        const control = this;
-        const placement = new EnginePlacement(
-            {
-                fence: () => this.fence(),
-                get configuration() {
-                    return control.configuration;
-                },
-            },
-            this.registry,
-            this.demand,
-            this.engines,
-            this.log,
-        );
+        const placement = new EnginePlacement(this, this.registry, this.demand, this.engines, this.log);
         this.leadership = { epoch, end, placement };
         this.log.info("leadership.begun", { epoch });
         placement.run(end.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
@@ -279,7 +261,7 @@
     }
 
     /** Orders wait until the earlier leader's lease is over, and need a majority that was heard just now. */
-    private fence(): Fence | undefined {
+    public fence(): Fence | undefined {
         const leading = this.replica.leading;
         if (leading === undefined || leading.quorumAgeMs > orderQuorumMs) {
             return undefined;
--- a/packages/winchpathd/src/platforms.ts
+++ b/packages/winchpathd/src/platforms.ts
@@ -1,5 +1,5 @@
 /** Starts an entry or a control host on the platform. */
-import { type EventLog, type Failure } from "@winchpath/core";
+import { type EventLog, Failure, type Result } from "@winchpath/core";
 import { loadPlatformSettings, type PlatformSettings } from "@winchpath/platform";
 import { PlatformControl } from "./platformcontrols.js";
 import { PlatformEntry } from "./platformentries.js";
@@ -24,11 +24,7 @@
     onFatal: (err: Error) => void,
 ): Promise<PlatformProcess> {
     const path = process.env[settingsVariable] ?? "";
-    const loaded = loadPlatformSettings(path);
-    if (loaded.err) {
-        throw loaded.val as Failure;
-    }
-    const cfg = loaded.val as PlatformSettings;
+    const cfg = usable(loadPlatformSettings(path));
     const settings = new LiveSettings(path, cfg, log);
     const running = role === "entry" ? new PlatformEntry(settings, log) : new PlatformControl(settings, log, onFatal);
     await running.start();
@@ -45,3 +41,10 @@
         },
     };
 }
+
+function usable(loaded: Result<PlatformSettings, Failure>): PlatformSettings {
+    if (loaded.err) {
+        throw new Failure(loaded.val.issues);
+    }
+    return loaded.val as PlatformSettings;
+}
