--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -6,7 +6,9 @@
 /** An entry's counts are left out after this long without a report: three reports at the usual half second. */
 const staleMs = 2000;
 /** Rates halve in this time without requests; demand moves within a few seconds. */
-const halfLifeMs = 4000;
+const halfLifeMs = 2000;
+/** What one request adds to an average that fades so. */
+const perSecond = Math.LN2 / (halfLifeMs / 1000);
 /** A refused request may come again within this time, a third of a usual deadline. */
 const refusedMs = 3000;
 /** What was not asked for in this time is forgotten. */
@@ -17,6 +19,8 @@
     readonly key: ItemKey;
     /** Requests a second, smoothed. */
     readonly rate: number;
+    /** What those need of engines, in tokens of a prompt a second. */
+    readonly work: number;
     /** Requests that run now. */
     readonly running: number;
     /** Requests that wait, or were refused lately, since nobody holds it. */
@@ -35,6 +39,7 @@
     readonly key: ItemKey;
     readonly byEntry: Map<string, Counts>;
     rate: number;
+    work: number;
     ratedAt: number;
     askedAt: number;
     refusals: { readonly at: number; readonly count: number; }[];
@@ -42,11 +47,24 @@
 
 export class DemandBook {
     private readonly items = new Map<string, Item>();
+    private readonly paces = new Map<string, number>();
+    private readonly since = steadyNow();
 
     public constructor(private readonly log: EventLog) {}
 
     public take(report: DemandRequest): void {
         report.items.forEach(demand => this.takeItem(report.entry, demand));
+        report.paces.forEach(pace => this.paces.set(pace.service, pace.tokensPerSecond));
+    }
+
+    /** What one engine of a service can read in a second, in tokens of a prompt; undefined where nobody knows. */
+    public paceOf(service: string): number | undefined {
+        return this.paces.get(service);
+    }
+
+    /** Milliseconds since demand is heard here: nothing is known to have been idle for longer. */
+    public get ageMs(): number {
+        return steadyNow() - this.since;
     }
 
     /** All that was asked for lately. */
@@ -61,11 +79,13 @@
         const name = itemName(key);
         let item = this.items.get(name);
         if (item === undefined) {
-            item = { key, byEntry: new Map(), rate: 0, ratedAt: now, askedAt: now, refusals: [] };
+            item = { key, byEntry: new Map(), rate: 0, work: 0, ratedAt: now, askedAt: now, refusals: [] };
             this.items.set(name, item);
         }
         item.byEntry.set(entry, { at: now, running: demand.running, waiting: demand.waiting });
-        item.rate = decayedRate(item, now) + demand.arrived * Math.LN2 / (halfLifeMs / 1000);
+        const kept = keptShare(item, now);
+        item.rate = item.rate * kept + demand.arrived * perSecond;
+        item.work = item.work * kept + Number(demand.work) * perSecond;
         item.ratedAt = now;
         if (demand.refused > 0) {
             item.refusals.push({ at: now, count: demand.refused });
@@ -95,15 +115,17 @@
     const waiting = sum(fresh.map(counts => counts.waiting));
     return {
         key: item.key,
-        rate: decayedRate(item, now),
+        rate: item.rate * keptShare(item, now),
+        work: item.work * keptShare(item, now),
         running: sum(fresh.map(counts => counts.running)),
         lacking: waiting + sum(item.refusals.map(refusal => refusal.count)),
         idleMs: now - item.askedAt,
     };
 }
 
-function decayedRate(item: Item, now: number): number {
-    return item.rate * 2 ** (-(now - item.ratedAt) / halfLifeMs);
+/** What is left of an average after the time since it was last brought up to date. */
+function keptShare(item: Item, now: number): number {
+    return 2 ** (-(now - item.ratedAt) / halfLifeMs);
 }
 
 function sum(numbers: readonly number[]): number {
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -1,5 +1,5 @@
 /** Counts at an entry what callers ask for, and tells the leader. */
-import { create } from "@bufbuild/protobuf";
+import { clone, create } from "@bufbuild/protobuf";
 import { type EventLog, messageOf, Notifier, sleep } from "@winchpath/core";
 import { type RpcClients } from "@winchpath/rpc";
 import { FleetService, type ItemDemand, ItemDemandSchema, type Mismatch } from "./gen/winchpath/fleet/v1/fleet_pb.js";
@@ -23,11 +23,15 @@
     private readonly items = new Map<string, ItemDemand>();
     private mismatches: Mismatch[] = [];
     private readonly urgent = new Notifier();
+    private readonly paces = new Map<string, number>();
 
     public constructor(private readonly log: EventLog) {}
 
-    public arrived(key: ItemKey): void {
-        this.item(key).arrived += 1;
+    /** `work`: what the request needs of an engine, in tokens of a prompt. */
+    public arrived(key: ItemKey, work: number): void {
+        const item = this.item(key);
+        item.arrived += 1;
+        item.work += BigInt(Math.round(work));
     }
 
     public started(key: ItemKey): void {
@@ -62,6 +66,11 @@
         }
     }
 
+    /** Engines of a service read this many tokens of a prompt in a second. */
+    public paceOf(service: string, tokensPerSecond: number): void {
+        this.paces.set(service, tokensPerSecond);
+    }
+
     /** Tells the leader until the signal is aborted. */
     public async run(entry: string, clients: RpcClients, leader: () => string, signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
@@ -76,11 +85,13 @@
     }
 
     private async report(entry: string, clients: RpcClients, url: string): Promise<void> {
-        const items = [...this.items.values()].map(item => create(ItemDemandSchema, item));
+        // Copies, since the counts start anew while these are on their way.
+        const items = [...this.items.values()].map(item => clone(ItemDemandSchema, item));
         const mismatches = this.mismatches;
         this.settle();
         try {
-            const req = { entry, intervalMs: reportMs, items, mismatches };
+            const paces = [...this.paces].map(([service, tokensPerSecond]) => ({ service, tokensPerSecond }));
+            const req = { entry, intervalMs: reportMs, items, mismatches, paces };
             await clients.client(FleetService, url).reportDemand(req, { timeoutMs: reportTimeoutMs });
         }
         catch (err) {
@@ -94,6 +105,7 @@
         for (const [key, item] of this.items) {
             item.arrived = 0;
             item.refused = 0;
+            item.work = 0n;
             if (item.running === 0 && item.waiting === 0) {
                 this.items.delete(key);
             }
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -114,6 +114,8 @@
             engines,
             needs: this.demand.needs().filter(need => need.key.service === service),
             storeOpen: this.pace.mayStart(spec.storeLoadsPerSecond),
+            capacity: this.demand.paceOf(service),
+            heardMs: this.demand.ageMs,
         });
         orders.forEach(planned => this.give(planned, spec));
     }
@@ -128,6 +130,7 @@
             order: describeOrder(planned.order),
             fromStore: planned.fromStore,
             reason: planned.reason,
+            capacity: Math.round(this.demand.paceOf(this.registry.get(planned.engine)?.upstream.service ?? "") ?? 0),
         });
         if (planned.fromStore) {
             this.pace.started();
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -38,6 +38,10 @@
     readonly needs: readonly ItemNeed[];
     /** Whether a load from the weight store may start now. */
     readonly storeOpen: boolean;
+    /** Work that one engine can do in a second, in tokens of a prompt; undefined where it is not known yet. */
+    readonly capacity: number | undefined;
+    /** Milliseconds since demand is heard: nothing is known to have been idle for longer. */
+    readonly heardMs: number;
 }
 
 /** An order with the engine that is to get it, and why. */
@@ -51,21 +55,27 @@
 }
 
 /**
- * Requests that run on one replica before another is worth a load: half of the
- * slots, so that a burst finds room while a replica is added.
+ * Work that one replica is planned for, as a share of what an engine can read:
+ * above it, prompts queue for longer than they take to read.
  */
-const fullShare = 0.5;
-/** A model that was not asked for in this time may give up its last replica to one that is lacking. */
-const idleLastMs = 4000;
-/** A second replica has to be worth this much more than what it takes the place of. */
-const swapGain = 2;
+const replicaShare = 0.7;
+/** Requests for one adapter that run on one engine before it is loaded on another: a share of its slots. */
+const adapterFullShare = 0.25;
+/** A request that nobody can serve counts like this much work a second, in tokens of a prompt. */
+const lackingWork = 1000;
+/** A model that was not asked for in this time may give up its last replica to one that nobody holds. */
+const idleForLackingMs = 4000;
+/** And in this time to another replica of a model that has too few. */
+const idleForMoreMs = 10_000;
+/** What an engine's load counts in the choice of one, in milliseconds of load time for each full engine. */
+const loadWeightMs = 4000;
 /** An adapter that was asked for in this time keeps its place, unless all places are as busy. */
 const adapterIdleMs = 1500;
 
 interface ModelNeed {
     readonly model: EngineModel;
     readonly rate: number;
-    readonly running: number;
+    readonly work: number;
     readonly lacking: number;
     readonly idleMs: number;
 }
@@ -118,7 +128,7 @@
         const { model, adapter } = need.key;
         const holders = this.holders(model).filter(engine => engine.models.get(model)!.ready);
         const having = holders.filter(engine => engine.models.get(model)!.adapters.has(adapter));
-        const enough = having.length >= 1 + Math.floor(need.running / (this.input.spec.slots * fullShare));
+        const enough = having.length >= 1 + Math.floor(need.running / (this.input.spec.slots * adapterFullShare));
         if (enough && having.length > 0) {
             return undefined;
         }
@@ -189,7 +199,7 @@
             return undefined;
         }
         this.storeOpen &&= !fromStore;
-        const reason = `asked for ${need.rate.toFixed(1)}/s, ${need.running} running, ${need.lacking} lacking`;
+        const reason = `asked for ${need.rate.toFixed(1)}/s, work ${Math.round(need.work)}, ${need.lacking} lacking`;
         return { engine: engine.id, order: { kind: "load", model: name, adapter: "" }, fromStore, reason };
     }
 
@@ -198,7 +208,7 @@
         if (this.fits(engine, need.model.sizeMb)) {
             return undefined;
         }
-        const victim = this.victim(engine);
+        const victim = this.victim(engine, need);
         if (victim === undefined) {
             return undefined;
         }
@@ -211,50 +221,58 @@
         };
     }
 
-    /** Time to load in milliseconds and the value that is given up; undefined where it is not worth it. */
+    /** Time to load, with what the engine has to do already; undefined where it is not worth it. */
     private costOf(engine: PlannedEngine, need: ModelNeed): number | undefined {
-        const loadMs = loadTime(engine, need.model);
-        if (this.fits(engine, need.model.sizeMb)) {
-            return loadMs;
-        }
-        const victim = this.victim(engine);
-        if (victim === undefined || !this.isWorth(need, victim)) {
-            return undefined;
-        }
-        return loadMs + this.replicaValue(victim) * 1000;
+        const cost = loadTime(engine, need.model) + this.fullnessOf(engine) * loadWeightMs;
+        return this.fits(engine, need.model.sizeMb) || this.victim(engine, need) !== undefined ? cost : undefined;
     }
 
-    private isWorth(need: ModelNeed, victim: ModelNeed): boolean {
-        if (this.readyHolders(victim.model.name) <= 1 && victim.idleMs < idleLastMs) {
-            return false;
-        }
-        const lacking = this.holders(need.model.name).length === 0 && need.lacking > 0;
-        return lacking
-            || valueOf(need) / (1 + this.holders(need.model.name).length) > swapGain * this.replicaValue(victim);
+    /** What the engine's models ask of it, as a share of what it can do. */
+    private fullnessOf(engine: PlannedEngine): number {
+        const work = [...engine.models.keys()].map(name => this.needs.get(name)).reduce(
+            (sum, held) => sum + (held === undefined ? 0 : held.work / Math.max(1, this.comingOrHeld(held.model.name))),
+            0,
+        );
+        return this.input.capacity === undefined ? 0 : work / this.input.capacity;
     }
 
-    /** The held model whose replica is worth least. */
-    private victim(engine: PlannedEngine): ModelNeed | undefined {
+    /** The held model that is given up for another: one with replicas to spare, else the one that is idle for longest. */
+    private victim(engine: PlannedEngine, coming: ModelNeed): ModelNeed | undefined {
         const held = [...engine.models]
             .filter(([, model]) => model.ready && !model.leaving)
-            .map(([name]) => this.needs.get(name))
-            .filter(need => need !== undefined);
-        return held.sort((a, b) => this.replicaValue(a) - this.replicaValue(b))[0];
+            .flatMap(([name]) => this.needs.get(name) ?? []);
+        const spare = held.filter(need => this.isSpare(need)).sort((a, b) => a.work - b.work)[0];
+        if (spare !== undefined) {
+            return spare;
+        }
+        const isLacking = this.comingOrHeld(coming.model.name) === 0;
+        const idleFor = isLacking ? idleForLackingMs : idleForMoreMs;
+        return held
+            .filter(need => this.readyHolders(need.model.name) === 1 && this.idleMs(need) > idleFor)
+            .sort((a, b) => this.idleMs(b) - this.idleMs(a))[0];
     }
 
-    /** What one replica of a model is worth: its share of the demand. */
-    private replicaValue(need: ModelNeed): number {
-        const holders = Math.max(1, this.readyHolders(need.model.name));
-        const last = holders === 1 && need.idleMs < idleLastMs ? valueOf(need) + 1 : 0;
-        return valueOf(need) / holders + last;
+    /** Whether its other replicas would do. */
+    private isSpare(need: ModelNeed): boolean {
+        return this.readyHolders(need.model.name) > Math.max(1, this.wantedReplicas(need));
     }
 
-    private missingReplicas(need: ModelNeed): number {
-        if (need.idleMs > idleLastMs && need.lacking === 0) {
+    private idleMs(need: ModelNeed): number {
+        return Math.min(need.idleMs, this.input.heardMs);
+    }
+
+    private wantedReplicas(need: ModelNeed): number {
+        if (need.lacking === 0 && this.idleMs(need) > idleForLackingMs) {
             return 0;
         }
-        const wanted = 1 + Math.floor(need.running / (this.input.spec.slots * fullShare));
-        return wanted - this.comingOrHeld(need.model.name);
+        const { capacity, engines } = this.input;
+        const wanted = capacity === undefined ? 1 : Math.ceil(need.work / (capacity * replicaShare));
+        return Math.min(engines.length, Math.max(1, wanted));
+    }
+
+    private missingReplicas(need: ModelNeed): number {
+        const isAsked = need.lacking > 0 || need.idleMs < idleForLackingMs;
+        return isAsked ? this.wantedReplicas(need) - this.comingOrHeld(need.model.name) : 0;
     }
 
     private holders(model: string): PlannedEngine[] {
@@ -305,14 +323,14 @@
     return {
         model,
         rate: total(need => need.rate),
-        running: total(need => need.running),
+        work: total(need => need.work),
         lacking: total(need => need.lacking),
         idleMs: Math.min(Number.POSITIVE_INFINITY, ...own.map(need => need.idleMs)),
     };
 }
 
 function valueOf(need: ModelNeed): number {
-    return need.rate + need.running + need.lacking;
+    return need.work + need.lacking * lackingWork;
 }
 
 function loadTime(engine: PlannedEngine, model: EngineModel): number {
--- a/packages/forwarding/src/codecs.ts
+++ b/packages/forwarding/src/codecs.ts
@@ -21,6 +21,8 @@
     readonly adapter: string;
     readonly promptTokens: number;
     readonly maxOutputTokens: number;
+    /** The caller's guess; right at the median, often far off. */
+    readonly likelyOutputTokens: number | undefined;
     /** Parts of the prompt in order; the last is the request's or its session's own. */
     readonly parts: readonly PromptPart[];
     /** Event behind which a broken stream is to go on. */
--- a/packages/forwarding/src/doors.ts
+++ b/packages/forwarding/src/doors.ts
@@ -20,6 +20,8 @@
 const slowCheckMs = 500;
 /** When to come back while no configuration is known. */
 const unconfiguredRetryMs = 500;
+/** A final answer takes this long on its way, in milliseconds: callers are a few milliseconds away. */
+const answerTripMs = 20;
 /** How often a stopping listener closes connections that have become idle, in milliseconds. */
 const idleCheckMs = 50;
 
@@ -146,7 +148,7 @@
             route,
             service: drawTarget(route.targets, Math.random()),
             startedAt,
-            deadlineAt: startedAt + waitMs,
+            deadlineAt: startedAt + Math.max(0, waitMs - answerTripMs),
             gone,
             tried: [],
             declined: new Set(),
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -8,9 +8,10 @@
 import { attempt, type AttemptOutcome, writeHeldAnswer } from "./attempts.js";
 import { type RetryBudgetOptions, WindowBudget } from "./budgets.js";
 import { type RequestCodec } from "./codecs.js";
-import { ageMs, isRepeatable, type Job, leftMs, tokensOf } from "./jobs.js";
+import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
 import { type UpstreamLink } from "./links.js";
 import { LinkTable } from "./linktables.js";
+import { ReadingPace } from "./paces.js";
 import { type Pick, Picker } from "./pickers.js";
 import { WaitingRoom } from "./waitingrooms.js";
 
@@ -56,12 +57,13 @@
     private readonly ejections = new EjectionBook();
     private readonly links: LinkTable;
     private readonly picker: Picker;
+    private readonly pace = new ReadingPace();
     private readonly room = new WaitingRoom<Place>();
     private readonly budgets = new Map<string, WindowBudget>();
 
     public constructor(private readonly parts: ForwarderParts) {
         this.links = new LinkTable(parts.view);
-        this.picker = new Picker(this.ejections, parts.dataCentre);
+        this.picker = new Picker(this.ejections, parts.dataCentre, this.pace);
     }
 
     /** Follows what the view knows now, and lets those that wait try again. */
@@ -78,7 +80,7 @@
     public async serve(job: Job, res: ServerResponse): Promise<void> {
         this.budget(job.service).request();
         const key = itemKeyOf(job);
-        this.parts.meter.arrived(key);
+        this.parts.meter.arrived(key, workOf(job));
         for (let tries = 0;; tries++) {
             const place = await this.place(job);
             if (job.gone.aborted) {
@@ -102,7 +104,7 @@
         if (found.kind === "upstream") {
             return found;
         }
-        const waitMs = Math.min(this.patience(job, found.kind), leftMs(job) - leastAttemptMs) - 0;
+        const waitMs = Math.min(this.patience(job, found.kind), leftMs(job) - leastAttemptMs);
         const key = itemKeyOf(job);
         const lacking = found.kind === "lacking";
         if (lacking) {
@@ -184,6 +186,14 @@
         const { meter, codec, stopping } = this.parts;
         const startedAt = steadyNow();
         const tokens = tokensOf(job);
+        const { priority } = job.route;
+        let unread = ownTokensOf(job);
+        const ahead = link.queueAhead(priority, unread) + unread;
+        const read = () => {
+            link.addUnread(priority, -unread);
+            unread = 0;
+        };
+        link.addUnread(priority, unread);
         link.inFlight += 1;
         link.tokensInFlight += tokens;
         meter.started(key);
@@ -195,8 +205,11 @@
                 res,
                 urgency: this.engineOf(job.service) === undefined ? undefined : Math.min(9, job.route.priority),
                 closing: stopping,
-                onAnswer: () =>
-                    this.parts.metrics.histogram("first_byte", { route: job.route.name }).record(ageMs(job)),
+                onAnswer: () => {
+                    read();
+                    this.learnPace(job, ahead, steadyNow() - startedAt);
+                    this.parts.metrics.histogram("first_byte", { route: job.route.name }).record(ageMs(job));
+                },
             });
             this.tell(job, "attempt", {
                 upstream: link.id,
@@ -210,6 +223,7 @@
             return outcome;
         }
         finally {
+            read();
             link.inFlight -= 1;
             link.tokensInFlight -= tokens;
             meter.ended(key);
@@ -217,6 +231,13 @@
         }
     }
 
+    private learnPace(job: Job, tokens: number, ms: number): void {
+        this.pace.learn(tokens, ms);
+        if (this.pace.tokensPerSecond !== undefined && this.engineOf(job.service) !== undefined) {
+            this.parts.meter.paceOf(job.service, this.pace.tokensPerSecond);
+        }
+    }
+
     private conclude(job: Job, link: UpstreamLink, outcome: AttemptOutcome, res: ServerResponse): Verdict {
         this.judge(job, link, outcome);
         switch (outcome.kind) {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./jobs.js";
 export * from "./links.js";
 export * from "./linktables.js";
+export * from "./paces.js";
 export * from "./pickers.js";
 export * from "./routetables.js";
 export * from "./waitingrooms.js";
--- a/packages/forwarding/src/jobs.ts
+++ b/packages/forwarding/src/jobs.ts
@@ -44,7 +44,29 @@
     return steadyNow() - job.startedAt;
 }
 
-/** Tokens that the request needs in an engine's cache. */
+/** Tokens that the request is likely to need in an engine's cache. */
 export function tokensOf(job: Job): number {
-    return job.facts.promptTokens + job.facts.maxOutputTokens;
+    return job.facts.promptTokens + outputTokensOf(job);
+}
+
+/**
+ * A generated token takes an engine about as long as this many tokens of a
+ * prompt: a step of 9 ms makes one for each of some 16 requests, and the same
+ * engine reads 19 tokens of a prompt in a millisecond.
+ */
+const promptTokensPerOutput = 10;
+
+/** What a request needs of an engine's time, in tokens of a prompt. */
+export function workOf(job: Job): number {
+    return ownTokensOf(job) + outputTokensOf(job) * promptTokensPerOutput;
+}
+
+/** Tokens of the prompt that no other request brings: these are read in any case. */
+export function ownTokensOf(job: Job): number {
+    return job.facts.parts.at(-1)?.tokens ?? job.facts.promptTokens;
+}
+
+function outputTokensOf(job: Job): number {
+    const { likelyOutputTokens, maxOutputTokens } = job.facts;
+    return Math.min(likelyOutputTokens ?? maxOutputTokens, maxOutputTokens);
 }
--- a/packages/forwarding/src/links.ts
+++ b/packages/forwarding/src/links.ts
@@ -13,14 +13,20 @@
 /** What others run there is taken to have ended this long after it was reported. */
 const reportLifeMs = 2500;
 
+/** A request that generates slows those that are read as this many tokens of a prompt would. */
+const tokensPerRunning = 80;
+
 export class UpstreamLink {
     public readonly id: string;
     public readonly pool: Pool;
     /** Requests of this entry that run there. */
     public inFlight = 0;
-    /** Tokens that those need, at most. */
+    /** Tokens that those are likely to need in its cache. */
     public tokensInFlight = 0;
-    private othersLoad = 0;
+    /** Prompts of this entry that it has not begun to answer, in tokens, by priority. */
+    private readonly unread = new Map<number, number>();
+    private othersRunning = 0;
+    private othersWaiting = 0;
     private reportedAt = Number.NEGATIVE_INFINITY;
     private known: Upstream;
 
@@ -54,14 +60,38 @@
 
     /** Takes in how busy the upstream said that it is. */
     public report(load: ReportedLoad): void {
-        this.othersLoad = Math.max(0, load.running + load.waiting - this.inFlight);
+        const others = Math.max(0, load.running + load.waiting - this.inFlight);
+        this.othersWaiting = Math.min(others, load.waiting);
+        this.othersRunning = others - this.othersWaiting;
         this.reportedAt = steadyNow();
     }
 
+    /** A prompt was sent there (`tokens` above 0), or was read (below). */
+    public addUnread(priority: number, tokens: number): void {
+        this.unread.set(priority, (this.unread.get(priority) ?? 0) + tokens);
+    }
+
+    /**
+     * What a request of this priority finds before it, in tokens of a prompt:
+     * prompts that are as urgent, and a little for each request that runs.
+     * `perRequest`: how much of a prompt others' waiting requests bring.
+     */
+    public queueAhead(priority: number, perRequest: number): number {
+        let tokens = this.inFlight * tokensPerRunning;
+        for (const [other, unread] of this.unread) {
+            tokens += other <= priority ? unread : 0;
+        }
+        return tokens + this.freshness * (this.othersWaiting * perRequest + this.othersRunning * tokensPerRunning);
+    }
+
     /** Requests that run or wait there: this entry's, and others' as last reported and fading since. */
     public get load(): number {
-        const age = steadyNow() - this.reportedAt;
-        return this.inFlight + this.othersLoad * Math.max(0, 1 - age / reportLifeMs);
+        return this.inFlight + (this.othersRunning + this.othersWaiting) * this.freshness;
+    }
+
+    /** How much of a report still holds, from 1 to 0. */
+    private get freshness(): number {
+        return Math.max(0, 1 - (steadyNow() - this.reportedAt) / reportLifeMs);
     }
 
     /** Closes its connections once what runs has ended. */
--- a/packages/forwarding/src/pickers.ts
+++ b/packages/forwarding/src/pickers.ts
@@ -2,18 +2,21 @@
 import { type EngineSpec } from "@winchpath/declarations";
 import { type EjectionBook } from "@winchpath/routing";
 import { createHash } from "node:crypto";
-import { type Job, tokensOf } from "./jobs.js";
+import { type Job, ownTokensOf, tokensOf } from "./jobs.js";
 import { type UpstreamLink } from "./links.js";
+import { type ReadingPace } from "./paces.js";
 
-/** An upstream keeps the requests that belong to it until it is this much busier than the least busy one. */
-const affinityRatio = 1.3;
-/** And by this many requests, so that small numbers do not scatter them. */
-const affinityRequests = 4;
-/** An upstream in another data centre counts as this many requests busier. */
-const distanceRequests = 2;
+/** An upstream in another data centre counts as this much busier: in tokens of a prompt, or in requests. */
+const distanceTokens = 300;
+const distanceRequests = 0.5;
+/** A queue that takes this many times a request's objective is full to it. */
+const latestShare = 1.5;
 /** Share of an engine's cache that requests are admitted to; the rest is for those that grow longer than said. */
 const cacheShare = 0.95;
 
+/** A plain service queues a few requests; beyond this many times its slots they wait at the entry. */
+const slotsOfPlainService = 2;
+
 /** What was found for a request. */
 export type Pick =
     | { readonly kind: "upstream"; readonly link: UpstreamLink; }
@@ -25,7 +28,11 @@
     | { readonly kind: "none"; };
 
 export class Picker {
-    public constructor(private readonly ejections: EjectionBook, private readonly dataCentre: string) {}
+    public constructor(
+        private readonly ejections: EjectionBook,
+        private readonly dataCentre: string,
+        private readonly pace: ReadingPace,
+    ) {}
 
     /** `engine`: what the service's upstreams are, where they are model engines. */
     public pick(job: Job, ready: readonly UpstreamLink[], engine: EngineSpec | undefined): Pick {
@@ -38,36 +45,52 @@
         }
         const untried = holders.filter(link => !job.tried.includes(link.id) && !job.declined.has(link.id));
         const admitted = this.ejections.admitted(untried);
-        const open = admitted.filter(link => hasRoom(link, job, engine));
+        const open = admitted.filter(link => this.hasRoom(link, job, engine));
         if (open.length === 0) {
             return { kind: "full" };
         }
-        return { kind: "upstream", link: this.choose(job, open) };
+        return { kind: "upstream", link: this.choose(job, open, engine) };
     }
 
-    private choose(job: Job, open: readonly UpstreamLink[]): UpstreamLink {
-        const byLoad = [...open].sort((a, b) => this.weightOf(a) - this.weightOf(b));
-        const key = job.route.sticky ? affinityKey(job) : undefined;
-        if (key === undefined) {
-            return this.lighterOfTwo(byLoad);
-        }
-        const bound = this.weightOf(byLoad[0]) * affinityRatio + affinityRequests;
-        const near = byLoad.filter(link => this.weightOf(link) <= bound);
-        return near.reduce((best, link) => rank(key, link) > rank(key, best) ? link : best);
+    /** The one with the least before the request, less what it has read already. */
+    private choose(job: Job, open: readonly UpstreamLink[], engine: EngineSpec | undefined): UpstreamLink {
+        const home = job.route.sticky ? this.homeOf(job, open) : undefined;
+        const sharedTokens = job.facts.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+        const ranked = open.map(link => ({
+            link,
+            cost: this.costOf(job, link, engine) - (link === home ? sharedTokens : 0),
+            tie: Math.random(),
+        }));
+        ranked.sort((a, b) => a.cost - b.cost || a.tie - b.tie);
+        return ranked[0].link;
     }
 
-    /** Not always the lightest: several entries would all send there at the same moment. */
-    private lighterOfTwo(byLoad: readonly UpstreamLink[]): UpstreamLink {
-        const draw = () => byLoad[Math.floor(Math.random() * byLoad.length)];
-        const [a, b] = [draw(), draw()];
-        return this.weightOf(a) <= this.weightOf(b) ? a : b;
+    private costOf(job: Job, link: UpstreamLink, engine: EngineSpec | undefined): number {
+        const far = link.description.dataCentre !== this.dataCentre;
+        return engine === undefined
+            ? link.load + (far ? distanceRequests : 0)
+            : link.queueAhead(job.route.priority, ownTokensOf(job)) + (far ? distanceTokens : 0);
     }
 
-    private weightOf(link: UpstreamLink): number {
-        const { slots, dataCentre } = link.description;
-        const far = dataCentre === this.dataCentre ? 0 : distanceRequests;
-        // In requests of an upstream with as many slots as an engine has, so that small services compare alike.
-        return link.load + far * Math.min(1, slots / 64);
+    /** Rendezvous hashing: every entry finds the same one, without talking. */
+    private homeOf(job: Job, open: readonly UpstreamLink[]): UpstreamLink | undefined {
+        const key = affinityKey(job);
+        return key === undefined ? undefined : open.reduce((best, link) => rank(key, link) > rank(key, best) ? link : best);
+    }
+
+    private hasRoom(link: UpstreamLink, job: Job, engine: EngineSpec | undefined): boolean {
+        const { slots } = link.description;
+        if (engine === undefined) {
+            return link.load < slots * slotsOfPlainService;
+        }
+        if (link.load >= slots) {
+            return false;
+        }
+        const perRequest = link.inFlight === 0 ? tokensOf(job) : link.tokensInFlight / link.inFlight;
+        const fits = perRequest * link.load + tokensOf(job) <= engine.cacheTokens * cacheShare;
+        const ahead = link.queueAhead(job.route.priority, ownTokensOf(job));
+        const inTime = this.pace.durationMs(ahead) <= job.route.objectiveMs * latestShare;
+        return link.load < 1 || (fits && inTime);
     }
 }
 
@@ -80,19 +103,6 @@
     return held !== undefined && !held.leaving && (adapter === "" || held.adapters.includes(adapter));
 }
 
-function hasRoom(link: UpstreamLink, job: Job, engine: EngineSpec | undefined): boolean {
-    const { slots } = link.description;
-    if (engine === undefined) {
-        return link.load < slots * 2;
-    }
-    if (link.load >= slots) {
-        return false;
-    }
-    const perRequest = link.inFlight === 0 ? tokensOf(job) : link.tokensInFlight / link.inFlight;
-    const tokens = perRequest * link.load + tokensOf(job);
-    return link.load < 1 || tokens <= engine.cacheTokens * cacheShare;
-}
-
 /** The last part of the prompt that others share; requests with it find it read already. */
 function affinityKey(job: Job): string | undefined {
     const { parts, model, adapter } = job.facts;
@@ -100,7 +110,6 @@
     return shared === undefined ? undefined : `${model}/${adapter}/${shared.id}`;
 }
 
-/** Rendezvous hashing: every entry ranks the upstreams alike, without talking. */
 function rank(key: string, link: UpstreamLink): number {
     return createHash("md5").update(`${key} ${link.id}`).digest().readUInt32LE(0);
 }
