--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -13,6 +13,8 @@
 const maxTries = 8;
 /** Adapters are looked after at these times, in milliseconds; one that is fetched anew takes tens to hundreds. */
 const adapterChecksMs = [15, 30, 60, 100, 150, 200, 300, 400, 600];
+/** How often is looked whether an engine is done with a model, before its adapters are looked after. */
+const busyCheckMs = 50;
 /** Models are looked after this long after the time that they should take, and again. */
 const modelCheckMs = 150;
 /** A load that takes this many times as long as it should has failed, or the store is overloaded. */
@@ -36,6 +38,8 @@
     private readonly transits = new Set<string>();
     private expected: number | undefined;
     private occupied = false;
+    /** Steady time of the last answer to an order. */
+    private lastOrderAt = Number.NEGATIVE_INFINITY;
     private ended = false;
 
     public constructor(
@@ -119,7 +123,6 @@
                     this.expected = undefined;
                     return;
                 case OrderReply.conflict:
-                    await sleep(reportLagMs);
                     if (!await this.reread()) {
                         return;
                     }
@@ -141,6 +144,7 @@
         }
         const sentAt = steadyNow();
         const reply = await this.calls.order(upstream, order, this.expected, fence);
+        this.lastOrderAt = steadyNow();
         this.log.info("order.sent", {
             upstream: this.id,
             order: describeOrder(order),
@@ -195,19 +199,34 @@
         const name = `${order.model}/${order.adapter}`;
         this.transits.add(name);
         this.owner.settled();
+        if (await this.arrives(order)) {
+            this.tookEffect(order);
+        }
+        else {
+            // It was accepted, so it may take a place all the same: the engine is read before the next order.
+            this.expected = undefined;
+        }
+        this.transits.delete(name);
+        this.owner.settled();
+    }
+
+    /** Whether an adapter that was accepted is seen to have arrived. */
+    private async arrives(order: EngineOrder): Promise<boolean> {
         for (const pauseMs of adapterChecksMs) {
             await sleep(pauseMs);
+            while (this.occupied && this.upstream !== undefined) {
+                // While a model comes or goes, the engine answers nothing about adapters.
+                await sleep(busyCheckMs);
+            }
             const reply = await this.send(order);
             if (reply === OrderReply.holds) {
-                this.tookEffect(order);
-                break;
+                return true;
             }
             if (reply === OrderReply.fenced || reply === OrderReply.refused) {
-                break;
+                return false;
             }
         }
-        this.transits.delete(name);
-        this.owner.settled();
+        return false;
     }
 
     private markLeaving(model: string): void {
@@ -236,10 +255,17 @@
     }
 
     private async read(upstream: Upstream): Promise<boolean> {
+        // A report from before the last order took effect would tell of room that is taken.
+        await sleep(Math.max(0, this.lastOrderAt + reportLagMs - steadyNow()));
         const report = await this.calls.report(upstream);
         if (report === undefined) {
             return false;
         }
+        if (report.busy) {
+            // What is on its way there is not told, so there may be less room than it seems.
+            this.log.info("engine.busy", { upstream: this.id, orders: report.orders });
+            return false;
+        }
         this.expected = report.orders;
         const leaving = new Set(upstream.models.filter(model => model.leaving).map(model => model.name));
         const models = report.models.map(model => {
@@ -251,7 +277,6 @@
         this.log.info("engine.read", {
             upstream: this.id,
             orders: report.orders,
-            busy: report.busy,
             models: report.models.map(model => model.name),
         });
         return true;
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -16,7 +16,7 @@
 /** An unload waits for what runs; it is looked after from then on. */
 const unloadMs = 50;
 /** An engine that could not be read is asked again after this long. */
-const rereadMs = 2000;
+const rereadMs = 1000;
 /** How long an earlier leader's loads count against the store's pace: its window of five seconds. */
 const storeWindowMs = 5000;
 /** Room that was made for a model is kept for it this long; an unload waits for what runs. */
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -116,7 +116,10 @@
     private pendingOrders(): PlannedOrder[] {
         return this.input.engines.flatMap(engine => {
             const need = engine.coming === undefined ? undefined : this.needs.get(engine.coming);
-            if (need === undefined || !engine.takesModels || this.taken.has(engine.id) || engine.models.has(engine.coming!)) {
+            if (
+                need === undefined || !engine.takesModels || this.taken.has(engine.id)
+                || engine.models.has(engine.coming!)
+            ) {
                 return [];
             }
             this.taken.add(engine.id);
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -20,8 +20,6 @@
 const departedMs = 60_000;
 /** Removals that a poll may be behind before it gets everything anew. */
 const rememberedRemovals = 2000;
-/** An announcement sent before an order took effect may arrive after it; held models are not taken from it. */
-const orderSettleMs = 1000;
 
 /** What the leader knows of one upstream. */
 export interface RegisteredUpstream {
@@ -40,8 +38,8 @@
     onDisk: ReadonlySet<string>;
     sequence: bigint;
     position: number;
-    /** Steady time until which held models follow from orders alone. */
-    ordersSettleAt: number;
+    /** Whether held models follow from this leader's orders: announcements may have been sent before them. */
+    modelsFromOrders: boolean;
 }
 
 /** What changed after a position. */
@@ -92,7 +90,7 @@
             inMemory: new Set(),
             onDisk: new Set(),
             position: 0,
-            ordersSettleAt: 0,
+            modelsFromOrders: false,
         };
         this.upstreams.set(upstream.id, entry);
         entry.sequence = announcement.sequence;
@@ -109,13 +107,13 @@
         return this.remove(id, "left");
     }
 
-    /** Sets what an engine holds, after an order to it took effect. */
+    /** Sets what an engine holds, as it was read or as orders have changed it. */
     public setModels(id: string, models: readonly HeldModel[]): void {
         const entry = this.upstreams.get(id);
         if (entry === undefined) {
             return;
         }
-        entry.ordersSettleAt = steadyNow() + orderSettleMs;
+        entry.modelsFromOrders = true;
         const next = clone(UpstreamSchema, entry.upstream);
         next.models = models.map(model => clone(HeldModelSchema, model));
         this.replace(entry, next);
@@ -159,12 +157,9 @@
             if (entry.upstream.state === UpstreamState.DRAINING) {
                 next.state = UpstreamState.DRAINING;
             }
-            if (steadyNow() < entry.ordersSettleAt) {
+            if (entry.modelsFromOrders) {
                 next.models = entry.upstream.models;
             }
-            else {
-                keepLeaving(entry.upstream.models, next.models);
-            }
         }
         if (isNew) {
             this.log.info("upstream.learnt", describe(next));
@@ -214,14 +209,6 @@
     }
 }
 
-/** A model that is to be unloaded stays so until it is gone. */
-function keepLeaving(before: readonly HeldModel[], after: readonly HeldModel[]): void {
-    const leaving = new Set(before.filter(model => model.leaving).map(model => model.name));
-    after.filter(model => leaving.has(model.name)).forEach(model => {
-        model.leaving = true;
-    });
-}
-
 function describe(upstream: Upstream) {
     return {
         upstream: upstream.id,
--- a/packages/forwarding/src/pickers.ts
+++ b/packages/forwarding/src/pickers.ts
@@ -75,7 +75,9 @@
     /** Rendezvous hashing: every entry finds the same one, without talking. */
     private homeOf(job: Job, open: readonly UpstreamLink[]): UpstreamLink | undefined {
         const key = affinityKey(job);
-        return key === undefined ? undefined : open.reduce((best, link) => rank(key, link) > rank(key, best) ? link : best);
+        return key === undefined
+            ? undefined
+            : open.reduce((best, link) => rank(key, link) > rank(key, best) ? link : best);
     }
 
     private hasRoom(link: UpstreamLink, job: Job, engine: EngineSpec | undefined): boolean {
