Never hand on an answer as whole whose connection was reset

Mended by looking at the end whether the connection still has a peer; an answer without a length is handed on without one.

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -2,7 +2,7 @@
 import { Deferred, messageOf } from "@winchpath/core";
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
-import { type AnswerFacts, type RequestCodec, withoutConnectionHeaders } from "./codecs.js";
+import { type AnswerFacts, headerOf, type RequestCodec, withoutConnectionHeaders } from "./codecs.js";
 import { EventSplitter } from "./events.js";
 import { type Job, leftMs } from "./jobs.js";
 import { type UpstreamLink } from "./links.js";
@@ -147,7 +147,10 @@
         if (this.settled) {
             return;
         }
-        if (this.isStream()) {
+        if (!this.isFramed() && this.link.ends.isReset) {
+            this.settle({ kind: this.handing ? "broken" : "unknown", reason: "reset before the answer was whole" });
+        }
+        else if (this.isStream()) {
             this.endStream();
         }
         else if (this.handing) {
@@ -204,6 +207,11 @@
         }
     }
 
+    /** Whether the answer tells where it ends; otherwise it ends with its connection. */
+    private isFramed(): boolean {
+        return isFramed(this.headers);
+    }
+
     private isSuccess(): boolean {
         return this.status >= 200 && this.status < 300;
     }
@@ -301,14 +309,25 @@
 /** Hands on an answer that was read whole. */
 export function writeHeldAnswer(res: ServerResponse, answer: HeldAnswer, close: boolean): void {
     const headers = withoutLength(withoutConnectionHeaders(answer.headers));
-    headers.push("Content-Length", String(answer.body.length));
-    if (close) {
+    const framed = isFramed(answer.headers);
+    if (framed) {
+        headers.push("Content-Length", String(answer.body.length));
+    }
+    else {
+        // Nobody knows whether it is whole, so it must not look more whole than it came.
+        res.useChunkedEncodingByDefault = false;
+    }
+    if (close || !framed) {
         headers.push("Connection", "close");
     }
     res.writeHead(answer.status, headers);
     res.end(answer.body);
 }
 
+function isFramed(headers: readonly string[]): boolean {
+    return headerOf(headers, "content-length") !== undefined || headerOf(headers, "transfer-encoding") !== undefined;
+}
+
 function withoutLength(headers: readonly string[]): string[] {
     const kept: string[] = [];
     for (let index = 0; index < headers.length; index += 2) {
--- a/packages/forwarding/src/links.ts
+++ b/packages/forwarding/src/links.ts
@@ -3,6 +3,7 @@
 import { type Upstream } from "@winchpath/fleet";
 import { Pool } from "undici";
 import { type ReportedLoad } from "./codecs.js";
+import { ConnectionEnds, upstreamConnector } from "./connectors.js";
 
 /** A connection that is not established by then is given up; round trips take a few milliseconds at most. */
 const connectTimeoutMs = 400;
@@ -19,6 +20,7 @@
 export class UpstreamLink {
     public readonly id: string;
     public readonly pool: Pool;
+    public readonly ends = new ConnectionEnds();
     /** Requests of this entry that run there. */
     public inFlight = 0;
     /** Tokens that those are likely to need in its cache. */
@@ -36,7 +38,7 @@
         this.pool = new Pool(`http://${upstream.address}`, {
             connections,
             pipelining: 1,
-            connect: { timeout: connectTimeoutMs },
+            connect: upstreamConnector(connectTimeoutMs, this.ends),
             keepAliveTimeout: keepAliveMs,
             keepAliveMaxTimeout: keepAliveMs * 10,
             keepAliveTimeoutThreshold: keepAliveMarginMs,
