--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -116,6 +116,10 @@
                     await this.follow(order, expectedMs);
                     return;
                 case OrderReply.holds:
+                    if (order.kind === "unload" && order.adapter !== "") {
+                        // An adapter goes at once, and that counts as an order.
+                        this.expected! += 1;
+                    }
                     this.tookEffect(order);
                     return;
                 case OrderReply.fenced:
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -252,7 +252,7 @@
         const idleFor = isLacking ? idleForLackingMs : idleForMoreMs;
         return held
             .filter(need => this.readyHolders(need.model.name) === 1 && this.idleMs(need) > idleFor)
-            .sort((a, b) => this.idleMs(b) - this.idleMs(a))[0];
+            .sort((a, b) => this.idleMs(b) - this.idleMs(a) || a.model.adapters - b.model.adapters)[0];
     }
 
     /** Whether its other replicas would do. */
