--- a/packages/consensus/src/machines.ts
+++ b/packages/consensus/src/machines.ts
@@ -39,7 +39,12 @@
     }
 
     public apply(command: Uint8Array, context: CommandContext): Uint8Array {
-        const envelope = decodeJson(command) as Envelope;
+        const envelope = envelopeOf(command);
+        if (envelope === undefined) {
+            // All replicas come to the same: a command that says nothing changes nothing. To
+            // throw here would keep every replica from ever applying what comes behind it.
+            return encodeJson({ malformed: true });
+        }
         const machine = this.slices.get(envelope.slice);
         if (machine === undefined) {
             throw Failure.of(FailureCode.invalid, `no slice ${envelope.slice}; this process is older than the log`);
@@ -61,6 +66,15 @@
     }
 }
 
+function envelopeOf(command: Uint8Array): Envelope | undefined {
+    try {
+        return decodeJson(command) as Envelope;
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /** A command for one slice, as it goes into the log. */
 export function encodeCommand(slice: string, command: unknown): Uint8Array {
     return encodeJson({ slice, command });
--- a/packages/consensus/src/memberships.ts
+++ b/packages/consensus/src/memberships.ts
@@ -58,7 +58,7 @@
             await this.change(membership => this.promote(membership, learner));
         }
         catch (err) {
-            this.state.logger("promotion failed", { error: messageOf(err) });
+            this.state.events.warn("members.promotion-failed", { error: messageOf(err) });
         }
         finally {
             this.promoting = false;
@@ -79,7 +79,7 @@
             await this.change(membership => withoutMember(membership, silent.id));
         }
         catch (err) {
-            state.logger("dropping a learner failed", { member: silent.url, error: messageOf(err) });
+            state.events.warn("members.drop-failed", { member: silent.url, error: messageOf(err) });
         }
         finally {
             this.promoting = false;
--- a/packages/consensus/src/replicas.ts
+++ b/packages/consensus/src/replicas.ts
@@ -1,5 +1,5 @@
 /** One replica of the control group: what the rest of the process sees of consensus. */
-import { Failure, FailureCode, sleep, steadyNow, until, withTimeout } from "@winchpath/core";
+import { type EventLog, Failure, FailureCode, silentLog, sleep, steadyNow, until, withTimeout } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import { setMaxListeners } from "node:events";
 import { type Applied, Applier } from "./appliers.js";
@@ -26,6 +26,8 @@
     /** URLs of control hosts, or a function that gives those of the moment. */
     readonly seeds: readonly string[] | (() => readonly string[]);
     readonly timeline: Timeline;
+    /** Where failures between replicas are told; nowhere where it is left out. */
+    readonly log?: EventLog;
     readonly options?: Partial<ConsensusOptions>;
     /** The store failed; the process has to stop. */
     readonly onFatal: (err: Error) => void;
@@ -63,7 +65,8 @@
     public static async open(parts: ReplicaParts): Promise<Replica> {
         const stored = await parts.store.open();
         const options = { ...defaultConsensusOptions, ...parts.options };
-        const state = new ReplicaState(stored, parts.identity, parts.store, options, parts.timeline, parts.onFatal);
+        const { identity, store, timeline, onFatal, log = silentLog } = parts;
+        const state = new ReplicaState(stored, identity, store, options, timeline, onFatal, log);
         return new Replica(state, parts);
     }
 
--- a/packages/consensus/src/replications.ts
+++ b/packages/consensus/src/replications.ts
@@ -60,7 +60,7 @@
             }
             catch (err) {
                 failures += 1;
-                this.state.logger("append failed", { member: member.url, error: messageOf(err) });
+                this.state.events.warn("append.failed", { member: member.url, error: messageOf(err) });
             }
             if (failures > 0) {
                 // Not cut short by a wake: a member that is gone must not be called at every append.
--- a/packages/consensus/src/states.ts
+++ b/packages/consensus/src/states.ts
@@ -1,6 +1,6 @@
 /** What all tasks of one replica share. */
 import { create } from "@bufbuild/protobuf";
-import { Failure, FailureCode, type Logger, logger, Notifier, steadyNow } from "@winchpath/core";
+import { type EventLog, Failure, FailureCode, Notifier, steadyNow } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import {
     type Entry,
@@ -61,7 +61,6 @@
     public readonly memberId: string;
     /** Notified when the role, leader, term, commit index or applied index changes. */
     public readonly changed = new Notifier();
-    public readonly logger: Logger = logger("consensus");
     public role: Role = "follower";
     public leaderId = "";
     public leaderUrl = "";
@@ -81,6 +80,7 @@
         public readonly options: ConsensusOptions,
         public readonly timeline: Timeline,
         private readonly onFatal: (err: Error) => void,
+        public readonly events: EventLog,
     ) {
         this.memberId = stored.memberId;
         this.log = new Log(stored.snapshot, stored.entries);
--- /dev/null
+++ b/packages/consensus/src/tests/machines.test.ts
@@ -0,0 +1,24 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ComposedMachine, encodeCommand } from "../index.js";
+
+const context = { index: 1, term: 1, time: 1 };
+
+describe("ComposedMachine", () => {
+    const applied: unknown[] = [];
+    const machine = new ComposedMachine([{
+        slice: "list",
+        apply: command => applied.push(command),
+        snapshot: () => applied,
+        restore: () => undefined,
+    }]);
+
+    for (const malformed of ["", "{\"slice\":\"li"]) {
+        it(`goes on behind a command that is ${malformed === "" ? "empty" : "cut short"}`, () => {
+            machine.apply(Buffer.from(malformed), context);
+            const before = applied.length;
+            machine.apply(encodeCommand("list", "next"), context);
+            expect(applied.slice(before)).toEqual(["next"]);
+        });
+    }
+});
--- a/packages/forwarding/src/tests/forwarding.test.ts
+++ b/packages/forwarding/src/tests/forwarding.test.ts
@@ -18,7 +18,10 @@
         return started;
     }
 
-    async function entryFor(route: Parameters<typeof testRoute>[0], ...answers: ((arrival: Arrival, count: number) => void)[]) {
+    async function entryFor(
+        route: Parameters<typeof testRoute>[0],
+        ...answers: ((arrival: Arrival, count: number) => void)[]
+    ) {
         entry = new TestEntry(TestEntry.configuration([testRoute(route)]));
         await entry.start();
         const started = await Promise.all(answers.map(upstream));
@@ -90,8 +93,11 @@
                 ["a reset", ({ socket }: Arrival) => socket.resetAndDestroy()],
                 ["a closed connection", ({ socket }: Arrival) => socket.end()],
                 ["bytes that are no answer", ({ socket }: Arrival) => socket.write("garbage\r\n\r\n")],
-                ["an answer without the mark of a whole one", ({ id, socket }: Arrival) =>
-                    socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: 1\r\n\r\nx`)],
+                [
+                    "an answer without the mark of a whole one",
+                    ({ id, socket }: Arrival) =>
+                        socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: 1\r\n\r\nx`),
+                ],
                 ["another request's answer", ({ socket }: Arrival) => socket.write(wholeAnswer("other", "theirs"))],
             ] as const
         ) {
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -204,7 +204,10 @@
     }
 
     /** Sends a request and reads what comes. */
-    public call(id: string, options: { path?: string; method?: string; body?: string; headers?: object; } = {}): Promise<CallerAnswer> {
+    public call(
+        id: string,
+        options: { path?: string; method?: string; body?: string; headers?: object; } = {},
+    ): Promise<CallerAnswer> {
         return new Promise((resolve, reject) => {
             const req = this.open(id, options);
             req.on("error", reject);
--- a/packages/rpc/src/tests/rpc.test.ts
+++ b/packages/rpc/src/tests/rpc.test.ts
@@ -1,6 +1,8 @@
 import { Code, ConnectError } from "@connectrpc/connect";
 import { Timeline, TimelineService, timelineService } from "@winchpath/timeline";
 import { expect } from "earl";
+import { once } from "node:events";
+import { connect } from "node:http2";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { isEndOfSession, RpcClients, RpcServer } from "../index.js";
 
@@ -41,6 +43,26 @@
         expect(isEndOfSession(new Error("GOAWAY"))).toEqual(false);
     });
 
+    for (const [what, body] of [["nothing", ""], ["a part", "\n"]]) {
+        it(`refuses a request of whose message ${what} has arrived`, async () => {
+            clients = new RpcClients({ key, timeline: serverTimeline });
+            const session = connect(`http://127.0.0.1:${server.port}`);
+            const stream = session.request({
+                ":method": "POST",
+                ":path": "/winchpath.timeline.v1.TimelineService/ListEvents",
+                "content-type": "application/proto",
+                "connect-protocol-version": "1",
+                "authorization": `Bearer ${key}`,
+                "winchpath-length": "12",
+            });
+            stream.end(Buffer.from(body));
+            const [headers] = await once(stream, "response") as [Record<string, unknown>];
+            expect(headers[":status"]).not.toEqual(200);
+            stream.close();
+            session.close();
+        });
+    }
+
     it("carries the logical clock both ways", async () => {
         const timeline = new Timeline({ process: "client", host: "c", dataCentre: "d" });
         timeline.observe(1000n);
--- a/packages/timeline/src/timelines.ts
+++ b/packages/timeline/src/timelines.ts
@@ -1,5 +1,6 @@
 /** The events of one process, in a bounded ring, under a logical clock. */
 import { create } from "@bufbuild/protobuf";
+import { type EventLog, silentLog } from "@winchpath/core";
 import { type Event, EventSchema } from "./gen/winchpath/timeline/v1/timeline_pb.js";
 
 /** Events a process keeps; older ones are dropped and counted. */
@@ -42,6 +43,8 @@
     public constructor(
         private readonly identity: ProcessIdentity,
         private readonly capacity: number = defaultCapacity,
+        /** Where every event is told as well. */
+        private readonly log: EventLog = silentLog,
     ) {}
 
     /** Number of events that were dropped from the ring. */
@@ -51,6 +54,7 @@
 
     /** Adds an event. */
     public record(kind: string, fields: EventFields = {}): void {
+        this.log.info(kind, { ...fields });
         this.sequence += 1n;
         this.events.push(create(EventSchema, {
             clock: this.tick(),
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -49,6 +49,8 @@
 const callMs = 900;
 const handOverMs = 1500;
 const rpcGraceMs = 300;
+/** Events that are kept in memory; the log has them all. */
+const timelineEvents = 200;
 const lookMs = 1000;
 const expireMs = 1000;
 
@@ -77,7 +79,7 @@
         private readonly onFatal: (err: Error) => void,
     ) {
         const { host, dataCentre, control } = settings.current;
-        this.timeline = new Timeline({ process: `control/${host}`, host, dataCentre });
+        this.timeline = new Timeline({ process: `control/${host}`, host, dataCentre }, timelineEvents, log);
         this.clients = new RpcClients({ key: undefined, timeline: this.timeline });
         this.registry = new Registry(log);
         this.demand = new DemandBook(log);
@@ -105,6 +107,7 @@
                 maxVoters: 2 * cfg.tolerated + 1,
                 mayForm: cfg.firstStart,
             },
+            log: this.log,
             onFatal: this.onFatal,
         });
         this.rpc = await RpcServer.listen(cfg.peers, router => {
