--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -67,6 +67,8 @@
 const idleForLackingMs = 4000;
 /** And in this time to another replica of a model that has too few. */
 const idleForMoreMs = 10_000;
+/** What an unload counts in the choice of an engine: it waits for what runs, in milliseconds. */
+const unloadMs = 500;
 /** What an engine's load counts in the choice of one, in milliseconds of load time for each full engine. */
 const loadWeightMs = 4000;
 /** An adapter that was asked for in this time keeps its place, unless all places are as busy. */
@@ -123,7 +125,7 @@
                 return [];
             }
             this.taken.add(engine.id);
-            return this.makeRoom(engine, need) ?? this.load(engine, need) ?? [];
+            return this.step(engine, need) ?? [];
         });
     }
 
@@ -186,7 +188,7 @@
             .filter(({ cost }) => cost !== undefined)
             .sort((a, b) => a.cost! - b.cost!);
         for (const { engine } of candidates) {
-            const order = this.makeRoom(engine, need) ?? this.load(engine, need);
+            const order = this.step(engine, need);
             if (order !== undefined) {
                 this.taken.add(engine.id);
                 return order;
@@ -195,6 +197,11 @@
         return undefined;
     }
 
+    /** The next order on the way to hold a model; undefined where none can be given now. */
+    private step(engine: PlannedEngine, need: ModelNeed): PlannedOrder | undefined {
+        return this.fits(engine, need.model.sizeMb) ? this.load(engine, need) : this.makeRoom(engine, need);
+    }
+
     private load(engine: PlannedEngine, need: ModelNeed): PlannedOrder | undefined {
         const { name } = need.model;
         const fromStore = !engine.inMemory.has(name) && !engine.onDisk.has(name);
@@ -206,11 +213,8 @@
         return { engine: engine.id, order: { kind: "load", model: name, adapter: "" }, fromStore, reason };
     }
 
-    /** The unload that is due before the load fits; undefined where it fits. */
+    /** The unload that is due before the load fits; undefined where nothing can be given up. */
     private makeRoom(engine: PlannedEngine, need: ModelNeed): PlannedOrder | undefined {
-        if (this.fits(engine, need.model.sizeMb)) {
-            return undefined;
-        }
         const victim = this.victim(engine, need);
         if (victim === undefined) {
             return undefined;
@@ -227,7 +231,10 @@
     /** Time to load, with what the engine has to do already; undefined where it is not worth it. */
     private costOf(engine: PlannedEngine, need: ModelNeed): number | undefined {
         const cost = loadTime(engine, need.model) + this.fullnessOf(engine) * loadWeightMs;
-        return this.fits(engine, need.model.sizeMb) || this.victim(engine, need) !== undefined ? cost : undefined;
+        if (this.fits(engine, need.model.sizeMb)) {
+            return cost;
+        }
+        return this.victim(engine, need) === undefined ? undefined : cost + unloadMs;
     }
 
     /** What the engine's models ask of it, as a share of what it can do. */
--- /dev/null
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -0,0 +1,159 @@
+import { create } from "@bufbuild/protobuf";
+import { silentLog } from "@winchpath/core";
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { PollRequestSchema, type PollResponse } from "../gen/winchpath/fleet/v1/fleet_pb.js";
+import { Feed, type FeedControl, FleetView, Registry, UpstreamState } from "../index.js";
+import { announcement } from "./standins.js";
+
+class TestControl implements FeedControl {
+    public epoch: string | undefined = "1/a";
+    public ledMs = 0;
+    public leaderUrl = "http://other";
+    public controlUrls = ["http://a"];
+    public document: FeedControl["document"];
+    public barriers = 0;
+
+    public async barrier(): Promise<void> {
+        this.barriers += 1;
+    }
+}
+
+function setUp() {
+    const control = new TestControl();
+    const registry = new Registry(silentLog);
+    const feed = new Feed(registry, control, silentLog);
+    const view = new FleetView((text, version) => ({ text, version }), silentLog);
+    const entry = { epoch: "", position: 0n };
+    const poll = async (waitMs = 0): Promise<PollResponse> => {
+        const res = await feed.poll(create(PollRequestSchema, {
+            entry: "e",
+            ...entry,
+            documentVersion: BigInt(view.version),
+            waitMs,
+        }));
+        if (!res.notLeader) {
+            Object.assign(entry, { epoch: res.epoch, position: res.position });
+            view.take(res);
+        }
+        return res;
+    };
+    return { control, registry, feed, view, poll };
+}
+
+describe("the feed of a leader", () => {
+    it("gives everything at first, after a read through a majority, and then what changes", async () => {
+        const { control, registry, view, poll } = setUp();
+        registry.announce(announcement("u1", 1));
+        control.document = { version: 3, text: "three" };
+        await poll();
+        expect([control.barriers, view.version, view.upstreams().map(({ id }) => id)]).toEqual([1, 3, ["u1"]]);
+        registry.announce(announcement("u2", 1));
+        const res = await poll();
+        expect(res.changed.map(({ id }) => id)).toEqual(["u2"]);
+        expect(res.documentText).toEqual("");
+    });
+
+    it("answers a poll that waits as soon as something changes", async () => {
+        const { registry, feed, view, poll } = setUp();
+        await poll();
+        const waiting = poll(60_000);
+        registry.announce(announcement("u1", 1));
+        feed.wake();
+        await waiting;
+        expect(view.upstreams().length).toEqual(1);
+    });
+
+    it("tells that an upstream drains only once entries have confirmed it", async () => {
+        const { registry, feed, view, poll } = setUp();
+        registry.announce(announcement("u1", 1));
+        await poll();
+        const position = registry.announce(announcement("u1", 2, { state: UpstreamState.DRAINING }));
+        let spread = false;
+        const spreading = feed.spread(position, 60_000).then(() => {
+            spread = true;
+        });
+        await poll();
+        expect([view.get("u1")!.state, spread]).toEqual([UpstreamState.DRAINING, false]);
+        await poll();
+        await spreading;
+        expect(spread).toEqual(true);
+    });
+
+    it("names another leader where this one leads no more", async () => {
+        const { control, poll } = setUp();
+        control.epoch = undefined;
+        const res = await poll();
+        expect([res.notLeader, res.leaderUrl]).toEqual([true, "http://other"]);
+    });
+});
+
+describe("the view of an entry", () => {
+    it("never goes back to an older document", async () => {
+        const { control, view, poll } = setUp();
+        control.document = { version: 5, text: "five" };
+        await poll();
+        control.epoch = "2/b";
+        control.document = { version: 4, text: "four" };
+        await poll();
+        expect(view.version).toEqual(5);
+    });
+
+    it("keeps an upstream draining whatever a new leader has heard", async () => {
+        const { control, registry, view, poll } = setUp();
+        registry.announce(announcement("u1", 1, { state: UpstreamState.DRAINING }));
+        await poll();
+        control.epoch = "2/b";
+        registry.clear();
+        registry.announce(announcement("u1", 2));
+        await poll();
+        expect(view.get("u1")!.state).toEqual(UpstreamState.DRAINING);
+    });
+
+    it("keeps what an earlier leader knew until the new one has had time to hear of all", async () => {
+        const { control, registry, view, poll } = setUp();
+        registry.announce(announcement("u1", 1));
+        await poll();
+        control.epoch = "2/b";
+        registry.clear();
+        await poll();
+        expect(view.upstreams().length).toEqual(1);
+        control.ledMs = 10_000;
+        await poll();
+        expect(view.upstreams().length).toEqual(0);
+    });
+});
+
+describe("the registry", () => {
+    it("passes over announcements that come late", () => {
+        const registry = new Registry(silentLog);
+        registry.announce(announcement("u1", 5, { state: UpstreamState.DRAINING }));
+        registry.announce(announcement("u1", 4));
+        expect(registry.get("u1")!.upstream.state).toEqual(UpstreamState.DRAINING);
+        registry.leave("u1");
+        registry.announce(announcement("u1", 6));
+        expect(registry.get("u1")).toEqual(undefined);
+    });
+
+    it("gives an address to the upstream that announced it last", () => {
+        const registry = new Registry(silentLog);
+        registry.announce(announcement("u1", 1, { address: "10.0.0.1:1" }));
+        registry.announce(announcement("u2", 1, { address: "10.0.0.1:1", service: "other" }));
+        expect(registry.all().map(({ upstream }) => upstream.id)).toEqual(["u2"]);
+    });
+
+    it("takes what an engine holds from orders, once there were any, and not from announcements", () => {
+        const registry = new Registry(silentLog);
+        registry.announce(announcement("u1", 1));
+        registry.setModels("u1", []);
+        const models = [{
+            $typeName: "winchpath.fleet.v1.HeldModel" as const,
+            name: "m",
+            version: 0n,
+            adapters: [],
+            leaving: false,
+        }];
+        registry.announce(announcement("u1", 2, { models }));
+        expect(registry.get("u1")!.upstream.models.length).toEqual(0);
+    });
+});
--- /dev/null
+++ b/packages/fleet/src/tests/standins.ts
@@ -0,0 +1,155 @@
+/** Engines, upstreams and demand for the tests of this slice. */
+import { create } from "@bufbuild/protobuf";
+import { silentLog } from "@winchpath/core";
+import { type EngineSpec } from "@winchpath/declarations";
+import {
+    type Announcement,
+    AnnouncementSchema,
+    type EngineCalls,
+    type EngineOrder,
+    type EngineReport,
+    type Fence,
+    HeldModelSchema,
+    type ItemNeed,
+    OrderReply,
+    type PlannedEngine,
+    type PlannedModel,
+    Registry,
+    type Upstream,
+    UpstreamState,
+} from "../index.js";
+
+export const spec: EngineSpec = {
+    slots: 8,
+    cacheTokens: 10_000,
+    memoryMb: 300,
+    adapterPlaces: 2,
+    storeLoadsPerSecond: 1,
+    models: ["m1", "m2", "m3", "m4"].map(name => ({
+        name,
+        sizeMb: 100,
+        loadMs: 9000,
+        memoryLoadMs: 500,
+        diskLoadMs: 2000,
+        adapters: 4,
+        adapterMb: 1,
+    })),
+};
+
+export function announcement(id: string, sequence: number, values: Partial<Upstream> = {}): Announcement {
+    const upstream = {
+        id,
+        service: "s",
+        address: `10.0.0.1:${id.length}${id.charCodeAt(0)}`,
+        dataCentre: "d",
+        slots: 8,
+        state: UpstreamState.READY,
+        ...values as object,
+    };
+    return create(AnnouncementSchema, { upstream, sequence: BigInt(sequence) });
+}
+
+export function registryWith(...announcements: Announcement[]): Registry {
+    const registry = new Registry(silentLog);
+    announcements.forEach(one => registry.announce(one));
+    return registry;
+}
+
+export function need(model: string, values: Partial<ItemNeed> = {}, adapter = ""): ItemNeed {
+    return {
+        key: { service: "s", model, adapter },
+        rate: 1,
+        work: 1000,
+        running: 0,
+        lacking: 0,
+        idleMs: 0,
+        ...values,
+    };
+}
+
+export function engine(id: string, models: readonly string[], values: Partial<PlannedEngine> = {}): PlannedEngine {
+    const held: PlannedModel = { ready: true, leaving: false, adapters: new Map() };
+    return {
+        id,
+        service: "s",
+        dataCentre: "d",
+        models: new Map(models.map(model => [model, held])),
+        coming: undefined,
+        takesModels: true,
+        freeTransits: 4,
+        inMemory: new Set(),
+        onDisk: new Set(),
+        ...values,
+    };
+}
+
+/** What a test wants an engine to answer to one order. */
+export type Script = (order: EngineOrder, expected: number) => OrderReply;
+
+/**
+ * An engine that counts its orders and holds what it was told, and crashes
+ * where it is ordered to hold more than it has room for.
+ */
+export class ScriptedEngine implements EngineCalls {
+    public readonly models = new Map<string, Set<string>>();
+    public readonly orders: { readonly order: EngineOrder; readonly expected: number; readonly fence: Fence; }[] = [];
+    public accepted = 0;
+    public busy = false;
+    public crashed = false;
+    /** Answers in place of the engine's own, while there are any. */
+    public readonly scripts: Script[] = [];
+
+    public async order(_upstream: Upstream, order: EngineOrder, expected: number, fence: Fence): Promise<OrderReply> {
+        this.orders.push({ order, expected, fence });
+        return this.scripts.shift()?.(order, expected) ?? this.carryOut(order, expected);
+    }
+
+    public async report(): Promise<EngineReport | undefined> {
+        const models = [...this.models].map(([name, adapters]) =>
+            create(HeldModelSchema, { name, adapters: [...adapters] })
+        );
+        return { orders: this.accepted, busy: this.busy, models };
+    }
+
+    /** Does what an order says at once. */
+    public carryOut(order: EngineOrder, expected: number): OrderReply {
+        if (this.busy || expected !== this.accepted) {
+            return OrderReply.conflict;
+        }
+        const adapters = this.models.get(order.model);
+        if (order.adapter === "") {
+            if (order.kind === "load" ? adapters !== undefined : adapters === undefined) {
+                return OrderReply.holds;
+            }
+            this.accepted += 1;
+            if (order.kind === "load") {
+                this.models.set(order.model, new Set());
+            }
+            else {
+                this.models.delete(order.model);
+            }
+        }
+        else {
+            if (adapters === undefined) {
+                return OrderReply.refused;
+            }
+            if (order.kind === "load" && adapters.has(order.adapter)) {
+                return OrderReply.holds;
+            }
+            this.accepted += 1;
+            if (order.kind === "unload") {
+                adapters.delete(order.adapter);
+                return OrderReply.holds;
+            }
+            adapters.add(order.adapter);
+        }
+        this.checkRoom();
+        return OrderReply.accepted;
+    }
+
+    private checkRoom(): void {
+        const adapters = [...this.models.values()].reduce((sum, held) => sum + held.size, 0);
+        const usedMb = this.models.size * 100 + adapters;
+        this.crashed ||= usedMb > spec.memoryMb || adapters > spec.adapterPlaces;
+    }
+}
--- /dev/null
+++ b/packages/testing/src/deployments/platforms.ts
@@ -0,0 +1,147 @@
+/** The real programs under the platform's settings: control hosts and an entry, each with an address of its own. */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { callPlatform, type PlatformAnswer } from "../standins/workers.js";
+import { freePorts, ownAddress } from "./ports.js";
+import { Process } from "./processes.js";
+
+const controlHosts = 3;
+const retryMs = 50;
+const startTimeoutMs = 30_000;
+
+interface PlatformHost {
+    readonly name: string;
+    readonly ip: string;
+    process: Process;
+}
+
+export class PlatformDeployment {
+    public readonly controls: PlatformHost[] = [];
+    public entry!: PlatformHost;
+    private ports!: {
+        readonly front: number;
+        readonly ready: number;
+        readonly control: number;
+        readonly peers: number;
+    };
+
+    private constructor(private readonly folder: string) {}
+
+    public static async start(): Promise<PlatformDeployment> {
+        const deployment = new PlatformDeployment(await mkdtemp(join(tmpdir(), "winchpath-platform-")));
+        const ips = Array.from({ length: controlHosts + 1 }, () => ownAddress());
+        const [front, ready, control, peers] = await freePorts(ips[0], 4);
+        deployment.ports = { front, ready, control, peers };
+        const seeds = ips.slice(0, controlHosts);
+        for (const [index, ip] of seeds.entries()) {
+            deployment.controls.push(await deployment.startHost("control", `core-${index}`, ip, seeds));
+        }
+        deployment.entry = await deployment.startHost("entry", "front-0", ips[controlHosts], seeds);
+        return deployment;
+    }
+
+    /** Addresses where operators and workers call. */
+    public get control(): string[] {
+        return this.controls.map(({ ip }) => `${ip}:${this.ports.control}`);
+    }
+
+    /** Sends a document until a host has acknowledged it. */
+    public async configure(document: object): Promise<void> {
+        await this.eventually("an acknowledged configuration", async () => {
+            for (const address of this.control) {
+                const answer = await this.tryCall(address, "POST", "/config/put", document);
+                if (answer?.status === 200) {
+                    return true;
+                }
+            }
+            return undefined;
+        });
+    }
+
+    public async call(
+        method: string,
+        path: string,
+        headers: Record<string, string>,
+    ): Promise<PlatformAnswer> {
+        return callPlatform(`${this.entry.ip}:${this.ports.front}`, method, path, { headers });
+    }
+
+    public async isReady(): Promise<boolean> {
+        const answer = await this.tryCall(`${this.entry.ip}:${this.ports.ready}`, "GET", "/readiness");
+        return answer?.status === 200;
+    }
+
+    /** Asks again until there is something. */
+    public async eventually<T>(what: string, find: () => Promise<T | undefined>): Promise<T> {
+        const deadline = Date.now() + startTimeoutMs;
+        while (Date.now() < deadline) {
+            const found = await find();
+            if (found !== undefined) {
+                return found;
+            }
+            await new Promise(resolve => setTimeout(resolve, retryMs));
+        }
+        throw new Error(`no ${what} within ${startTimeoutMs} ms`);
+    }
+
+    public async tryCall(
+        address: string,
+        method: string,
+        path: string,
+        body?: object,
+    ): Promise<PlatformAnswer | undefined> {
+        return callPlatform(address, method, path, { body }).catch(() => undefined);
+    }
+
+    /** Starts an entry with a settings file of such a text, and waits for its end. */
+    public async startWithSettings(text: string): Promise<{ code: number | undefined; output: string; }> {
+        const file = join(this.folder, "unusable.yaml");
+        await writeFile(file, text);
+        const started = Process.platform("entry", file, "unusable");
+        const code = await started.ended();
+        return { code, output: started.output };
+    }
+
+    public async stop(): Promise<void> {
+        await Promise.all([...this.controls, this.entry].map(host => host.process.kill()));
+        await rm(this.folder, { recursive: true, force: true });
+    }
+
+    private async startHost(
+        role: "entry" | "control",
+        name: string,
+        ip: string,
+        seeds: readonly string[],
+    ): Promise<PlatformHost> {
+        const { front, ready, control, peers } = this.ports;
+        const listen = role === "entry"
+            ? { front: `${ip}:${front}`, ready: `${ip}:${ready}` }
+            : { control: `${ip}:${control}` };
+        const file = join(this.folder, `${name}.yaml`);
+        // JSON is YAML.
+        await writeFile(
+            file,
+            JSON.stringify({
+                "node-name": name,
+                ip,
+                zone: "plateau",
+                listen,
+                "internal-ports": [peers, peers],
+                seeds: seeds.map(seed => `${seed}:${control}`),
+                bootstrap: true,
+                ...(role === "control" ? { "data-dir": join(this.folder, name) } : {}),
+                "heartbeat-ms": 1200,
+                "fault-tolerance": { machines: 1 },
+                bounds: {
+                    "grace-s": 8,
+                    "lease-ms": 0,
+                    "retry-budget-ratio": 0.2,
+                    "budget-window-s": 10,
+                    "retry-budget-slack": 52,
+                },
+            }),
+        );
+        return { name, ip, process: Process.platform(role, file, name) };
+    }
+}
--- a/packages/testing/src/deployments/processes.ts
+++ b/packages/testing/src/deployments/processes.ts
@@ -38,6 +38,12 @@
         return new Process(spawn(process.execPath, [daemon, "--settings", settings], options), name);
     }
 
+    /** A process on the users' platform, whose settings file is named by a variable. */
+    public static platform(role: string, settings: string, name: string): Process {
+        const env = { ...process.env, WINCHPATH_SETTINGS: settings };
+        return new Process(spawn(process.execPath, [daemon, "--platform", role], { ...options, env }), name);
+    }
+
     public static standIn(kind: string, address: string, port: number, settings: object): Process {
         const args = [standIn, kind, address, String(port), JSON.stringify(settings)];
         return new Process(spawn(process.execPath, args, options), `${kind}:${port}`);
@@ -67,6 +73,15 @@
         return this.end("SIGTERM");
     }
 
+    /** Waits until it ends by itself; gives the exit code. */
+    public async ended(): Promise<number | undefined> {
+        this.ending = true;
+        if (this.running) {
+            await once(this.child, "close");
+        }
+        return this.child.exitCode ?? undefined;
+    }
+
     public async kill(): Promise<void> {
         await this.end("SIGKILL");
     }
--- /dev/null
+++ b/packages/testing/src/standins/workers.ts
@@ -0,0 +1,173 @@
+/** A worker of the users' platform: it announces itself, holds models as ordered, and answers requests. */
+import { once } from "node:events";
+import { createServer, type IncomingMessage, request, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo } from "node:net";
+
+/** How often a worker announces itself, in milliseconds. */
+const announceMs = 200;
+
+/** A call and its answer, read whole. */
+export interface PlatformAnswer {
+    readonly status: number;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+}
+
+/** Calls an address of the platform. */
+export function callPlatform(
+    address: string,
+    method: string,
+    path: string,
+    options: { readonly headers?: Record<string, string>; readonly body?: unknown; } = {},
+): Promise<PlatformAnswer> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve, reject) => {
+        const req = request({ host, port, method, path, headers: options.headers, agent: false }, res => {
+            const chunks: Buffer[] = [];
+            res.on("data", chunk => chunks.push(chunk as Buffer));
+            res.on("error", reject);
+            res.on(
+                "end",
+                () =>
+                    resolve({ status: res.statusCode!, headers: res.headers, body: Buffer.concat(chunks).toString() }),
+            );
+        });
+        req.on("error", reject);
+        req.end(options.body === undefined ? undefined : JSON.stringify(options.body));
+    });
+}
+
+export interface WorkerOptions {
+    readonly id: string;
+    readonly service: string;
+    /** Where it announces itself at first. */
+    readonly control: readonly string[];
+    /** Models that it holds at its start; none of a plain service. */
+    readonly models: readonly string[];
+}
+
+export class PlatformWorker {
+    /** Ids of the requests that it has run, in order. */
+    public readonly ran: string[] = [];
+    public readonly orders: Record<string, unknown>[] = [];
+    public state: "ready" | "draining" = "ready";
+    private readonly models: Map<string, Set<string>>;
+    private readonly server: Server = createServer((req, res) => void this.take(req, res));
+    private accepted = 0;
+    private sequence = 0;
+    private ended = false;
+
+    public constructor(private readonly options: WorkerOptions) {
+        this.models = new Map(options.models.map(name => [name, new Set<string>()]));
+    }
+
+    public async start(): Promise<void> {
+        this.server.listen(0, "127.0.0.1");
+        await once(this.server, "listening");
+        void this.announceOften();
+    }
+
+    public stop(): void {
+        this.ended = true;
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+
+    /** Tells its state; gives whether any control host has acknowledged it. */
+    public async announce(): Promise<boolean> {
+        const { id, service, control } = this.options;
+        this.sequence += 1;
+        const body = {
+            service,
+            address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`,
+            zone: "plateau",
+            version: "v1",
+            slots: 8,
+            state: this.state,
+            "cold-remaining-ms": 0,
+            sequence: this.sequence,
+            models: this.heldModels(),
+        };
+        for (const address of control) {
+            const answer = await callPlatform(address, "POST", `/instances/${id}/heartbeat`, { body })
+                .catch(() => undefined);
+            if (answer?.status === 200) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private async announceOften(): Promise<void> {
+        while (!this.ended) {
+            await this.announce();
+            await new Promise(resolve => setTimeout(resolve, announceMs));
+        }
+    }
+
+    private heldModels() {
+        return [...this.models].map(([name, adapters]) => ({ name, version: 1, adapters: [...adapters] }));
+    }
+
+    private async take(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of req) {
+            chunks.push(chunk as Buffer);
+        }
+        if (req.url === "/report") {
+            res.end(JSON.stringify({ sequence: this.accepted, busy: false, models: this.heldModels() }));
+        }
+        else if (req.url === "/order") {
+            this.takeOrder(JSON.parse(Buffer.concat(chunks).toString()) as Record<string, unknown>, res);
+        }
+        else {
+            this.run(req, res);
+        }
+    }
+
+    private takeOrder(order: Record<string, unknown>, res: ServerResponse): void {
+        this.orders.push(order);
+        const model = String(order.model);
+        const adapter = order.adapter === undefined ? undefined : String(order.adapter);
+        const held = this.models.get(model);
+        const holds = adapter === undefined ? held !== undefined : held?.has(adapter) === true;
+        if (holds === (order.operation === "load")) {
+            res.writeHead(200).end();
+            return;
+        }
+        if (order.expected !== this.accepted) {
+            res.writeHead(409).end();
+            return;
+        }
+        this.accepted += 1;
+        if (adapter !== undefined) {
+            held?.add(adapter);
+        }
+        else if (order.operation === "load") {
+            this.models.set(model, new Set());
+        }
+        else {
+            this.models.delete(model);
+        }
+        res.writeHead(202).end();
+    }
+
+    private run(req: IncomingMessage, res: ServerResponse): void {
+        const id = String(req.headers["request-id"]);
+        const [model, adapter] = String(req.headers.model ?? "").split("/");
+        const holds = model === ""
+            || (this.models.has(model) && (adapter === undefined || this.models.get(model)!.has(adapter)));
+        if (req.headers["target-instance"] !== this.options.id || !holds) {
+            res.writeHead(421, { "Request-Id": id }).end();
+            return;
+        }
+        this.ran.push(id);
+        const headers = { "Request-Id": id, "Response-Seal": `sealed-by-${this.options.id}` };
+        if (model === "") {
+            res.writeHead(200, headers).end(`answer to ${id}`);
+            return;
+        }
+        res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+        res.end("id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+    }
+}
--- /dev/null
+++ b/packages/testing/src/tests/platform.test.ts
@@ -0,0 +1,139 @@
+import { expect } from "earl";
+import { afterEach, describe, it } from "node:test";
+import { PlatformDeployment, PlatformWorker } from "../index.js";
+
+const limits = {
+    "max-header-bytes": 16384,
+    "max-body-bytes": 65536,
+    "header-timeout-ms": 3000,
+    "idle-timeout-ms": 15000,
+};
+
+function documentOf(version: number, prefix = "/book/"): object {
+    const route = { hostname: "h.example", "timeout-ms": 5000, "target-latency-ms": 3000, "max-attempts": 1 };
+    return {
+        version,
+        routes: [
+            { ...route, name: "book", "path-prefix": prefix, type: "unsafe", service: "plain" },
+            { ...route, name: "plan", "path-prefix": "/plan/", type: "streaming", service: "engines" },
+        ],
+        services: [{ name: "plain", "max-conns": 16 }, {
+            "name": "engines",
+            "max-conns": 16,
+            "engine": {
+                "slots": 8,
+                "kv-cache-tokens": 100000,
+                "weights-mb": 100,
+                "adapter-slots": 2,
+                "loads-per-s": 5,
+                "models": ["m1", "m2"].map(name => ({
+                    name,
+                    "weights-mb": 60,
+                    "load-s": 0.1,
+                    "disk-load-s": 0.1,
+                    "adapters": 2,
+                    "adapter-mb": 1,
+                })),
+            },
+        }],
+        limits,
+    };
+}
+
+describe("the programs on the users' platform", () => {
+    let deployment: PlatformDeployment;
+    const workers: PlatformWorker[] = [];
+    afterEach(async () => {
+        workers.splice(0).forEach(worker => worker.stop());
+        await deployment.stop();
+    });
+
+    async function start(): Promise<void> {
+        deployment = await PlatformDeployment.start();
+        await deployment.configure(documentOf(3));
+        for (const [id, service, models] of [["i-1", "plain", []], ["i-2", "engines", ["m1"]]] as const) {
+            const worker = new PlatformWorker({ id, service, control: deployment.control, models });
+            workers.push(worker);
+            await worker.start();
+        }
+        await deployment.eventually("ready entry", async () => await deployment.isReady() || undefined);
+    }
+
+    let calls = 0;
+    async function served(path: string, model?: string) {
+        return deployment.eventually(`answer to ${path} ${model ?? ""}`, async () => {
+            calls += 1;
+            const answer = await deployment.call("GET", path, {
+                "Host": "h.example",
+                "Request-Id": `q${calls}`,
+                "Request-Deadline": "5000",
+                ...(model === undefined ? {} : { Model: model, "Token-Counts": "100,10" }),
+            });
+            return answer.status === 200 ? answer : undefined;
+        });
+    }
+
+    it("take a configuration, learn workers, and serve each kind of request to the letter", async () => {
+        await start();
+        const plain = await served("/book/x?y=1");
+        expect([plain.body, plain.headers["response-seal"]]).toEqual([`answer to q${calls}`, "sealed-by-i-1"]);
+        const stream = await served("/plan/x", "m1");
+        expect(stream.body).toEqual("id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+    });
+
+    it("load a model and an adapter that nobody holds, by orders with a fencing token", async () => {
+        await start();
+        await served("/plan/x", "m1/a1");
+        await served("/plan/x", "m2");
+        const [, engine] = workers;
+        const first = engine.orders[0];
+        expect([first.operation, first.model, first.adapter]).toEqual(["load", "m1", "a1"]);
+        expect(Number(first["fence-token"])).toBeGreaterThan(0);
+        expect(new Set(engine.orders.map(order => order.holder)).size).toEqual(1);
+    });
+
+    it("put a new version in force, keep it from an older one, and refuse an invalid one", async () => {
+        await start();
+        await served("/book/x");
+        await deployment.configure(documentOf(9, "/moved/"));
+        await served("/moved/x");
+        await deployment.configure(documentOf(4));
+        const [address] = deployment.control;
+        const read = await deployment.eventually("a read", async () => {
+            const answer = await deployment.tryCall(address, "GET", "/config/get");
+            return answer?.status === 200 ? answer : undefined;
+        });
+        expect(JSON.parse(read.body)).toEqual(documentOf(9, "/moved/"));
+        const invalid = await deployment.tryCall(address, "POST", "/config/put", { ...documentOf(10), services: [] });
+        expect(invalid?.status).toEqual(400);
+    });
+
+    it("send nothing more to a worker once it was told that it drains", async () => {
+        await start();
+        await served("/book/x");
+        const [draining] = workers;
+        draining.state = "draining";
+        await deployment.eventually("acknowledged drain", async () => await draining.announce() || undefined);
+        const before = draining.ran.length;
+        const answer = await deployment.call("GET", "/book/x", { Host: "h.example", "Request-Id": "late" });
+        expect([answer.status, draining.ran.length]).toEqual([503, before]);
+    });
+
+    it("end with code 2 and a clear line where the settings can't be used", async () => {
+        await start();
+        const { code, output } = await deployment.startWithSettings("ip: nowhere");
+        expect(code).toEqual(2);
+        expect(output).toInclude("process.failed");
+    });
+
+    it("stop within their grace, and are not ready at once", async () => {
+        await start();
+        const stopping = deployment.entry.process.stop();
+        await deployment.eventually(
+            "an entry that is not ready",
+            async () => await deployment.isReady() ? undefined : true,
+        );
+        await served("/book/x");
+        expect(await stopping).toEqual(0);
+    });
+});
