--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -101,7 +101,7 @@
     /** Loads of adapters that somebody asks for and no ready engine holds, or too few do. */
     public adapterOrders(): PlannedOrder[] {
         const wanted = this.input.needs
-            .filter(need => need.key.adapter !== "" && need.rate + need.lacking + need.running > 0)
+            .filter(need => need.key.adapter !== "" && (need.lacking > 0 || need.idleMs < adapterIdleMs))
             .sort((a, b) => b.lacking - a.lacking || b.rate - a.rate);
         return wanted.flatMap(need => this.adapterOrder(need) ?? []);
     }
--- a/packages/fleet/src/tests/plans.test.ts
+++ b/packages/fleet/src/tests/plans.test.ts
@@ -99,6 +99,11 @@
             expect(plan({ engines, needs })).toEqual(["e1: unload m1/a3"]);
         });
 
+        it("is not loaded again for what was asked long ago", () => {
+            const engines = [engine("e1", [], holding(["a2", "a3"]))];
+            expect(plan({ engines, needs: [need("m1", { rate: 0.001, work: 1, idleMs: 5000 }, "a1")] })).toEqual([]);
+        });
+
         it("takes no place of one that is in use", () => {
             const engines = [engine("e1", [], holding(["a2", "a3"]))];
             expect(plan({ engines, needs: [wanted, need("m1", {}, "a2"), need("m1", { running: 1 }, "a3")] }))
--- a/packages/forwarding/src/doors.ts
+++ b/packages/forwarding/src/doors.ts
@@ -22,6 +22,8 @@
 const unconfiguredRetryMs = 500;
 /** A final answer takes this long on its way, in milliseconds: callers are a few milliseconds away. */
 const answerTripMs = 20;
+/** When to come back, to another entry, from one that stops. */
+const stoppingRetryMs = 50;
 /** How often a stopping listener closes connections that have become idle, in milliseconds. */
 const idleCheckMs = 50;
 
@@ -41,6 +43,7 @@
     }, (req, res) => void this.take(req, res));
     private table: RouteTable | undefined;
     private requests = 0;
+    private closing = false;
 
     public constructor(private readonly parts: DoorParts) {}
 
@@ -73,6 +76,7 @@
     /** Takes no new connections, and returns once what runs has ended or the time has passed. */
     public async close(graceMs: number): Promise<void> {
         const deadline = steadyNow() + graceMs;
+        this.closing = true;
         this.server.close();
         while (this.requests > 0 && steadyNow() < deadline) {
             this.server.closeIdleConnections();
@@ -89,6 +93,8 @@
         const startedAt = steadyNow();
         const gone = new AbortController();
         res.once("close", () => gone.abort());
+        // An answer that began before the stop has promised to keep its connection: it is not kept all the same.
+        res.once("finish", () => this.parts.stopping() && req.socket.end());
         res.sendDate = false;
         this.requests += 1;
         try {
@@ -119,6 +125,10 @@
             this.refuse(req, res, facts.id, answer, retryAfterMs);
             return undefined;
         };
+        if (this.closing) {
+            // There may not be time for it; another entry has that.
+            return refuse(OwnAnswer.stopping, stoppingRetryMs);
+        }
         if (table === undefined) {
             return refuse(OwnAnswer.unconfigured, unconfiguredRetryMs);
         }
--- a/packages/forwarding/src/tests/forwarding.test.ts
+++ b/packages/forwarding/src/tests/forwarding.test.ts
@@ -1,5 +1,7 @@
+import { Deferred } from "@winchpath/core";
 import { expect } from "earl";
 import { once } from "node:events";
+import { Agent } from "node:http";
 import { afterEach, describe, it } from "node:test";
 import { type Arrival, RawUpstream, TestEntry, testRoute, wholeAnswer } from "./standins.js";
 
@@ -235,6 +237,21 @@
         await closed;
     });
 
+    it("takes nothing new on kept connections once it closes, and lets what runs end", async () => {
+        const arrived = new Deferred<Arrival>();
+        const [only] = await entryFor({ kind: "unsafe" }, arrival => arrived.resolve(arrival));
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        const slow = entry.call("q1", { method: "POST", body: "x", agent });
+        const { id, socket } = await arrived.promise;
+        entry.stopping = true;
+        const closed = entry.door.close(5000);
+        socket.write(wholeAnswer(id, "slow"));
+        expect((await slow).body).toEqual("slow");
+        await closed;
+        expect(only.arrivals.length).toEqual(1);
+        agent.destroy();
+    });
+
     it("tells callers to close their connections while it stops", async () => {
         await entryFor({}, good);
         entry.stopping = true;
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -4,7 +4,7 @@
 import { type Configuration, type EngineSpec, type Route } from "@winchpath/declarations";
 import { DemandMeter, FleetView, type Upstream, UpstreamSchema, UpstreamState } from "@winchpath/fleet";
 import { once } from "node:events";
-import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import { CallerDoor, Forwarder, headerOf, type RequestCodec, withoutConnectionHeaders } from "../index.js";
 
@@ -206,7 +206,7 @@
     /** Sends a request and reads what comes. */
     public call(
         id: string,
-        options: { path?: string; method?: string; body?: string; headers?: object; } = {},
+        options: { path?: string; method?: string; body?: string; headers?: object; agent?: Agent; } = {},
     ): Promise<CallerAnswer> {
         return new Promise((resolve, reject) => {
             const req = this.open(id, options);
@@ -228,11 +228,14 @@
     }
 
     /** Opens a request without ending it. */
-    public open(id: string, options: { path?: string; method?: string; headers?: object; } = {}): ClientRequest {
+    public open(
+        id: string,
+        options: { path?: string; method?: string; headers?: object; agent?: Agent; } = {},
+    ): ClientRequest {
         return request({
             host: "127.0.0.1",
             port: this.door.port,
-            agent: false,
+            agent: options.agent ?? false,
             path: options.path ?? "/a/b?c=%41",
             method: options.method ?? "GET",
             headers: { Host: "h.example", "X-Id": id, ...options.headers },
