Let requests wait, or come back, by when a load is expected

The feed tells of loads under way and how long they still take: an entry holds a request whose model comes in time, sends one back that can be in time at its second try, and holds late rather than refuse twice. Loads avoid engines whose adapters are asked for, since those take no orders meanwhile.

--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -34,7 +34,7 @@
 
 export class OrderLine {
     /** Models, with those that are being loaded; undefined until the engine was read. */
-    private readonly loading = new Map<string, number>();
+    private readonly loading = new Set<string>();
     private readonly transits = new Set<string>();
     private expected: number | undefined;
     private occupied = false;
@@ -56,7 +56,7 @@
     }
 
     public get loadingModels(): readonly string[] {
-        return [...this.loading.keys()];
+        return [...this.loading];
     }
 
     /** Adapters under way, "model/adapter". */
@@ -179,7 +179,9 @@
     private async followModel(order: EngineOrder, expectedMs: number): Promise<void> {
         const deadline = steadyNow() + expectedMs * modelPatience + modelPatience * 1000;
         if (order.kind === "load") {
-            this.loading.set(order.model, steadyNow());
+            this.loading.add(order.model);
+            // Entries learn when to expect it, and hold or send back requests accordingly.
+            this.change(models => models.push(heldModel(order.model, expectedMs + modelCheckMs)));
         }
         await sleep(expectedMs);
         while (steadyNow() < deadline && this.upstream !== undefined) {
@@ -196,6 +198,7 @@
             }
         }
         this.loading.delete(order.model);
+        this.change(models => remove(models, order.model, held => held.readyInMs > 0));
         this.expected = undefined;
     }
 
@@ -288,17 +291,19 @@
 }
 
 function applyOrder(models: HeldModel[], order: EngineOrder): void {
-    const index = models.findIndex(model => model.name === order.model);
+    const held = models.find(model => model.name === order.model);
     if (order.adapter === "") {
-        if (order.kind === "load" && index === -1) {
-            models.push(heldModel(order.model));
+        if (order.kind === "unload") {
+            remove(models, order.model, () => true);
         }
-        if (order.kind === "unload" && index !== -1) {
-            models.splice(index, 1);
+        else if (held === undefined) {
+            models.push(heldModel(order.model, 0));
+        }
+        else {
+            held.readyInMs = 0;
         }
         return;
     }
-    const held = models[index];
     if (held !== undefined) {
         held.adapters = held.adapters.filter(adapter => adapter !== order.adapter);
         if (order.kind === "load") {
@@ -306,3 +311,10 @@
         }
     }
 }
+
+function remove(models: HeldModel[], name: string, condition: (held: HeldModel) => boolean): void {
+    const index = models.findIndex(model => model.name === name && condition(model));
+    if (index !== -1) {
+        models.splice(index, 1);
+    }
+}
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -205,7 +205,7 @@
             underWay.filter(name => name.startsWith(`${held.name}/`)).forEach(name =>
                 adapters.set(name.slice(held.name.length + 1), false)
             );
-            models.set(held.name, { ready: true, leaving: held.leaving, adapters });
+            models.set(held.name, { ready: held.readyInMs === 0, leaving: held.leaving, adapters });
         }
         for (const name of line?.loadingModels ?? []) {
             if (!models.has(name)) {
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -230,13 +230,25 @@
 
     /** Time to load, with what the engine has to do already; undefined where it is not worth it. */
     private costOf(engine: PlannedEngine, need: ModelNeed): number | undefined {
-        const cost = loadTime(engine, need.model) + this.fullnessOf(engine) * loadWeightMs;
+        const loadMs = loadTime(engine, need.model);
+        const cost = loadMs + this.fullnessOf(engine) * loadWeightMs + this.adapterRateOf(engine) * loadMs;
         if (this.fits(engine, need.model.sizeMb)) {
             return cost;
         }
         return this.victim(engine, need) === undefined ? undefined : cost + unloadMs;
     }
 
+    /**
+     * Requests a second for adapters of models that only this engine holds: it
+     * takes no orders for them while it loads a model.
+     */
+    private adapterRateOf(engine: PlannedEngine): number {
+        const only = [...engine.models.keys()].filter(name => this.readyHolders(name) === 1);
+        return this.input.needs
+            .filter(({ key }) => key.adapter !== "" && only.includes(key.model))
+            .reduce((sum, { rate }) => sum + rate, 0);
+    }
+
     /** What the engine's models ask of it, as a share of what it can do. */
     private fullnessOf(engine: PlannedEngine): number {
         const work = [...engine.models.keys()].map(name => this.needs.get(name)).reduce(
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -220,7 +220,7 @@
     };
 }
 
-/** A model as it is held right after it was loaded. */
-export function heldModel(name: string, version = 0n): HeldModel {
-    return create(HeldModelSchema, { name, version });
+/** A model without adapters that is ready in so many milliseconds. */
+export function heldModel(name: string, readyInMs: number): HeldModel {
+    return create(HeldModelSchema, { name, readyInMs: Math.round(readyInMs) });
 }
--- a/packages/fleet/src/tests/feeds.test.ts
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -152,6 +152,7 @@
             version: 0n,
             adapters: [],
             leaving: false,
+            readyInMs: 0,
         }];
         registry.announce(announcement("u1", 2, { models }));
         expect(registry.get("u1")!.upstream.models.length).toEqual(0);
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -8,7 +8,7 @@
 export class FleetView<C> {
     /** Notified after each change. */
     public readonly changed = new Notifier();
-    private readonly known = new Map<string, { upstream: Upstream; epoch: string; }>();
+    private readonly known = new Map<string, { upstream: Upstream; epoch: string; at: number; }>();
     private held: { readonly version: number; readonly configuration: C; } | undefined;
     private liveEntries = 1;
     private heardAt = Number.NEGATIVE_INFINITY;
@@ -42,6 +42,19 @@
         return this.known.get(id)?.upstream;
     }
 
+    /** Milliseconds until a model that is being loaded can be expected anywhere; undefined where none is. */
+    public readyInMs(service: string, model: string): number | undefined {
+        const now = steadyNow();
+        const waits = [...this.known.values()]
+            .filter(({ upstream }) => upstream.service === service && upstream.state === UpstreamState.READY)
+            .flatMap(({ upstream, at }) =>
+                upstream.models
+                    .filter(held => held.name === model && held.readyInMs > 0)
+                    .map(held => Math.max(0, at + held.readyInMs - now))
+            );
+        return waits.length === 0 ? undefined : Math.min(...waits);
+    }
+
     /** Takes in an answer of the leader. */
     public take(res: PollResponse): void {
         this.heardAt = steadyNow();
@@ -71,7 +84,7 @@
                 epoch,
             });
         }
-        this.known.set(upstream.id, { upstream, epoch });
+        this.known.set(upstream.id, { upstream, epoch, at: steadyNow() });
         this.dropOthersAt(upstream.address, upstream.id);
     }
 
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -19,6 +19,12 @@
 const refusalShare = 0.2;
 /** A request waits for a load that is expected to end within this share of its objective. */
 const loadWaitShare = 0.7;
+/** Callers come back after at most this share of the time that they have left. */
+const returnShare = 0.3;
+/** A load may take this much longer than expected before a request gives it up, in milliseconds. */
+const loadSlackMs = 400;
+/** A request that waits looks this often whether waiting is still of use, in milliseconds. */
+const lookAgainMs = 100;
 /** A load with its unload and the order to it takes this many times as long as the model's own time. */
 const loadMargin = 1.6;
 /** When to come back after all upstreams were busy. */
@@ -100,30 +106,42 @@
 
     /** Finds an upstream, waiting for one as long as that is of use. */
     private async place(job: Job): Promise<Place> {
-        const found = this.placeNow(job);
-        if (found.kind === "upstream") {
-            return found;
-        }
-        const waitMs = Math.min(this.patience(job, found.kind), leftMs(job) - leastAttemptMs);
         const key = itemKeyOf(job);
-        const lacking = found.kind === "lacking";
-        if (lacking) {
-            this.parts.meter.waits(key);
-        }
+        let told = false;
         try {
-            const later = waitMs <= 0 ? undefined : await this.room.wait(job.route.priority, waitMs, job.gone, () => {
-                const now = this.placeNow(job);
-                return now.kind === "upstream" ? now : undefined;
-            });
-            return later ?? this.refusal(job, this.placeNow(job).kind);
+            for (;;) {
+                const found = this.placeNow(job);
+                if (found.kind === "upstream") {
+                    return found;
+                }
+                if (found.kind === "lacking" && !told) {
+                    told = true;
+                    this.parts.meter.waits(key);
+                }
+                const waitMs = Math.min(this.patience(job, found.kind), leftMs(job) - leastAttemptMs);
+                if (waitMs <= 0 || job.gone.aborted) {
+                    return this.refusal(job, found.kind);
+                }
+                const later = await this.waitForPlace(job, Math.min(waitMs, lookAgainMs));
+                if (later !== undefined) {
+                    return later;
+                }
+            }
         }
         finally {
-            if (lacking) {
+            if (told) {
                 this.parts.meter.waitsNoMore(key);
             }
         }
     }
 
+    private waitForPlace(job: Job, ms: number): Promise<Place | undefined> {
+        return this.room.wait(job.route.priority, ms, job.gone, () => {
+            const now = this.placeNow(job);
+            return now.kind === "upstream" ? now : undefined;
+        });
+    }
+
     private placeNow(job: Job): Pick {
         return this.picker.pick(job, this.links.ready(job.service), this.engineOf(job.service));
     }
@@ -135,9 +153,25 @@
         if (why !== "lacking") {
             return early;
         }
-        const loadMs = this.loadMs(job) * loadMargin;
         const inTime = objectiveMs * loadWaitShare - ageMs(job);
-        return loadMs <= inTime ? inTime : early;
+        const readyMs = this.readyInMs(job);
+        if (readyMs === undefined) {
+            return this.loadMs(job) * loadMargin <= inTime ? inTime : early;
+        }
+        if (readyMs <= inTime) {
+            return inTime;
+        }
+        // Sent back now, the request may come again in time to be served in time.
+        const returnMs = leftMs(job) * returnShare;
+        if (early > 0 && readyMs <= returnMs + objectiveMs * loadWaitShare) {
+            return 0;
+        }
+        return readyMs + loadSlackMs < leftMs(job) ? readyMs + loadSlackMs : early;
+    }
+
+    /** Milliseconds until what the request asks for is loaded, as the leader expects; undefined where it is not under way. */
+    private readyInMs(job: Job): number | undefined {
+        return this.parts.view.readyInMs(job.service, job.facts.model);
     }
 
     /** How long it takes to load what a request asks for, from the host's disk. */
@@ -158,7 +192,7 @@
                 return {
                     kind: "refused",
                     answer: OwnAnswer.lacking,
-                    retryAfterMs: Math.max(busyRetryMs, this.loadMs(job) * loadMargin - ageMs(job)),
+                    retryAfterMs: this.returnAfterMs(job),
                 };
             case "none":
                 return { kind: "refused", answer: OwnAnswer.noUpstream, retryAfterMs: noUpstreamRetryMs };
@@ -167,6 +201,12 @@
         }
     }
 
+    /** When to come back for what is being loaded, so that the rest of the wait is within the objective. */
+    private returnAfterMs(job: Job): number {
+        const readyMs = this.readyInMs(job) ?? this.loadMs(job) * loadMargin;
+        return Math.max(busyRetryMs, readyMs - job.route.objectiveMs * refusalShare);
+    }
+
     private refuse(job: Job, res: ServerResponse, refusal: Refusal): void {
         if (job.tried.length > 0) {
             // An upstream may have run it: "not run" would not be true.
--- a/packages/forwarding/src/pickers.ts
+++ b/packages/forwarding/src/pickers.ts
@@ -102,7 +102,8 @@
         return true;
     }
     const held = link.description.models.find(({ name }) => name === model);
-    return held !== undefined && !held.leaving && (adapter === "" || held.adapters.includes(adapter));
+    return held !== undefined && !held.leaving && held.readyInMs === 0
+        && (adapter === "" || held.adapters.includes(adapter));
 }
 
 /** The last part of the prompt that others share; requests with it find it read already. */
