--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -8,7 +8,7 @@
 import { attempt, type AttemptOutcome, writeHeldAnswer } from "./attempts.js";
 import { type RetryBudgetOptions, WindowBudget } from "./budgets.js";
 import { type RequestCodec } from "./codecs.js";
-import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
+import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, patienceLeftMs, tokensOf, workOf } from "./jobs.js";
 import { type UpstreamLink } from "./links.js";
 import { LinkTable } from "./linktables.js";
 import { ReadingPace } from "./paces.js";
@@ -29,6 +29,8 @@
 const loadMargin = 1.6;
 /** When to come back after all upstreams were busy. */
 const busyRetryMs = 400;
+/** When to come back, to another entry, from one that stops. */
+const stoppingRetryMs = 50;
 /** When to come back where no upstream is known. */
 const noUpstreamRetryMs = 1000;
 /** Upstreams that may decline a request before it is given up. */
@@ -114,11 +116,15 @@
                 if (found.kind === "upstream") {
                     return found;
                 }
+                if (this.parts.stopping()) {
+                    // Another entry can wait longer than this one.
+                    return { kind: "refused", answer: OwnAnswer.stopping, retryAfterMs: stoppingRetryMs };
+                }
                 if (found.kind === "lacking" && !told) {
                     told = true;
                     this.parts.meter.waits(key);
                 }
-                const waitMs = Math.min(this.patience(job, found.kind), leftMs(job) - leastAttemptMs);
+                const waitMs = Math.min(this.patience(job, found.kind), patienceLeftMs(job) - leastAttemptMs);
                 if (waitMs <= 0 || job.gone.aborted) {
                     return this.refusal(job, found.kind);
                 }
@@ -166,7 +172,7 @@
         if (early > 0 && readyMs <= returnMs + objectiveMs * loadWaitShare) {
             return 0;
         }
-        return readyMs + loadSlackMs < leftMs(job) ? readyMs + loadSlackMs : early;
+        return readyMs + loadSlackMs < patienceLeftMs(job) ? readyMs + loadSlackMs : early;
     }
 
     /** Milliseconds until what the request asks for is loaded, as the leader expects; undefined where it is not under way. */
--- a/packages/forwarding/src/jobs.ts
+++ b/packages/forwarding/src/jobs.ts
@@ -40,6 +40,21 @@
     return job.deadlineAt - steadyNow();
 }
 
+/** A caller leaves a stream, also before its first event, after the longest of these silences. */
+const shortestSilenceMs = 2000;
+const silenceObjectives = 4;
+const silencePauses = 8;
+
+/** Time in milliseconds that is left for a first event, before the caller gives the request up. */
+export function patienceLeftMs(job: Job): number {
+    const { kind, objectiveMs, pauseMs } = job.route;
+    if (kind !== "streaming") {
+        return leftMs(job);
+    }
+    const silenceMs = Math.max(shortestSilenceMs, silenceObjectives * objectiveMs, silencePauses * pauseMs);
+    return Math.min(leftMs(job), silenceMs - ageMs(job));
+}
+
 export function ageMs(job: Job): number {
     return steadyNow() - job.startedAt;
 }
--- a/packages/forwarding/src/tests/forwarding.test.ts
+++ b/packages/forwarding/src/tests/forwarding.test.ts
@@ -252,6 +252,34 @@
         agent.destroy();
     });
 
+    it("sends away what waits for a model once it stops", async () => {
+        const engine = {
+            slots: 8,
+            cacheTokens: 1000,
+            memoryMb: 100,
+            adapterPlaces: 1,
+            storeLoadsPerSecond: 1,
+            models: [{
+                name: "m",
+                sizeMb: 1,
+                loadMs: 900,
+                memoryLoadMs: 100,
+                diskLoadMs: 100,
+                adapters: 0,
+                adapterMb: 0,
+            }],
+        };
+        entry = new TestEntry(TestEntry.configuration([testRoute({ objectiveMs: 60_000, timeoutMs: 60_000 })], engine));
+        await entry.start();
+        const started = await upstream(good);
+        entry.learn({ id: "u0", address: started.address });
+        const waiting = entry.call("q1", { headers: { "X-Model": "m", "X-Deadline": "60000" } });
+        entry.stopping = true;
+        const answer = await waiting;
+        expect([answer.status, started.arrivals.length]).toEqual([503, 0]);
+        expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+    });
+
     it("tells callers to close their connections while it stops", async () => {
         await entryFor({}, good);
         entry.stopping = true;
