--- a/packages/core/src/eventlogs.ts
+++ b/packages/core/src/eventlogs.ts
@@ -44,7 +44,7 @@
         minLength: chunkBytes,
         maxLength: maxBufferedBytes,
     });
-    private readonly lines;
+    private lines;
     private readonly kinds = new Map<string, Allowance>();
     private readonly timer: NodeJS.Timeout;
     private windowStart = steadyNow();
@@ -59,6 +59,11 @@
         this.timer.unref();
     }
 
+    /** Names the host in all lines from now on, once the settings have told it. */
+    public nameHost(host: string): void {
+        this.lines = this.lines.child({ host });
+    }
+
     /** Lines that were left out since the start, for a slow reader or too many of a kind. */
     public get dropped(): number {
         return this.droppedLines;
--- a/packages/testing/src/deployments/platforms.ts
+++ b/packages/testing/src/deployments/platforms.ts
@@ -24,6 +24,7 @@
         readonly ready: number;
         readonly control: number;
         readonly peers: number;
+        readonly metrics: number;
     };
 
     private constructor(private readonly folder: string) {}
@@ -31,8 +32,8 @@
     public static async start(): Promise<PlatformDeployment> {
         const deployment = new PlatformDeployment(await mkdtemp(join(tmpdir(), "winchpath-platform-")));
         const ips = Array.from({ length: controlHosts + 1 }, () => ownAddress());
-        const [front, ready, control, peers] = await freePorts(ips[0], 4);
-        deployment.ports = { front, ready, control, peers };
+        const [front, ready, control, peers, metrics] = await freePorts(ips[0], 5);
+        deployment.ports = { front, ready, control, peers, metrics };
         const seeds = ips.slice(0, controlHosts);
         for (const [index, ip] of seeds.entries()) {
             deployment.controls.push(await deployment.startHost("control", `core-${index}`, ip, seeds));
@@ -114,7 +115,7 @@
         ip: string,
         seeds: readonly string[],
     ): Promise<PlatformHost> {
-        const { front, ready, control, peers } = this.ports;
+        const { front, ready, control, peers, metrics } = this.ports;
         const listen = role === "entry"
             ? { front: `${ip}:${front}`, ready: `${ip}:${ready}` }
             : { control: `${ip}:${control}` };
@@ -127,7 +128,7 @@
                 ip,
                 zone: "plateau",
                 listen,
-                "internal-ports": [peers, peers],
+                "internal-ports": [peers, metrics],
                 seeds: seeds.map(seed => `${seed}:${control}`),
                 bootstrap: true,
                 ...(role === "control" ? { "data-dir": join(this.folder, name) } : {}),
--- a/packages/winchpath/src/main.ts
+++ b/packages/winchpath/src/main.ts
@@ -3,6 +3,7 @@
 import { type Kind, kinds } from "@winchpath/declarations";
 import yargs, { type Argv } from "yargs";
 import { apply, diff, drain } from "./commands/applies.js";
+import { explainRequest } from "./commands/explains.js";
 import { checkSettings, describe, get, status, timeline, timelineFormats, watch } from "./commands/views.js";
 import { type CommonOptions, Context, ExitCode, reportFailure } from "./contexts.js";
 
@@ -119,6 +120,15 @@
             return run(() => timeline(contextOf(args), { request, resource, host, limit }, format));
         },
     )
+    .command(
+        "explain <request>",
+        "tell from logs what became of a request, and why",
+        args =>
+            args
+                .positional("request", { type: "string", demandOption: true, describe: "id of the request" })
+                .option("logs", { type: "string", array: true, demandOption: true, describe: "logs of all processes" }),
+        args => run(() => explainRequest(contextOf(args), args.request, args.logs)),
+    )
     .command(
         "check-settings <file>",
         "check a settings file",
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -8,7 +8,7 @@
     Replica,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { type EventLog, messageOf } from "@winchpath/core";
+import { type EventLog, messageOf, Metrics } from "@winchpath/core";
 import {
     type Configuration,
     type ConfigurationDocument,
@@ -29,7 +29,14 @@
     type PlacementControl,
     Registry,
 } from "@winchpath/fleet";
-import { type ControlCalls, controlServer, parseDocument, peerUrl, PlatformEngineCalls } from "@winchpath/platform";
+import {
+    type ControlCalls,
+    controlServer,
+    metricsServer,
+    parseDocument,
+    peerUrl,
+    PlatformEngineCalls,
+} from "@winchpath/platform";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
 import { type LiveSettings } from "./platformsettings.js";
@@ -64,6 +71,8 @@
     private readonly desk: AnnouncementDesk;
     private readonly engines: PlatformEngineCalls;
     private readonly server;
+    private readonly metrics = new Metrics();
+    private readonly metricsListener = metricsServer(() => this.metrics.toText());
     private demand: DemandBook;
     private replica!: Replica;
     private rpc!: RpcServer;
@@ -118,12 +127,14 @@
         void this.followReplica();
         void this.followRegistry();
         await this.server.listen(cfg.control!);
+        await this.metricsListener.listen(cfg.metrics);
     }
 
     public async stop(): Promise<void> {
         await this.replica.handOver(handOverMs);
         this.endLeadership();
         await this.server.close();
+        await this.metricsListener.close();
         this.stopping.abort();
         await this.replica.stop();
         this.clients.close();
@@ -132,7 +143,9 @@
     }
 
     public async putDocument(document: ConfigurationDocument): Promise<DocumentResult> {
+        const startedAt = performance.now();
         const { result } = await this.replica.propose(encodeCommand("documents", document), callMs);
+        this.metrics.histogram("document_commit").record(performance.now() - startedAt);
         return JSON.parse(Buffer.from(result).toString()) as DocumentResult;
     }
 
@@ -228,6 +241,7 @@
         const now = `${term} ${role} ${leaderUrl}`;
         if (now !== this.followed) {
             this.followed = now;
+            this.metrics.count("leader_changes_total");
             this.log.info("control.leader", { term: Number(term), role, leader: leaderUrl });
         }
     }
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -3,7 +3,7 @@
 import { type Configuration } from "@winchpath/declarations";
 import { DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
 import { CallerDoor, Forwarder } from "@winchpath/forwarding";
-import { parseDocument, PlatformRequestCodec, readinessServer } from "@winchpath/platform";
+import { metricsServer, parseDocument, PlatformRequestCodec, readinessServer } from "@winchpath/platform";
 import { RpcClients } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
 import { type LiveSettings } from "./platformsettings.js";
@@ -24,6 +24,7 @@
     private readonly forwarder: Forwarder;
     private readonly door: CallerDoor;
     private readonly readiness = readinessServer(() => this.isReady());
+    private readonly metricsListener = metricsServer(() => this.metrics.toText());
     private leaving = false;
     private wasReady = false;
 
@@ -54,13 +55,14 @@
     }
 
     public async start(): Promise<void> {
-        const { callers, readiness, host } = this.settings.current;
+        const { callers, readiness, host, metrics } = this.settings.current;
         const { signal } = this.stopping;
         void this.follower.run(signal);
         void this.meter.run(host, this.clients, () => this.follower.leader, signal);
         void this.followView(signal);
         await this.door.listen(callers!);
         await this.readiness.listen(readiness!);
+        await this.metricsListener.listen(metrics);
     }
 
     public async stop(): Promise<void> {
@@ -73,6 +75,7 @@
         this.forwarder.close();
         this.clients.close();
         await this.readiness.close();
+        await this.metricsListener.close();
     }
 
     private isReady(): boolean {
--- a/packages/winchpathd/src/platforms.ts
+++ b/packages/winchpathd/src/platforms.ts
@@ -1,5 +1,5 @@
 /** Starts an entry or a control host on the platform. */
-import { type EventLog, Failure, type Result } from "@winchpath/core";
+import { Failure, type Result, type StandardEventLog } from "@winchpath/core";
 import { loadPlatformSettings, type PlatformSettings } from "@winchpath/platform";
 import { PlatformControl } from "./platformcontrols.js";
 import { PlatformEntry } from "./platformentries.js";
@@ -20,11 +20,12 @@
 /** Reads the settings and starts; throws a `Failure` where they can't be used. */
 export async function startOnPlatform(
     role: PlatformRole,
-    log: EventLog,
+    log: StandardEventLog,
     onFatal: (err: Error) => void,
 ): Promise<PlatformProcess> {
     const path = process.env[settingsVariable] ?? "";
     const cfg = usable(loadPlatformSettings(path));
+    log.nameHost(cfg.host);
     const settings = new LiveSettings(path, cfg, log);
     const running = role === "entry" ? new PlatformEntry(settings, log) : new PlatformControl(settings, log, onFatal);
     await running.start();
