--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -177,6 +177,10 @@
 
     /** Milliseconds until what the request asks for is loaded, as the leader expects; undefined where it is not under way. */
     private readyInMs(job: Job): number | undefined {
+        if (this.loadMs(job) === 0) {
+            // An adapter of a model that is held: it has no load of its own to wait for.
+            return undefined;
+        }
         return this.parts.view.readyInMs(job.service, job.facts.model);
     }
 
