Never send what waited for a connection to an upstream that drains

Ruled out: the feed (the entry knew of the drain). Now the link is looked at when a connection is free, and a request without one for 500 ms goes elsewhere; the test is red with the look turned off.

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -10,6 +10,12 @@
 /** Answers up to this size are handed on only once they are whole, so that a broken one can be tried again. */
 const heldBytes = 256 * 1024;
 
+/**
+ * A request that has found no free connection by then goes elsewhere, in
+ * milliseconds: a little more than a new connection may take.
+ */
+const longestUnsentMs = 500;
+
 /** An answer of an upstream that was read whole. */
 export interface HeldAnswer {
     readonly status: number;
@@ -46,6 +52,8 @@
     readonly urgency: number | undefined;
     /** Whether answers tell the caller to close its connection. */
     readonly closing: () => boolean;
+    /** Whether the upstream may still be sent requests; asked when a connection is free for this one. */
+    readonly maySend: () => boolean;
     /** Told when the upstream has begun to answer, in time for the objective. */
     readonly onAnswer: (facts: AnswerFacts) => void;
 }
@@ -80,6 +88,7 @@
         const { job, link } = this;
         const onGone = () => this.giveUp({ kind: "caller-gone" });
         const timer = setTimeout(() => this.giveUp({ kind: "late" }), Math.max(0, leftMs(job)));
+        const unsent = setTimeout(() => this.sent || this.settleUnsent("no free connection"), longestUnsentMs);
         job.gone.addEventListener("abort", onGone, { once: true });
         if (job.gone.aborted) {
             onGone();
@@ -92,6 +101,7 @@
         }
         finally {
             clearTimeout(timer);
+            clearTimeout(unsent);
             job.gone.removeEventListener("abort", onGone);
         }
     }
@@ -102,6 +112,9 @@
             // The client would send it anew on another connection; that is for the forwarder to decide.
             this.settle({ kind: "unknown", reason: "the connection was lost" });
         }
+        else if (!this.parts.maySend()) {
+            this.settleUnsent("it takes no requests any more");
+        }
         if (this.settled) {
             controller.abort(new GivenUp("settled"));
             return;
@@ -283,6 +296,11 @@
         this.settle({ kind: "answered", status: this.status });
     }
 
+    /** Nothing of the request has gone out. */
+    private settleUnsent(reason: string): void {
+        this.settle({ kind: "not-run", reason, misdirected: false, unreachable: false });
+    }
+
     private giveUp(outcome: AttemptOutcome): void {
         const untouched = outcome.kind === "late" && !this.sent;
         this.drop(
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -255,6 +255,7 @@
                 res,
                 urgency: this.engineOf(job.service) === undefined ? undefined : Math.min(9, job.route.priority),
                 closing: stopping,
+                maySend: () => this.links.isReady(link),
                 onAnswer: () => {
                     read();
                     this.learnPace(job, ahead, steadyNow() - startedAt);
--- a/packages/forwarding/src/tests/forwarding.test.ts
+++ b/packages/forwarding/src/tests/forwarding.test.ts
@@ -1,4 +1,5 @@
 import { Deferred } from "@winchpath/core";
+import { UpstreamState } from "@winchpath/fleet";
 import { expect } from "earl";
 import { once } from "node:events";
 import { Agent } from "node:http";
@@ -252,6 +253,32 @@
         agent.destroy();
     });
 
+    it("sends nothing to an upstream that has begun to drain while a request waited for a connection", async () => {
+        const configuration = TestEntry.configuration([testRoute({ kind: "unsafe" })]);
+        configuration.services[0].maxConnections = 1;
+        entry = new TestEntry(configuration);
+        await entry.start();
+        const connections = 4;
+        const all = new Deferred<void>();
+        const held: Arrival[] = [];
+        const only = await upstream(arrival => {
+            held.push(arrival);
+            if (held.length === connections) {
+                all.resolve();
+            }
+        });
+        entry.learn({ id: "u0", address: only.address });
+        const first = Array.from({ length: connections }, (_, index) => entry.call(`q${index}`, { method: "POST" }));
+        await all.promise;
+        const waiting = entry.call("late", { method: "POST" });
+        await entry.untilOpen(connections + 1);
+        entry.learn({ id: "u0", address: only.address, state: UpstreamState.DRAINING });
+        held.forEach(({ id, socket }) => socket.write(wholeAnswer(id, "done")));
+        expect((await Promise.all(first)).map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+        expect((await waiting).status).toEqual(503);
+        expect(only.arrivals.map(({ id }) => id)).not.toInclude("late");
+    });
+
     it("sends away what waits for a model once it stops", async () => {
         const engine = {
             slots: 8,
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -1,6 +1,6 @@
 /** An upstream that answers as a test says, byte by byte, and an entry in one process. */
 import { create } from "@bufbuild/protobuf";
-import { Metrics, silentLog, until } from "@winchpath/core";
+import { Metrics, silentLog } from "@winchpath/core";
 import { type Configuration, type EngineSpec, type Route } from "@winchpath/declarations";
 import { DemandMeter, FleetView, type Upstream, UpstreamSchema, UpstreamState } from "@winchpath/fleet";
 import { once } from "node:events";
@@ -242,9 +242,11 @@
         });
     }
 
-    /** Waits until no request is being served. */
-    public async idle(): Promise<void> {
-        await until(() => this.door.open === 0, this.view.changed, 5000, "the requests to end");
+    /** Waits until so many requests are being served. */
+    public async untilOpen(count: number): Promise<void> {
+        while (this.door.open < count) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
     }
 
     public async stop(): Promise<void> {
