--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -8,35 +8,20 @@
 import { attempt, type AttemptOutcome, writeHeldAnswer } from "./attempts.js";
 import { type RetryBudgetOptions, WindowBudget } from "./budgets.js";
 import { type RequestCodec } from "./codecs.js";
-import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, patienceLeftMs, tokensOf, workOf } from "./jobs.js";
+import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
 import { type UpstreamLink } from "./links.js";
 import { LinkTable } from "./linktables.js";
 import { ReadingPace } from "./paces.js";
+import { busyRetryMs, leastAttemptMs, Patience, type Refusal } from "./patiences.js";
 import { type Pick, Picker } from "./pickers.js";
 import { WaitingRoom } from "./waitingrooms.js";
 
-/** A request that can't be served is refused within this share of its objective, while a second try can still be in time. */
-const refusalShare = 0.2;
-/** A request waits for a load that is expected to end within this share of its objective. */
-const loadWaitShare = 0.7;
-/** Callers come back after at most this share of the time that they have left. */
-const returnShare = 0.3;
-/** A load may take this much longer than expected before a request gives it up, in milliseconds. */
-const loadSlackMs = 400;
 /** A request that waits looks this often whether waiting is still of use, in milliseconds. */
 const lookAgainMs = 100;
-/** A load with its unload and the order to it takes this many times as long as the model's own time. */
-const loadMargin = 1.6;
-/** When to come back after all upstreams were busy. */
-const busyRetryMs = 400;
 /** When to come back, to another entry, from one that stops. */
 const stoppingRetryMs = 50;
-/** When to come back where no upstream is known. */
-const noUpstreamRetryMs = 1000;
 /** Upstreams that may decline a request before it is given up. */
 const maxDeclined = 3;
-/** A try with less time than this left is not made. */
-const leastAttemptMs = 20;
 
 export interface ForwarderParts {
     readonly view: FleetView<Configuration>;
@@ -52,12 +37,6 @@
 
 type Place = { readonly kind: "upstream"; readonly link: UpstreamLink; } | Refusal;
 
-interface Refusal {
-    readonly kind: "refused";
-    readonly answer: OwnAnswer;
-    readonly retryAfterMs: number;
-}
-
 /** Whether the flow goes on with another try. */
 type Verdict = "again" | "done";
 
@@ -66,11 +45,13 @@
     private readonly links: LinkTable;
     private readonly picker: Picker;
     private readonly pace = new ReadingPace();
+    private readonly patience: Patience;
     private readonly room = new WaitingRoom<Place>();
     private readonly budgets = new Map<string, WindowBudget>();
 
     public constructor(private readonly parts: ForwarderParts) {
         this.links = new LinkTable(parts.view);
+        this.patience = new Patience(parts.view, this.links);
         this.picker = new Picker(this.ejections, parts.dataCentre, this.pace);
     }
 
@@ -124,9 +105,9 @@
                     told = true;
                     this.parts.meter.waits(key);
                 }
-                const waitMs = Math.min(this.patience(job, found.kind), patienceLeftMs(job) - leastAttemptMs);
+                const waitMs = this.patience.waitMs(job, found.kind);
                 if (waitMs <= 0 || job.gone.aborted) {
-                    return this.refusal(job, found.kind);
+                    return this.patience.refusal(job, found.kind);
                 }
                 const later = await this.waitForPlace(job, Math.min(waitMs, lookAgainMs));
                 if (later !== undefined) {
@@ -152,72 +133,10 @@
         return this.picker.pick(job, this.links.ready(job.service), this.engineOf(job.service));
     }
 
-    /** How long a request may wait at the entry, from now on, in milliseconds. */
-    private patience(job: Job, why: Pick["kind"]): number {
-        const { objectiveMs } = job.route;
-        const early = objectiveMs * refusalShare - ageMs(job);
-        if (why !== "lacking") {
-            return early;
-        }
-        const inTime = objectiveMs * loadWaitShare - ageMs(job);
-        const readyMs = this.readyInMs(job);
-        if (readyMs === undefined) {
-            return this.loadMs(job) * loadMargin <= inTime ? inTime : early;
-        }
-        if (readyMs <= inTime) {
-            return inTime;
-        }
-        // Sent back now, the request may come again in time to be served in time.
-        const returnMs = leftMs(job) * returnShare;
-        if (early > 0 && readyMs <= returnMs + objectiveMs * loadWaitShare) {
-            return 0;
-        }
-        return readyMs + loadSlackMs < patienceLeftMs(job) ? readyMs + loadSlackMs : early;
-    }
-
-    /** Milliseconds until what the request asks for is loaded, as the leader expects; undefined where it is not under way. */
-    private readyInMs(job: Job): number | undefined {
-        if (this.loadMs(job) === 0) {
-            // An adapter of a model that is held: it has no load of its own to wait for.
-            return undefined;
-        }
-        return this.parts.view.readyInMs(job.service, job.facts.model);
-    }
-
-    /** How long it takes to load what a request asks for, from the host's disk. */
-    private loadMs(job: Job): number {
-        const { model, adapter } = job.facts;
-        const spec = this.engineOf(job.service)?.models.find(({ name }) => name === model);
-        const held = this.links.ready(job.service).some(({ description }) =>
-            description.models.some(({ name, leaving }) => name === model && !leaving)
-        );
-        // An adapter of a model that is there takes a fraction of a second.
-        return held && adapter !== "" ? 0 : spec?.diskLoadMs ?? Number.POSITIVE_INFINITY;
-    }
-
-    private refusal(job: Job, why: Pick["kind"]): Refusal {
-        switch (why) {
-            case "lacking":
-                this.parts.meter.refused(itemKeyOf(job));
-                return {
-                    kind: "refused",
-                    answer: OwnAnswer.lacking,
-                    retryAfterMs: this.returnAfterMs(job),
-                };
-            case "none":
-                return { kind: "refused", answer: OwnAnswer.noUpstream, retryAfterMs: noUpstreamRetryMs };
-            default:
-                return { kind: "refused", answer: OwnAnswer.overloaded, retryAfterMs: busyRetryMs };
-        }
-    }
-
-    /** When to come back for what is being loaded, so that the rest of the wait is within the objective. */
-    private returnAfterMs(job: Job): number {
-        const readyMs = this.readyInMs(job) ?? this.loadMs(job) * loadMargin;
-        return Math.max(busyRetryMs, readyMs - job.route.objectiveMs * refusalShare);
-    }
-
     private refuse(job: Job, res: ServerResponse, refusal: Refusal): void {
+        if (refusal.answer === OwnAnswer.lacking) {
+            this.parts.meter.refused(itemKeyOf(job));
+        }
         if (job.tried.length > 0) {
             // An upstream may have run it: "not run" would not be true.
             this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.failed);
@@ -235,17 +154,7 @@
     ): Promise<AttemptOutcome> {
         const { meter, codec, stopping } = this.parts;
         const startedAt = steadyNow();
-        const tokens = tokensOf(job);
-        const { priority } = job.route;
-        let unread = ownTokensOf(job);
-        const ahead = link.queueAhead(priority, unread) + unread;
-        const read = () => {
-            link.addUnread(priority, -unread);
-            unread = 0;
-        };
-        link.addUnread(priority, unread);
-        link.inFlight += 1;
-        link.tokensInFlight += tokens;
+        const stay = link.begin(job.route.priority, ownTokensOf(job), tokensOf(job));
         meter.started(key);
         this.ejections.sent(link.id);
         job.tried.push(link.id);
@@ -257,8 +166,8 @@
                 closing: stopping,
                 maySend: () => this.links.isReady(link),
                 onAnswer: () => {
-                    read();
-                    this.learnPace(job, ahead, steadyNow() - startedAt);
+                    stay.read();
+                    this.learnPace(job, stay.tokensAhead, steadyNow() - startedAt);
                     this.parts.metrics.histogram("first_byte", { route: job.route.name }).record(ageMs(job));
                 },
             });
@@ -274,9 +183,7 @@
             return outcome;
         }
         finally {
-            read();
-            link.inFlight -= 1;
-            link.tokensInFlight -= tokens;
+            stay.end();
             meter.ended(key);
             this.room.pump();
         }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./links.js";
 export * from "./linktables.js";
 export * from "./paces.js";
+export * from "./patiences.js";
 export * from "./pickers.js";
 export * from "./routetables.js";
 export * from "./waitingrooms.js";
--- a/packages/forwarding/src/links.ts
+++ b/packages/forwarding/src/links.ts
@@ -17,14 +17,21 @@
 /** A request that generates slows those that are read as this many tokens of a prompt would. */
 const tokensPerRunning = 80;
 
+/** A request's time at an upstream. */
+export interface Stay {
+    /** Tokens of prompts that are read before its first event, its own among them. */
+    readonly tokensAhead: number;
+    /** Its prompt was read. */
+    readonly read: () => void;
+    readonly end: () => void;
+}
+
 export class UpstreamLink {
     public readonly id: string;
     public readonly pool: Pool;
     public readonly ends = new ConnectionEnds();
-    /** Requests of this entry that run there. */
-    public inFlight = 0;
-    /** Tokens that those are likely to need in its cache. */
-    public tokensInFlight = 0;
+    private running = 0;
+    private runningTokens = 0;
     /** Prompts of this entry that it has not begun to answer, in tokens, by priority. */
     private readonly unread = new Map<number, number>();
     private othersRunning = 0;
@@ -68,9 +75,33 @@
         this.reportedAt = steadyNow();
     }
 
-    /** A prompt was sent there (`tokens` above 0), or was read (below). */
-    public addUnread(priority: number, tokens: number): void {
-        this.unread.set(priority, (this.unread.get(priority) ?? 0) + tokens);
+    /** Requests of this entry that run there. */
+    public get inFlight(): number {
+        return this.running;
+    }
+
+    /** Tokens that those are likely to need in its cache. */
+    public get tokensInFlight(): number {
+        return this.runningTokens;
+    }
+
+    /** A request goes there: `ownTokens` of its prompt have to be read, and `tokens` are needed in all. */
+    public begin(priority: number, ownTokens: number, tokens: number): Stay {
+        const tokensAhead = this.queueAhead(priority, ownTokens) + ownTokens;
+        let unread = ownTokens;
+        const read = () => {
+            this.addUnread(priority, -unread);
+            unread = 0;
+        };
+        this.addUnread(priority, ownTokens);
+        this.running += 1;
+        this.runningTokens += tokens;
+        const end = () => {
+            read();
+            this.running -= 1;
+            this.runningTokens -= tokens;
+        };
+        return { tokensAhead, read, end };
     }
 
     /**
@@ -79,7 +110,7 @@
      * `perRequest`: how much of a prompt others' waiting requests bring.
      */
     public queueAhead(priority: number, perRequest: number): number {
-        let tokens = this.inFlight * tokensPerRunning;
+        let tokens = this.running * tokensPerRunning;
         for (const [other, unread] of this.unread) {
             tokens += other <= priority ? unread : 0;
         }
@@ -96,6 +127,10 @@
         return Math.max(0, 1 - (steadyNow() - this.reportedAt) / reportLifeMs);
     }
 
+    private addUnread(priority: number, tokens: number): void {
+        this.unread.set(priority, (this.unread.get(priority) ?? 0) + tokens);
+    }
+
     /** Closes its connections once what runs has ended. */
     public close(): void {
         // Requests that run end by themselves or with their deadlines; an error here concerns nobody.
--- /dev/null
+++ b/packages/forwarding/src/patiences.ts
@@ -0,0 +1,109 @@
+/** How long a request waits at the entry for an upstream, and when it is to come back otherwise. */
+import { type Configuration } from "@winchpath/declarations";
+import { type FleetView } from "@winchpath/fleet";
+import { OwnAnswer } from "./answers.js";
+import { ageMs, type Job, leftMs, patienceLeftMs } from "./jobs.js";
+import { type LinkTable } from "./linktables.js";
+import { type Pick } from "./pickers.js";
+
+/** A request that can't be served is refused within this share of its objective, while a second try can still be in time. */
+const refusalShare = 0.2;
+/** A request waits for a load that is expected to end within this share of its objective. */
+const loadWaitShare = 0.7;
+/** A load with its unload and the order to it takes this many times as long as the model's own time. */
+const loadMargin = 1.6;
+/** Callers come back after at most this share of the time that they have left. */
+const returnShare = 0.3;
+/** A load may take this much longer than expected before a request gives it up, in milliseconds. */
+const loadSlackMs = 400;
+/** A try with less time than this left is not made, in milliseconds. */
+export const leastAttemptMs = 20;
+/** When to come back after all upstreams were busy, in milliseconds. */
+export const busyRetryMs = 400;
+/** When to come back where no upstream is known, in milliseconds. */
+const noUpstreamRetryMs = 1000;
+
+/** Why no upstream was found. */
+export type Obstacle = Exclude<Pick["kind"], "upstream">;
+
+/** A final answer in place of an upstream's. */
+export interface Refusal {
+    readonly kind: "refused";
+    readonly answer: OwnAnswer;
+    readonly retryAfterMs: number;
+}
+
+export class Patience {
+    public constructor(private readonly view: FleetView<Configuration>, private readonly links: LinkTable) {}
+
+    /** How long the request may wait from now on, in milliseconds; 0 or less where it is refused. */
+    public waitMs(job: Job, why: Obstacle): number {
+        const useful = why === "lacking" ? this.loadWaitMs(job) : earlyMs(job);
+        return Math.min(useful, patienceLeftMs(job) - leastAttemptMs);
+    }
+
+    public refusal(job: Job, why: Obstacle): Refusal {
+        switch (why) {
+            case "lacking":
+                return { kind: "refused", answer: OwnAnswer.lacking, retryAfterMs: this.returnAfterMs(job) };
+            case "none":
+                return { kind: "refused", answer: OwnAnswer.noUpstream, retryAfterMs: noUpstreamRetryMs };
+            case "full":
+                return { kind: "refused", answer: OwnAnswer.overloaded, retryAfterMs: busyRetryMs };
+        }
+    }
+
+    private loadWaitMs(job: Job): number {
+        const { objectiveMs } = job.route;
+        const inTime = objectiveMs * loadWaitShare - ageMs(job);
+        const readyMs = this.readyInMs(job);
+        if (readyMs === undefined) {
+            return this.loadMs(job) * loadMargin <= inTime ? inTime : earlyMs(job);
+        }
+        if (readyMs <= inTime) {
+            return inTime;
+        }
+        // Sent back now, the request may come again in time to be served in time.
+        const returnMs = leftMs(job) * returnShare;
+        if (earlyMs(job) > 0 && readyMs <= returnMs + objectiveMs * loadWaitShare) {
+            return 0;
+        }
+        return readyMs + loadSlackMs < patienceLeftMs(job) ? readyMs + loadSlackMs : earlyMs(job);
+    }
+
+    /** When to come back for what is being loaded, so that the rest of the wait is within the objective. */
+    private returnAfterMs(job: Job): number {
+        const readyMs = this.readyInMs(job) ?? this.loadMs(job) * loadMargin;
+        return Math.max(busyRetryMs, readyMs - job.route.objectiveMs * refusalShare);
+    }
+
+    /** Milliseconds until what the request asks for is loaded, as the leader expects; undefined where it is not under way. */
+    private readyInMs(job: Job): number | undefined {
+        const { model, adapter } = job.facts;
+        // An adapter of a model that is held has no load of a model to wait for.
+        return adapter !== "" && this.isHeld(job) ? undefined : this.view.readyInMs(job.service, model);
+    }
+
+    /** How long it takes to load what a request asks for from a host's disk; an adapter takes a fraction of a second. */
+    private loadMs(job: Job): number {
+        const { model, adapter } = job.facts;
+        if (adapter !== "" && this.isHeld(job)) {
+            return 0;
+        }
+        const service = this.view.configuration?.services.find(({ name }) => name === job.service);
+        return service?.engine?.models.find(({ name }) => name === model)?.diskLoadMs ?? Number.POSITIVE_INFINITY;
+    }
+
+    private isHeld(job: Job): boolean {
+        return this.links.ready(job.service).some(({ description }) =>
+            description.models.some(({ name, leaving, readyInMs }) =>
+                name === job.facts.model && !leaving && readyInMs === 0
+            )
+        );
+    }
+}
+
+/** Time until a refusal comes too late for a second try to be in time. */
+function earlyMs(job: Job): number {
+    return job.route.objectiveMs * refusalShare - ageMs(job);
+}
