Load no model on an engine whose adapters are waited for

Ruled out: rarely asked models (all but adapters were served); the store's pace. The test is red before.

--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -219,7 +219,8 @@
             service: upstream.service,
             dataCentre: upstream.dataCentre,
             models,
-            takesModels: line?.free === true,
+            // An adapter on its way shows only to orders, which the engine takes none of while it loads a model.
+            takesModels: line?.free === true && line.adaptersUnderWay.size === 0,
             freeTransits: line?.freeTransits ?? 0,
             inMemory,
             onDisk,
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -183,7 +183,7 @@
     private modelOrder(need: ModelNeed): PlannedOrder | undefined {
         const candidates = this.input.engines
             .filter(engine => engine.takesModels && engine.coming === undefined && !this.taken.has(engine.id))
-            .filter(engine => !engine.models.has(need.model.name))
+            .filter(engine => !engine.models.has(need.model.name) && !this.lacksAdapters(engine))
             .map(engine => ({ engine, cost: this.costOf(engine, need) }))
             .filter(({ cost }) => cost !== undefined)
             .sort((a, b) => a.cost! - b.cost!);
@@ -238,6 +238,22 @@
         return this.victim(engine, need) === undefined ? undefined : cost + unloadMs;
     }
 
+    /**
+     * Whether adapters of its models are waited for that it has places for: it
+     * takes no orders for them while it loads a model.
+     */
+    private lacksAdapters(engine: PlannedEngine): boolean {
+        return this.input.needs.some(need => {
+            const { model, adapter } = need.key;
+            const waits = adapter !== "" && need.lacking > 0 && engine.models.get(model)?.ready === true;
+            return waits && !this.isAnywhere(model, adapter) && this.placeAdapter(engine, need) !== undefined;
+        });
+    }
+
+    private isAnywhere(model: string, adapter: string): boolean {
+        return this.holders(model).some(engine => engine.models.get(model)!.adapters.get(adapter) === true);
+    }
+
     /**
      * Requests a second for adapters of models that only this engine holds: it
      * takes no orders for them while it loads a model.
--- a/packages/fleet/src/tests/plans.test.ts
+++ b/packages/fleet/src/tests/plans.test.ts
@@ -89,6 +89,13 @@
                 .toEqual(["e1: load m1/a1"]);
         });
 
+        it("keeps its engine from loading a model while it is waited for", () => {
+            const engines = [engine("e1", ["m1"], { freeTransits: 0 })];
+            const needs = [wanted, need("m4", { lacking: 1 })];
+            expect(plan({ engines, needs })).toEqual([]);
+            expect(plan({ engines, needs: [need("m4", { lacking: 1 })] })).toEqual(["e1: load m4"]);
+        });
+
         it("takes the place of the one that is idle for longest", () => {
             const engines = [engine("e1", [], holding(["a2", "a3"]))];
             const needs = [
