Plan loads by the requests that they save and cost

Models that were about to become busy had been given up for single requests of rare ones, loads came from the store (9 s) though a disk held a copy (2 s) on another engine, a model was ordered twice between an order and its acceptance, extra replicas went to models that had fallen silent, and engines that load could take no adapters.

Now each load is weighed: requests that it saves within 15 s against those of the model that it takes the place of, and of adapters that wait meanwhile. Silence ends demand sooner than the average; paces are learnt by model; room that is free goes to models that nobody holds.

Tests of plans: fixtures that held free room now hold every model, since free room is used; each case asks for at least what it asked before.

--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -1,16 +1,23 @@
 /** What callers ask for, as the leader hears it from all entries. */
 import { type EventLog, steadyNow } from "@winchpath/core";
-import { type DemandRequest, type ItemDemand } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type DemandRequest, type EnginePace, type ItemDemand } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type ItemKey, itemName } from "./meters.js";
 
 /** An entry's counts are left out after this long without a report: three reports at the usual half second. */
 const staleMs = 2000;
-/** Rates halve in this time without requests; demand moves within a few seconds. */
-const halfLifeMs = 2000;
+/**
+ * Rates halve in this time without requests. Demand moves within a few seconds;
+ * with less, a single request would look like a model that becomes busy.
+ */
+const halfLifeMs = 3000;
 /** What one request adds to an average that fades so. */
 const perSecond = Math.LN2 / (halfLifeMs / 1000);
 /** A refused request may come again within this time, a third of a usual deadline. */
 const refusedMs = 3000;
+/** A request is reported within this time of its arrival. */
+const reportedWithinMs = 500;
+/** Share of one entry's report in what is known of a pace. */
+const paceShare = 0.3;
 /** What was not asked for in this time is forgotten. */
 const forgetMs = 120_000;
 
@@ -54,23 +61,26 @@
 
     public take(report: DemandRequest): void {
         report.items.forEach(demand => this.takeItem(report.entry, demand));
-        report.paces.forEach(pace => this.paces.set(pace.service, pace.tokensPerSecond));
+        report.paces.forEach(pace => this.takePace(pace));
     }
 
-    /** What one engine of a service can read in a second, in tokens of a prompt; undefined where nobody knows. */
-    public paceOf(service: string): number | undefined {
-        return this.paces.get(service);
-    }
-
-    /** Milliseconds since demand is heard here: nothing is known to have been idle for longer. */
-    public get ageMs(): number {
-        return steadyNow() - this.since;
+    /** What an engine can read for a model in a second, in tokens of a prompt; undefined where nobody knows. */
+    public paceOf(service: string, model: string): number | undefined {
+        return this.paces.get(paceName(service, model));
     }
 
     /** All that was asked for lately. */
     public needs(): ItemNeed[] {
         this.forgetOld();
-        return [...this.items.values()].map(needOf);
+        // Averages that have just begun tell of less than there is.
+        const heardShare = 1 - 2 ** (-Math.max(halfLifeMs, steadyNow() - this.since) / halfLifeMs);
+        return [...this.items.values()].map(item => needOf(item, heardShare));
+    }
+
+    private takePace(pace: EnginePace): void {
+        const name = paceName(pace.service, pace.model);
+        const before = this.paces.get(name) ?? pace.tokensPerSecond;
+        this.paces.set(name, before + (pace.tokensPerSecond - before) * paceShare);
     }
 
     private takeItem(entry: string, demand: ItemDemand): void {
@@ -109,20 +119,29 @@
     }
 }
 
-function needOf(item: Item): ItemNeed {
+function needOf(item: Item, heardShare: number): ItemNeed {
     const now = steadyNow();
+    const idleMs = now - item.askedAt;
+    // Silence tells sooner than the average that demand has moved on.
+    const average = item.rate * keptShare(item, now) / heardShare;
+    const rate = Math.min(average, 1000 / Math.max(1, idleMs - reportedWithinMs));
+    const workPerRequest = item.rate > 0 ? item.work / item.rate : 0;
     const fresh = [...item.byEntry.values()].filter(counts => now - counts.at < staleMs);
     const waiting = sum(fresh.map(counts => counts.waiting));
     return {
         key: item.key,
-        rate: item.rate * keptShare(item, now),
-        work: item.work * keptShare(item, now),
+        rate,
+        work: rate * workPerRequest,
         running: sum(fresh.map(counts => counts.running)),
         lacking: waiting + sum(item.refusals.map(refusal => refusal.count)),
-        idleMs: now - item.askedAt,
+        idleMs,
     };
 }
 
+function paceName(service: string, model: string): string {
+    return `${service}/${model}`;
+}
+
 /** What is left of an average after the time since it was last brought up to date. */
 function keptShare(item: Item, now: number): number {
     return 2 ** (-(now - item.ratedAt) / halfLifeMs);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,10 +5,12 @@
 export {
     type Announcement,
     AnnouncementSchema,
+    DemandRequestSchema,
     FleetService,
     type HeldModel,
     HeldModelSchema,
     type ItemDemand,
+    ItemDemandSchema,
     type Mismatch,
     type Upstream,
     UpstreamSchema,
@@ -19,6 +21,7 @@
 export * from "./orders.js";
 export * from "./placements.js";
 export * from "./plans.js";
+export * from "./planstates.js";
 export * from "./registries.js";
 export * from "./services.js";
 export * from "./storepaces.js";
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -23,7 +23,7 @@
     private readonly items = new Map<string, ItemDemand>();
     private mismatches: Mismatch[] = [];
     private readonly urgent = new Notifier();
-    private readonly paces = new Map<string, number>();
+    private readonly paces = new Map<string, { readonly service: string; readonly model: string; rate: number; }>();
 
     public constructor(private readonly log: EventLog) {}
 
@@ -66,9 +66,9 @@
         }
     }
 
-    /** Engines of a service read this many tokens of a prompt in a second. */
-    public paceOf(service: string, tokensPerSecond: number): void {
-        this.paces.set(service, tokensPerSecond);
+    /** Engines of a service read this many tokens of a prompt in a second for a model. */
+    public paceOf(service: string, model: string, tokensPerSecond: number): void {
+        this.paces.set(`${service}/${model}`, { service, model, rate: tokensPerSecond });
     }
 
     /** Tells the leader until the signal is aborted. */
@@ -90,7 +90,12 @@
         const mismatches = this.mismatches;
         this.settle();
         try {
-            const paces = [...this.paces].map(([service, tokensPerSecond]) => ({ service, tokensPerSecond }));
+            const paces = [...this.paces.values()].map(({ service, model, rate }) => ({
+                service,
+                model,
+                tokensPerSecond: rate,
+            }));
+            this.paces.clear();
             const req = { entry, intervalMs: reportMs, items, mismatches, paces };
             await clients.client(FleetService, url).reportDemand(req, { timeoutMs: reportTimeoutMs });
         }
--- /dev/null
+++ b/packages/fleet/src/modelvalues.ts
@@ -0,0 +1,181 @@
+/**
+ * What a model on an engine is worth: requests that would be lost without it
+ * over the next seconds. Loads and what they take the place of are compared
+ * by it.
+ */
+import { type EngineModel } from "@winchpath/declarations";
+import { type PlannedEngine } from "./plans.js";
+import { type ModelNeed, type PlanState } from "./planstates.js";
+
+/** Demand is taken to last this long, in milliseconds: about as long as it took to move on in trials, 6 to 20 s. */
+const horizonMs = 15_000;
+/**
+ * Share of all requests that go to models which were not asked for lately,
+ * spread over all models: rare ones, and those that are about to become busy.
+ * Seen on played days: 0.1 to 0.4.
+ */
+const quietShare = 0.3;
+/** Requests a second for each engine that are reckoned with before any were heard of. */
+const leastRatePerEngine = 1;
+/**
+ * Work that one replica is planned for, as a share of what an engine can read:
+ * above it, prompts queue for longer than they take to read.
+ */
+const replicaShare = 0.7;
+/** What a load costs whatever it brings, in requests: its price on the users' sites, and the risk of a wrong guess. */
+const loadCost = 0.2;
+/** What it costs besides to give a model up: orders, and what was kept of its prompts. */
+const unloadCost = 0.1;
+/** Share of an engine's requests that its load delays or turns away: it takes no orders for adapters meanwhile. */
+const blockedShare = 0.05;
+/** Adapters are asked for unevenly: so much less than their share of requests goes to those that are not loaded. */
+const unloadedAdapterShare = 0.5;
+/** An unload of a model that is in use waits for its requests, in milliseconds; one that is not takes none. */
+const busyUnloadMs = 1000;
+/** Decides between engines that are alike: work is spread. */
+const evenness = 0.5;
+
+/** A load on an engine, with the model that it takes the place of. */
+export interface LoadOption {
+    readonly engine: PlannedEngine;
+    readonly victim: ModelNeed | undefined;
+    /** Requests that it saves, less those that it costs; it is worth it above 0. */
+    readonly net: number;
+}
+
+export class ModelValues {
+    private readonly quietRate: number;
+
+    public constructor(private readonly state: PlanState) {
+        const { engines, spec } = state.input;
+        const rate = state.models.reduce((sum, need) => sum + need.rate, 0);
+        const total = Math.max(rate, engines.length * leastRatePerEngine);
+        this.quietRate = quietShare * total / Math.max(1, spec.models.length);
+    }
+
+    /** The best way to one more replica of a model on one engine; undefined where nothing can be given up for it. */
+    public bestOption(engine: PlannedEngine, need: ModelNeed): LoadOption | undefined {
+        const loadMs = loadTime(engine, need.model);
+        const gain = this.gain(need, loadMs);
+        const blocking = this.blockingCost(engine, loadMs);
+        if (this.state.fits(engine, need.model.sizeMb)) {
+            return { engine, victim: undefined, net: this.servedGain(engine, need, undefined, gain) - blocking };
+        }
+        let best: LoadOption | undefined;
+        for (const victim of this.victims(engine, need)) {
+            const net = this.servedGain(engine, need, victim, gain) - blocking - this.loss(engine, victim, loadMs);
+            if (best === undefined || net > best.net) {
+                best = { engine, victim, net };
+            }
+        }
+        return best;
+    }
+
+    /** Models of an engine that make enough room when one of them goes. */
+    private victims(engine: PlannedEngine, coming: ModelNeed): ModelNeed[] {
+        return [...engine.models]
+            .filter(([, held]) => held.ready && !held.leaving)
+            .flatMap(([name]) => this.state.modelNeed(name) ?? [])
+            .filter(({ model }) => this.state.fits(engine, coming.model.sizeMb - model.sizeMb));
+    }
+
+    /** Requests that one more replica saves within the horizon, when it takes `loadMs` to be there. */
+    private gain(need: ModelNeed, loadMs: number): number {
+        const replicas = this.state.replicas(need.model.name);
+        const saved = this.shortShare(need, replicas) - this.shortShare(need, replicas + 1);
+        if (replicas === 0 && need.rate < this.quietRate && need.lacking === 0) {
+            // Nobody asks: what is saved is the time that the first ones would wait.
+            return this.quietRate * Math.min(horizonMs, this.reloadMs(need.model)) / 1000;
+        }
+        const useful = Math.max(0, 1 - loadMs / horizonMs);
+        return (saved * this.expectedRate(need) * horizonMs / 1000 + (replicas === 0 ? need.lacking : 0)) * useful;
+    }
+
+    /** Requests that are lost when an engine gives up a model for a load of `loadMs`. */
+    private loss(engine: PlannedEngine, victim: ModelNeed, loadMs: number): number {
+        const { name } = victim.model;
+        const remaining = this.state.readyReplicas(name) - 1;
+        if (remaining > 0) {
+            const lost = this.shortShare(victim, remaining) - this.shortShare(victim, remaining + 1);
+            return unloadCost + this.fullness(victim, 0) + lost * this.expectedRate(victim) * horizonMs / 1000;
+        }
+        // What is asked for now stays unserved, or moves another model out in its turn; the rest until it is back.
+        const here = loadMs + loadTime(engine, victim.model);
+        const awayMs = Math.min(horizonMs, here, this.reloadMs(victim.model, engine));
+        const busyMs = victim.running > 0 ? busyUnloadMs : 0;
+        return unloadCost + (victim.rate * horizonMs + this.quietRate * (awayMs + busyMs)) / 1000;
+    }
+
+    /** Time in which a model that nobody holds can be there, from the best copy; `except` is busy otherwise. */
+    private reloadMs(model: EngineModel, except?: PlannedEngine): number {
+        const times = this.state.input.engines.filter(engine => engine !== except)
+            .map(engine => loadTime(engine, model));
+        return Math.min(model.loadMs, ...times);
+    }
+
+    private blockingCost(engine: PlannedEngine, loadMs: number): number {
+        let rate = 0;
+        for (const name of engine.models.keys()) {
+            const need = this.state.modelNeed(name);
+            rate += (need?.rate ?? 0) / Math.max(1, this.state.holders(name).length) * blockedShare;
+        }
+        return loadCost + (rate + this.adapterMisses(engine)) * loadMs / 1000;
+    }
+
+    /** Requests a second for adapters that are not loaded, of models that only this engine serves. */
+    private adapterMisses(engine: PlannedEngine): number {
+        let misses = 0;
+        for (const [name, held] of engine.models) {
+            const need = this.state.modelNeed(name);
+            if (need === undefined || need.model.adapters === 0 || this.state.readyReplicas(name) > 1) {
+                continue;
+            }
+            const unloaded = Math.max(0, 1 - held.adapters.size / need.model.adapters);
+            misses += (need.adapterRate + this.quietRate) * unloaded * unloadedAdapterShare;
+        }
+        return misses;
+    }
+
+    /** What is left of a gain where the engine's other models have work, too: too much of it is shared out. */
+    private servedGain(
+        engine: PlannedEngine,
+        need: ModelNeed,
+        victim: ModelNeed | undefined,
+        gain: number,
+    ): number {
+        const others = [...engine.models.keys()].filter(name => name !== victim?.model.name)
+            .reduce((sum, name) => sum + this.fullness(this.state.modelNeed(name), 0), 0);
+        return gain / Math.max(1, others + Math.min(1, this.fullness(need, 1))) - Math.min(1, others) * evenness;
+    }
+
+    /** What each replica of a model asks of its engine, as a share of what that can do. */
+    private fullness(need: ModelNeed | undefined, extraReplicas: number): number {
+        const capacity = need === undefined ? undefined : this.state.input.capacityOf(need.model.name);
+        return need === undefined || capacity === undefined
+            ? 0
+            : need.work / Math.max(1, this.state.replicas(need.model.name) + extraReplicas) / capacity;
+    }
+
+    /** Share of a model's requests that are not served in time by so many replicas. */
+    private shortShare(need: ModelNeed, replicas: number): number {
+        if (replicas <= 0) {
+            return 1;
+        }
+        const capacity = this.state.input.capacityOf(need.model.name);
+        return capacity === undefined || need.work === 0
+            ? 0
+            : Math.max(0, 1 - replicas * capacity * replicaShare / need.work);
+    }
+
+    private expectedRate(need: ModelNeed): number {
+        return need.rate + this.quietRate;
+    }
+}
+
+/** Time that an engine takes to load a model, from the best copy that its host has. */
+export function loadTime(engine: PlannedEngine, model: EngineModel): number {
+    if (engine.inMemory.has(model.name)) {
+        return model.memoryLoadMs;
+    }
+    return engine.onDisk.has(model.name) ? model.diskLoadMs : model.loadMs;
+}
--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -15,8 +15,10 @@
 const adapterChecksMs = [15, 30, 60, 100, 150, 200, 300, 400, 600];
 /** How often is looked whether an engine is done with a model, before its adapters are looked after. */
 const busyCheckMs = 50;
-/** Models are looked after this long after the time that they should take, and again. */
-const modelCheckMs = 150;
+/** Models are looked after this long after the time that they should take; each further look takes longer, up to a bound. */
+const firstModelCheckMs = 25;
+const lastModelCheckMs = 200;
+const modelCheckGrowth = 1.5;
 /** A load that takes this many times as long as it should has failed, or the store is overloaded. */
 const modelPatience = 5;
 /** Adapters that may be under way to one engine at the same time. */
@@ -92,10 +94,15 @@
     /** Carries an order out; returns once the engine can take another. */
     public async give(order: EngineOrder, expectedMs: number): Promise<void> {
         this.occupied = true;
+        if (order.kind === "load" && order.adapter === "") {
+            // Counted before it is accepted, so that it is not ordered elsewhere meanwhile.
+            this.loading.add(order.model);
+        }
         try {
             await this.carryOut(order, expectedMs);
         }
         finally {
+            this.loading.delete(order.model);
             this.occupied = false;
             this.owner.settled();
         }
@@ -179,16 +186,16 @@
     private async followModel(order: EngineOrder, expectedMs: number): Promise<void> {
         const deadline = steadyNow() + expectedMs * modelPatience + modelPatience * 1000;
         if (order.kind === "load") {
-            this.loading.add(order.model);
             // Entries learn when to expect it, and hold or send back requests accordingly.
-            this.change(models => models.push(heldModel(order.model, expectedMs + modelCheckMs)));
+            this.change(models => models.push(heldModel(order.model, expectedMs + firstModelCheckMs)));
         }
         await sleep(expectedMs);
+        let checkMs = firstModelCheckMs;
         while (steadyNow() < deadline && this.upstream !== undefined) {
-            await sleep(modelCheckMs);
+            await sleep(checkMs);
+            checkMs = Math.min(lastModelCheckMs, checkMs * modelCheckGrowth);
             const reply = await this.send(order);
             if (reply === OrderReply.holds) {
-                this.loading.delete(order.model);
                 this.tookEffect(order);
                 return;
             }
@@ -197,7 +204,6 @@
                 break;
             }
         }
-        this.loading.delete(order.model);
         this.change(models => remove(models, order.model, held => held.readyInMs > 0));
         this.expected = undefined;
     }
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -13,8 +13,8 @@
 const planMs = 500;
 /** Plans are at least this far apart. */
 const planPauseMs = 10;
-/** An unload waits for what runs; it is looked after from then on. */
-const unloadMs = 50;
+/** An unload waits for what runs; without that it takes no time, and is looked after from then on. */
+const unloadMs = 5;
 /** An engine that could not be read is asked again after this long. */
 const rereadMs = 1000;
 /** How long an earlier leader's loads count against the store's pace: its window of five seconds. */
@@ -114,13 +114,12 @@
             engines,
             needs: this.demand.needs().filter(need => need.key.service === service),
             storeOpen: this.pace.mayStart(spec.storeLoadsPerSecond),
-            capacity: this.demand.paceOf(service),
-            heardMs: this.demand.ageMs,
+            capacityOf: model => this.demand.paceOf(service, model),
         });
-        orders.forEach(planned => this.give(planned, spec));
+        orders.forEach(planned => this.give(service, planned, spec));
     }
 
-    private give(planned: PlannedOrder, spec: EngineSpec): void {
+    private give(service: string, planned: PlannedOrder, spec: EngineSpec): void {
         const line = this.lines.get(planned.engine);
         if (line === undefined || !line.free) {
             return;
@@ -130,7 +129,7 @@
             order: describeOrder(planned.order),
             fromStore: planned.fromStore,
             reason: planned.reason,
-            capacity: Math.round(this.demand.paceOf(this.registry.get(planned.engine)?.upstream.service ?? "") ?? 0),
+            capacity: Math.round(this.demand.paceOf(service, planned.coming ?? planned.order.model) ?? 0),
         });
         if (planned.fromStore) {
             this.pace.started();
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -162,7 +162,11 @@
             }
         }
         if (isNew) {
-            this.log.info("upstream.learnt", describe(next));
+            this.log.info("upstream.learnt", {
+                ...describe(next),
+                inMemory: [...entry.inMemory],
+                onDisk: [...entry.onDisk],
+            });
             this.touch(entry, next);
             return;
         }
--- /dev/null
+++ b/packages/fleet/src/tests/demands.test.ts
@@ -0,0 +1,55 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { silentLog } from "@winchpath/core";
+import { expect } from "earl";
+import { describe, it, type TestContext } from "node:test";
+import { DemandBook, DemandRequestSchema, type ItemDemandSchema } from "../index.js";
+
+function report(items: MessageInitShape<typeof ItemDemandSchema>[], entry = "e1") {
+    return create(DemandRequestSchema, { entry, intervalMs: 500, items });
+}
+
+function pausedBook(t: TestContext): DemandBook {
+    t.mock.timers.enable({ apis: ["Date"], now: 1_000_000 });
+    return new DemandBook(silentLog);
+}
+
+describe("DemandBook", () => {
+    it("follows demand within a few seconds", t => {
+        const book = pausedBook(t);
+        for (let halfSecond = 0; halfSecond < 20; halfSecond++) {
+            t.mock.timers.tick(500);
+            book.take(report([{ service: "s", model: "m", arrived: 5, work: 5000n }]));
+        }
+        const [need] = book.needs();
+        expect(need.rate).toBeGreaterThan(8);
+        expect(Math.round(need.work / need.rate)).toEqual(1000);
+    });
+
+    it("takes silence for the end of demand sooner than the average does", t => {
+        const book = pausedBook(t);
+        book.take(report([{ service: "s", model: "m", arrived: 20, work: 20_000n }]));
+        t.mock.timers.tick(2500);
+        expect(book.needs()[0].rate).toBeLessThanOrEqual(0.5);
+        expect(book.needs()[0].work).toBeLessThanOrEqual(500);
+    });
+
+    it("does not take one request for a model that becomes busy", t => {
+        const book = pausedBook(t);
+        t.mock.timers.tick(10_000);
+        book.take(report([{ service: "s", model: "m", arrived: 1, work: 1000n }]));
+        expect(book.needs()[0].rate).toBeLessThan(0.3);
+    });
+
+    it("tells the pace of each model by itself", () => {
+        const book = new DemandBook(silentLog);
+        book.take(create(DemandRequestSchema, {
+            paces: [{ service: "s", model: "small", tokensPerSecond: 40_000 }, {
+                service: "s",
+                model: "large",
+                tokensPerSecond: 10_000,
+            }],
+        }));
+        expect([book.paceOf("s", "small"), book.paceOf("s", "large"), book.paceOf("s", "other")])
+            .toEqual([40_000, 10_000, undefined]);
+    });
+});
--- a/packages/fleet/src/tests/orderlines.test.ts
+++ b/packages/fleet/src/tests/orderlines.test.ts
@@ -44,6 +44,15 @@
         expect(engine.orders[0].fence).toEqual({ holder: "h", token: 7 });
     });
 
+    it("counts a model as under way before its engine has accepted the order", async () => {
+        const engine = new ScriptedEngine();
+        const { line } = await lineFor(engine);
+        const given = line.give(order("load", "m1"), 1);
+        expect(line.loadingModels).toEqual(["m1"]);
+        await given;
+        expect(line.loadingModels).toEqual([]);
+    });
+
     it("counts an adapter's unload, so that the next order is taken", async () => {
         const engine = new ScriptedEngine();
         engine.models.set("m1", new Set(["a1"]));
--- a/packages/fleet/src/tests/plans.test.ts
+++ b/packages/fleet/src/tests/plans.test.ts
@@ -1,76 +1,131 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { type PlanInput, type PlannedEngine, type PlannedModel, planOrders } from "../index.js";
+import { type PlanInput, type PlannedEngine, type PlannedModel, type PlannedOrder, planOrders } from "../index.js";
 import { engine, need, spec } from "./standins.js";
 
-function plan(values: Partial<PlanInput>) {
-    const orders = planOrders({
-        service: "s",
-        spec,
-        engines: [],
-        needs: [],
-        storeOpen: true,
-        capacity: 10_000,
-        heardMs: 60_000,
-        ...values,
-    });
-    return orders.map(({ engine: id, order }) =>
-        `${id}: ${order.kind} ${order.model}${order.adapter === "" ? "" : `/${order.adapter}`}`
-    );
+const base: PlanInput = {
+    service: "s",
+    spec,
+    engines: [],
+    needs: [],
+    storeOpen: true,
+    capacityOf: () => 10_000,
+};
+
+function plan(values: Partial<PlanInput>): string[] {
+    return planOrders({ ...base, ...values }).map(describePlanned);
+}
+
+function describePlanned({ engine: id, order }: PlannedOrder): string {
+    return `${id}: ${order.kind} ${order.model}${order.adapter === "" ? "" : `/${order.adapter}`}`;
+}
+
+/** Loads of a model, and unloads that make room for it. */
+function planFor(model: string, values: Partial<PlanInput>): string[] {
+    return planOrders({ ...base, ...values })
+        .filter(({ order, coming }) => coming === model || (order.kind === "load" && order.model === model))
+        .map(describePlanned);
 }
 
 describe("planOrders", () => {
     describe("a model that nobody holds", () => {
         const lacking = need("m4", { lacking: 1 });
+        const full = ["m1", "m2", "m3"];
 
         it("is loaded where there is room", () => {
-            expect(plan({ engines: [engine("e1", ["m1", "m2", "m3"]), engine("e2", ["m1"])], needs: [lacking] }))
+            expect(planFor("m4", { engines: [engine("e1", full), engine("e2", ["m1"])], needs: [lacking] }))
                 .toEqual(["e2: load m4"]);
         });
 
         it("comes from a copy rather than from the store", () => {
             const engines = [engine("e1", ["m1"]), engine("e2", ["m1"], { onDisk: new Set(["m4"]) })];
-            expect(plan({ engines, needs: [lacking] })).toEqual(["e2: load m4"]);
+            expect(planFor("m4", { engines, needs: [lacking] })).toEqual(["e2: load m4"]);
+        });
+
+        it("comes from a copy though room has to be made for it", () => {
+            const engines = [
+                engine("e1", ["m1"]),
+                engine("e2", full, { onDisk: new Set(["m1", "m2", "m3", "m4"]) }),
+            ];
+            expect(planFor("m4", { engines, needs: [lacking] })).toEqual(["e2: unload m1"]);
         });
 
         it("waits while the store takes no more", () => {
-            expect(plan({ engines: [engine("e1", ["m1"])], needs: [lacking], storeOpen: false })).toEqual([]);
+            const values = { engines: [engine("e1", ["m1"])], needs: [lacking], storeOpen: false };
+            expect(planFor("m4", values)).toEqual([]);
         });
 
         it("takes the place of a replica that is not needed, and not of a last one", () => {
-            const engines = [engine("e1", ["m1", "m2", "m3"]), engine("e2", ["m1"])].map(one => ({ ...one }));
             const needs = [lacking, need("m1", { work: 10 }), need("m2"), need("m3")];
-            expect(plan({ engines: engines.slice(0, 1), needs })).toEqual([]);
-            const full = [engine("e1", ["m1", "m2", "m3"]), engine("e2", ["m1", "m2", "m3"])];
-            expect(plan({ engines: full, needs })).toEqual(["e1: unload m1"]);
+            expect(planFor("m4", { engines: [engine("e1", full)], needs })).toEqual([]);
+            expect(planFor("m4", { engines: [engine("e1", full), engine("e2", full)], needs }))
+                .toEqual(["e1: unload m1"]);
         });
 
-        it("takes the place of a last replica that was idle for long", () => {
-            const needs = [lacking, need("m1"), need("m2", { idleMs: 30_000, work: 0 }), need("m3")];
-            expect(plan({ engines: [engine("e1", ["m1", "m2", "m3"])], needs })).toEqual(["e1: unload m2"]);
+        it("takes the place of a last replica that nobody asks for", () => {
+            const onDisk = new Set(["m1", "m2", "m3", "m4"]);
+            const needs = [lacking, need("m1"), need("m2", { idleMs: 30_000, rate: 0, work: 0 }), need("m3")];
+            expect(planFor("m4", { engines: [engine("e1", full, { onDisk })], needs })).toEqual(["e1: unload m2"]);
         });
 
         it("is not loaded twice while it is on its way", () => {
             const engines = [engine("e1", ["m1", "m2"], { coming: "m4", takesModels: false }), engine("e2", ["m1"])];
-            expect(plan({ engines, needs: [lacking] })).toEqual([]);
+            expect(planFor("m4", { engines, needs: [lacking] })).toEqual([]);
         });
 
         it("is loaded where room was made for it", () => {
-            const engines = [engine("e1", ["m1", "m2"], { coming: "m4" }), engine("e2", ["m1"])];
-            expect(plan({ engines, needs: [lacking] })).toEqual(["e1: load m4"]);
+            const engines = [engine("e1", ["m1", "m2"], { coming: "m4" }), engine("e2", full)];
+            expect(planFor("m4", { engines, needs: [lacking] })).toEqual(["e1: load m4"]);
+        });
+
+        it("is loaded though all engines have more work than they can do", () => {
+            const needs = [
+                need("m1", { rate: 20, work: 60_000 }),
+                need("m4", { rate: 10, work: 30_000, lacking: 20 }),
+            ];
+            const engines = ["e1", "e2", "e3"].map(id => engine(id, full, { onDisk: new Set(["m4"]) }));
+            expect(planFor("m4", { engines, needs }).length).toEqual(1);
+        });
+
+        it("does not bring back what was given up for it at the cost of a third one", () => {
+            const engines = [
+                engine("e1", ["m1"], { onDisk: new Set(["m4"]) }),
+                engine("e2", ["m3"], { onDisk: new Set(["m1"]) }),
+            ];
+            const needs = [need("m4", { rate: 20, lacking: 20 }), need("m1", { rate: 0.2 })];
+            expect(plan({ spec: { ...spec, memoryMb: 100 }, engines, needs })).toEqual(["e1: unload m1"]);
+        });
+    });
+
+    describe("a model that nobody asks for", () => {
+        it("takes room that is free, so that the first ones to ask need not wait", () => {
+            expect(plan({ engines: [engine("e1", ["m1", "m2", "m3"]), engine("e2", ["m1", "m2"])] }))
+                .toEqual(["e2: load m4"]);
+        });
+
+        it("takes the place of none that is in use", () => {
+            const needs = ["m1", "m2", "m3"].map(model => need(model));
+            expect(plan({ engines: [engine("e1", ["m1", "m2", "m3"])], needs })).toEqual([]);
         });
     });
 
     describe("a model with more work than its replicas can do", () => {
         it("gets another replica", () => {
             const engines = [engine("e1", ["m1"]), engine("e2", ["m2"])];
-            expect(plan({ engines, needs: [need("m1", { work: 9000 })] })).toEqual(["e2: load m1"]);
+            expect(planFor("m1", { engines, needs: [need("m1", { work: 9000 })] })).toEqual(["e2: load m1"]);
         });
 
         it("gets none while nobody knows what an engine can do", () => {
             const engines = [engine("e1", ["m1"]), engine("e2", ["m2"])];
-            expect(plan({ engines, needs: [need("m1", { work: 9000 })], capacity: undefined })).toEqual([]);
+            const needs = [need("m1", { work: 9000 })];
+            expect(planFor("m1", { engines, needs, capacityOf: () => undefined })).toEqual([]);
+        });
+
+        it("gets none from the store at the cost of a model that is in use", () => {
+            const engines = [engine("e1", ["m1"]), engine("e2", ["m2", "m3", "m4"])];
+            const needs = [need("m1", { work: 9000 }), ...["m2", "m3", "m4"].map(model => need(model))];
+            expect(planFor("m1", { engines, needs })).toEqual([]);
         });
     });
 
@@ -85,8 +140,8 @@
         });
 
         it("is loaded on an engine that holds its model", () => {
-            expect(plan({ engines: [engine("e1", ["m1"]), engine("e2", ["m2"])], needs: [wanted] }))
-                .toEqual(["e1: load m1/a1"]);
+            const engines = [engine("e1", ["m1", "m2"]), engine("e2", ["m3", "m4"])];
+            expect(plan({ engines, needs: [wanted] })).toEqual(["e1: load m1/a1"]);
         });
 
         it("keeps its engine from loading a model while it is waited for", () => {
@@ -107,7 +162,7 @@
         });
 
         it("is not loaded again for what was asked long ago", () => {
-            const engines = [engine("e1", [], holding(["a2", "a3"]))];
+            const engines = [engine("e1", [], holding(["a2", "a3"])), engine("e2", ["m2", "m3", "m4"])];
             expect(plan({ engines, needs: [need("m1", { rate: 0.001, work: 1, idleMs: 5000 }, "a1")] })).toEqual([]);
         });
 
@@ -154,8 +209,7 @@
                     engines,
                     needs,
                     storeOpen: true,
-                    capacity: 10_000,
-                    heardMs: 60_000,
+                    capacityOf: () => 10_000,
                 });
                 for (const { engine: id, order } of orders.filter(one => one.order.kind === "load")) {
                     const models = engines.find(one => one.id === id)!.models;
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -11,7 +11,7 @@
 import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
 import { type UpstreamLink } from "./links.js";
 import { LinkTable } from "./linktables.js";
-import { ReadingPace } from "./paces.js";
+import { PaceBook } from "./paces.js";
 import { busyRetryMs, leastAttemptMs, Patience, type Refusal } from "./patiences.js";
 import { type Pick, Picker } from "./pickers.js";
 import { WaitingRoom } from "./waitingrooms.js";
@@ -44,7 +44,7 @@
     private readonly ejections = new EjectionBook();
     private readonly links: LinkTable;
     private readonly picker: Picker;
-    private readonly pace = new ReadingPace();
+    private readonly paces = new PaceBook();
     private readonly patience: Patience;
     private readonly room = new WaitingRoom<Place>();
     private readonly budgets = new Map<string, WindowBudget>();
@@ -52,7 +52,7 @@
     public constructor(private readonly parts: ForwarderParts) {
         this.links = new LinkTable(parts.view);
         this.patience = new Patience(parts.view, this.links);
-        this.picker = new Picker(this.ejections, parts.dataCentre, this.pace);
+        this.picker = new Picker(this.ejections, parts.dataCentre, this.paces);
     }
 
     /** Follows what the view knows now, and lets those that wait try again. */
@@ -190,9 +190,11 @@
     }
 
     private learnPace(job: Job, tokens: number, ms: number): void {
-        this.pace.learn(tokens, ms);
-        if (this.pace.tokensPerSecond !== undefined && this.engineOf(job.service) !== undefined) {
-            this.parts.meter.paceOf(job.service, this.pace.tokensPerSecond);
+        const { model } = job.facts;
+        const pace = this.paces.of(job.service, model);
+        pace.learn(tokens, ms);
+        if (pace.tokensPerSecond !== undefined && this.engineOf(job.service) !== undefined) {
+            this.parts.meter.paceOf(job.service, model, pace.tokensPerSecond);
         }
     }
 
--- a/packages/forwarding/src/paces.ts
+++ b/packages/forwarding/src/paces.ts
@@ -7,6 +7,7 @@
 /** Share of one sample in the average; the last few dozen count. */
 const sampleShare = 0.04;
 
+/** The pace of one model, or of all models of a service together. */
 export class ReadingPace {
     private tokensPerMs: number | undefined;
 
@@ -30,3 +31,19 @@
         return tokens / (this.tokensPerMs ?? unknownPace);
     }
 }
+
+/** The paces of a service's models: large ones are read several times as slowly as small ones. */
+export class PaceBook {
+    private readonly paces = new Map<string, ReadingPace>();
+
+    /** The pace of a model of a service. */
+    public of(service: string, model: string): ReadingPace {
+        const name = `${service}/${model}`;
+        let pace = this.paces.get(name);
+        if (pace === undefined) {
+            pace = new ReadingPace();
+            this.paces.set(name, pace);
+        }
+        return pace;
+    }
+}
--- a/packages/forwarding/src/pickers.ts
+++ b/packages/forwarding/src/pickers.ts
@@ -4,7 +4,7 @@
 import { createHash } from "node:crypto";
 import { type Job, ownTokensOf, tokensOf } from "./jobs.js";
 import { type UpstreamLink } from "./links.js";
-import { type ReadingPace } from "./paces.js";
+import { type PaceBook } from "./paces.js";
 
 /** An upstream in another data centre counts as this much busier: in tokens of a prompt, or in requests. */
 const distanceTokens = 300;
@@ -31,7 +31,7 @@
     public constructor(
         private readonly ejections: EjectionBook,
         private readonly dataCentre: string,
-        private readonly pace: ReadingPace,
+        private readonly paces: PaceBook,
     ) {}
 
     /** `engine`: what the service's upstreams are, where they are model engines. */
@@ -91,7 +91,8 @@
         const perRequest = link.inFlight === 0 ? tokensOf(job) : link.tokensInFlight / link.inFlight;
         const fits = perRequest * link.load + tokensOf(job) <= engine.cacheTokens * cacheShare;
         const ahead = link.queueAhead(job.route.priority, ownTokensOf(job));
-        const inTime = this.pace.durationMs(ahead) <= job.route.objectiveMs * latestShare;
+        const pace = this.paces.of(job.service, job.facts.model);
+        const inTime = pace.durationMs(ahead) <= job.route.objectiveMs * latestShare;
         return link.load < 1 || (fits && inTime);
     }
 }
