Open orders after asking the earlier holder; plan without engines that are down

A new leader asks the other control hosts: each gives nothing more under lower tokens and says when it last gave an order; only a holder that is alive and gave one within the lease is waited for. Engines refuse lower tokens anyway. For one window a new leader starts at most three loads, which the store bears beside an earlier one's. Engines that refuse connections, are out of reach of two entries, or were silent for 2.7 announcements are planned without. Ruled out: entries' own view (they told of the lack at once).

--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -69,11 +69,16 @@
         return this.paces.get(paceName(service, model));
     }
 
+    /** Milliseconds for which demand was heard here. */
+    public get ageMs(): number {
+        return steadyNow() - this.since;
+    }
+
     /** All that was asked for lately. */
     public needs(): ItemNeed[] {
         this.forgetOld();
         // Averages that have just begun tell of less than there is.
-        const heardShare = 1 - 2 ** (-Math.max(halfLifeMs, steadyNow() - this.since) / halfLifeMs);
+        const heardShare = 1 - 2 ** (-Math.max(halfLifeMs / 2, this.ageMs) / halfLifeMs);
         return [...this.items.values()].map(item => needOf(item, heardShare));
     }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -5,6 +5,7 @@
 export {
     type Announcement,
     AnnouncementSchema,
+    type DemandRequest,
     DemandRequestSchema,
     FleetService,
     type HeldModel,
@@ -17,6 +18,7 @@
     UpstreamState,
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 export * from "./meters.js";
+export * from "./orderleases.js";
 export * from "./orderlines.js";
 export * from "./orders.js";
 export * from "./placements.js";
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -22,6 +22,7 @@
 export class DemandMeter {
     private readonly items = new Map<string, ItemDemand>();
     private mismatches: Mismatch[] = [];
+    private readonly unreachable = new Set<string>();
     private readonly urgent = new Notifier();
     private readonly paces = new Map<string, { readonly service: string; readonly model: string; rate: number; }>();
 
@@ -66,6 +67,12 @@
         }
     }
 
+    /** An upstream refused a connection, or did not take one in time. */
+    public missed(upstream: string): void {
+        this.unreachable.add(upstream);
+        this.urgent.notify();
+    }
+
     /** Engines of a service read this many tokens of a prompt in a second for a model. */
     public paceOf(service: string, model: string, tokensPerSecond: number): void {
         this.paces.set(`${service}/${model}`, { service, model, rate: tokensPerSecond });
@@ -77,7 +84,7 @@
             await this.urgent.wait(reportMs);
             await sleep(urgentMs, signal);
             const url = leader();
-            if (url === "" || signal.aborted || (this.items.size === 0 && this.mismatches.length === 0)) {
+            if (url === "" || signal.aborted || !this.hasNews) {
                 continue;
             }
             await this.report(entry, clients, url);
@@ -87,7 +94,8 @@
     private async report(entry: string, clients: RpcClients, url: string): Promise<void> {
         // Copies, since the counts start anew while these are on their way.
         const items = [...this.items.values()].map(item => clone(ItemDemandSchema, item));
-        const mismatches = this.mismatches;
+        const { mismatches } = this;
+        const unreachable = [...this.unreachable];
         this.settle();
         try {
             const paces = [...this.paces.values()].map(({ service, model, rate }) => ({
@@ -96,7 +104,7 @@
                 tokensPerSecond: rate,
             }));
             this.paces.clear();
-            const req = { entry, intervalMs: reportMs, items, mismatches, paces };
+            const req = { entry, intervalMs: reportMs, items, mismatches, paces, unreachable };
             await clients.client(FleetService, url).reportDemand(req, { timeoutMs: reportTimeoutMs });
         }
         catch (err) {
@@ -105,8 +113,13 @@
         }
     }
 
+    private get hasNews(): boolean {
+        return this.items.size > 0 || this.mismatches.length > 0 || this.unreachable.size > 0;
+    }
+
     private settle(): void {
         this.mismatches = [];
+        this.unreachable.clear();
         for (const [key, item] of this.items) {
             item.arrived = 0;
             item.refused = 0;
--- a/packages/fleet/src/modelvalues.ts
+++ b/packages/fleet/src/modelvalues.ts
@@ -30,8 +30,13 @@
 const blockedShare = 0.05;
 /** Adapters are asked for unevenly: so much less than their share of requests goes to those that are not loaded. */
 const unloadedAdapterShare = 0.5;
-/** An unload of a model that is in use waits for its requests, in milliseconds; one that is not takes none. */
-const busyUnloadMs = 1000;
+/**
+ * An unload waits for the requests that run on the engine, in milliseconds for
+ * each: the longest of them counts, and generated texts differ in length.
+ */
+const unloadMsPerRunning = 400;
+/** Such a wait is not reckoned to last longer: about as long as the longest texts take. */
+const longestUnloadMs = 8000;
 /** Decides between engines that are alike: work is spread. */
 const evenness = 0.5;
 
@@ -56,14 +61,13 @@
     /** The best way to one more replica of a model on one engine; undefined where nothing can be given up for it. */
     public bestOption(engine: PlannedEngine, need: ModelNeed): LoadOption | undefined {
         const loadMs = loadTime(engine, need.model);
-        const gain = this.gain(need, loadMs);
-        const blocking = this.blockingCost(engine, loadMs);
         if (this.state.fits(engine, need.model.sizeMb)) {
-            return { engine, victim: undefined, net: this.servedGain(engine, need, undefined, gain) - blocking };
+            return { engine, victim: undefined, net: this.net(engine, need, undefined, loadMs) };
         }
         let best: LoadOption | undefined;
         for (const victim of this.victims(engine, need)) {
-            const net = this.servedGain(engine, need, victim, gain) - blocking - this.loss(engine, victim, loadMs);
+            const busyMs = this.unloadMs(victim) + loadMs;
+            const net = this.net(engine, need, victim, busyMs) - this.loss(engine, victim, busyMs);
             if (best === undefined || net > best.net) {
                 best = { engine, victim, net };
             }
@@ -71,6 +75,18 @@
         return best;
     }
 
+    /** Requests that a load saves, less those that it delays on its engine, which is busy for `busyMs`. */
+    private net(engine: PlannedEngine, need: ModelNeed, victim: ModelNeed | undefined, busyMs: number): number {
+        const gain = this.gain(need, busyMs);
+        return this.servedGain(engine, need, victim, gain) - this.blockingCost(engine, busyMs);
+    }
+
+    /** How long it takes to give a model up. */
+    private unloadMs(victim: ModelNeed): number {
+        const running = victim.running / Math.max(1, this.state.readyReplicas(victim.model.name));
+        return Math.min(longestUnloadMs, running * unloadMsPerRunning);
+    }
+
     /** Models of an engine that make enough room when one of them goes. */
     private victims(engine: PlannedEngine, coming: ModelNeed): ModelNeed[] {
         return [...engine.models]
@@ -102,8 +118,7 @@
         // What is asked for now stays unserved, or moves another model out in its turn; the rest until it is back.
         const here = loadMs + loadTime(engine, victim.model);
         const awayMs = Math.min(horizonMs, here, this.reloadMs(victim.model, engine));
-        const busyMs = victim.running > 0 ? busyUnloadMs : 0;
-        return unloadCost + (victim.rate * horizonMs + this.quietRate * (awayMs + busyMs)) / 1000;
+        return unloadCost + (victim.rate * horizonMs + this.quietRate * awayMs) / 1000;
     }
 
     /** Time in which a model that nobody holds can be there, from the best copy; `except` is busy otherwise. */
--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -28,6 +28,10 @@
 export interface OrderLineOwner {
     /** Undefined once orders may not be given any more. */
     fence(): Fence | undefined;
+    /** An order is sent. */
+    gave(): void;
+    /** The engine refuses connections. */
+    unreachable(upstream: string): void;
     /** Another leader gives orders. */
     fenced(upstream: string): void;
     /** What an engine holds has changed, or it takes orders again. */
@@ -131,6 +135,7 @@
                     return;
                 case OrderReply.fenced:
                 case OrderReply.refused:
+                case OrderReply.unreachable:
                     this.expected = undefined;
                     return;
                 case OrderReply.conflict:
@@ -154,6 +159,7 @@
             return OrderReply.refused;
         }
         const sentAt = steadyNow();
+        this.owner.gave();
         const reply = await this.calls.order(upstream, order, this.expected, fence);
         this.lastOrderAt = steadyNow();
         this.log.info("order.sent", {
@@ -167,6 +173,9 @@
         if (reply === OrderReply.fenced) {
             this.owner.fenced(this.id);
         }
+        if (reply === OrderReply.unreachable) {
+            this.owner.unreachable(this.id);
+        }
         return reply;
     }
 
@@ -200,7 +209,7 @@
                 return;
             }
             // Accepted once more: it is still under way, and was counted before.
-            if (reply === OrderReply.fenced || reply === OrderReply.refused) {
+            if (isFinal(reply)) {
                 break;
             }
         }
@@ -235,7 +244,7 @@
             if (reply === OrderReply.holds) {
                 return true;
             }
-            if (reply === OrderReply.fenced || reply === OrderReply.refused) {
+            if (isFinal(reply)) {
                 return false;
             }
         }
@@ -296,6 +305,11 @@
     }
 }
 
+/** Whether asking again is of no use. */
+function isFinal(reply: OrderReply): boolean {
+    return reply === OrderReply.fenced || reply === OrderReply.refused || reply === OrderReply.unreachable;
+}
+
 function applyOrder(models: HeldModel[], order: EngineOrder): void {
     const held = models.find(model => model.name === order.model);
     if (order.adapter === "") {
--- a/packages/fleet/src/orders.ts
+++ b/packages/fleet/src/orders.ts
@@ -26,6 +26,8 @@
     fenced: "fenced",
     /** It can't be carried out at all, or the engine is another one by now. */
     refused: "refused",
+    /** The engine refuses connections: it was not sent. */
+    unreachable: "unreachable",
     /** No answer: it may have been accepted, and may still be carried out. */
     unknown: "unknown",
 } as const;
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -5,12 +5,16 @@
 import { type Mismatch, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { OrderLine, type OrderLineOwner } from "./orderlines.js";
 import { describeOrder, type EngineCalls, type Fence } from "./orders.js";
-import { type PlannedEngine, type PlannedModel, type PlannedOrder, planOrders } from "./plans.js";
+import { type PlannedEngine, type PlannedModel, type PlannedOrder, planOrders, type UnmetNeed } from "./plans.js";
 import { type RegisteredUpstream, type Registry } from "./registries.js";
 import { StorePace } from "./storepaces.js";
 
 /** How often is planned where nothing happens, in milliseconds. */
 const planMs = 500;
+/** Nothing is ordered before demand was heard for this long: three reports of each entry. */
+const leastDemandMs = 1500;
+/** What is asked for and not planned is told this often at most, in milliseconds. */
+const unmetLogMs = 500;
 /** Plans are at least this far apart. */
 const planPauseMs = 10;
 /** An unload waits for what runs; without that it takes no time, and is looked after from then on. */
@@ -22,9 +26,18 @@
 /** Room that was made for a model is kept for it this long; an unload waits for what runs. */
 const intentMs = 15_000;
 
+/** An engine that was silent for this many announcements is planned without. */
+const silentAnnouncements = 2.7;
+/** Processes that can't reach an engine before it is planned without: one alone may be cut off itself. */
+const unreachableReports = 2;
+
 export interface PlacementControl {
+    /** How often upstreams announce themselves, in milliseconds. */
+    readonly announceMs: number;
     /** Who may give orders now; undefined where this host may not. */
     fence(): Fence | undefined;
+    /** An order is sent. */
+    gaveOrder(): void;
     readonly configuration: Configuration | undefined;
 }
 
@@ -34,9 +47,11 @@
     private readonly reads = new Map<string, number>();
     /** Models that room is being made for, by engine. */
     private readonly coming = new Map<string, { readonly model: string; readonly until: number; }>();
+    private readonly suspects = new Set<string>();
     private readonly wake = new Notifier();
     private readonly pace = new StorePace(storeWindowMs);
     private fencedOff = false;
+    private unmetToldAt = Number.NEGATIVE_INFINITY;
 
     public constructor(
         private readonly control: PlacementControl,
@@ -55,6 +70,17 @@
         return this.fencedOff ? undefined : this.control.fence();
     }
 
+    public gave(): void {
+        this.control.gaveOrder();
+    }
+
+    public unreachable(upstream: string): void {
+        // Its connection was refused: no other report is needed.
+        for (let report = 0; report < unreachableReports; report++) {
+            this.registry.unreachable(upstream, `leader/${report}`);
+        }
+    }
+
     public fenced(upstream: string): void {
         if (!this.fencedOff) {
             this.fencedOff = true;
@@ -81,7 +107,7 @@
         while (!signal.aborted) {
             await this.wake.wait(planMs);
             await sleep(planPauseMs, signal);
-            if (signal.aborted || this.fence() === undefined) {
+            if (signal.aborted || this.fence() === undefined || this.demand.ageMs < leastDemandMs) {
                 continue;
             }
             try {
@@ -107,8 +133,9 @@
     private planService(service: string, spec: EngineSpec): void {
         const engines = this.registry.all()
             .filter(({ upstream }) => upstream.service === service && upstream.state === UpstreamState.READY)
+            .filter(({ upstream }) => !this.isSuspect(upstream.id))
             .map(known => this.plannedEngine(known));
-        const orders = planOrders({
+        const plan = planOrders({
             service,
             spec,
             engines,
@@ -116,7 +143,40 @@
             storeOpen: this.pace.mayStart(spec.storeLoadsPerSecond),
             capacityOf: model => this.demand.paceOf(service, model),
         });
-        orders.forEach(planned => this.give(service, planned, spec));
+        this.tellUnmet(plan.unmet);
+        plan.orders.forEach(planned => this.give(service, planned, spec));
+    }
+
+    private tellUnmet(unmet: readonly UnmetNeed[]): void {
+        const now = steadyNow();
+        if (unmet.length === 0 || now - this.unmetToldAt < unmetLogMs) {
+            return;
+        }
+        this.unmetToldAt = now;
+        this.log.info("plan.unmet", {
+            models: unmet.map(({ model, rate, lacking, freeEngines, bestNet }) => ({
+                model,
+                rate: Number(rate.toFixed(1)),
+                lacking,
+                freeEngines,
+                bestNet: bestNet === undefined ? undefined : Number(bestNet.toFixed(1)),
+            })),
+        });
+    }
+
+    /** Whether an engine seems to be down; what it holds is loaded elsewhere where it is asked for. */
+    private isSuspect(id: string): boolean {
+        const suspect = this.registry.isSuspect(id, this.control.announceMs * silentAnnouncements, unreachableReports);
+        if (suspect !== this.suspects.has(id)) {
+            this.log.warn(suspect ? "engine.suspected" : "engine.trusted", { upstream: id });
+            if (suspect) {
+                this.suspects.add(id);
+            }
+            else {
+                this.suspects.delete(id);
+            }
+        }
+        return suspect;
     }
 
     private give(service: string, planned: PlannedOrder, spec: EngineSpec): void {
@@ -181,6 +241,7 @@
                 this.lines.delete(id);
                 this.reads.delete(id);
                 this.coming.delete(id);
+                this.suspects.delete(id);
             }
         }
     }
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -56,11 +56,29 @@
     readonly coming?: string;
 }
 
-/** The next orders, at most one for each engine, the most useful first. */
-export function planOrders(input: PlanInput): PlannedOrder[] {
+/** A model that requests wait for and that nothing is done for now, and why. */
+export interface UnmetNeed {
+    readonly model: string;
+    readonly rate: number;
+    readonly lacking: number;
+    /** Engines that could take an order now. */
+    readonly freeEngines: number;
+    /** Requests that the best load would save, less those that it would cost; undefined where none is possible. */
+    readonly bestNet: number | undefined;
+}
+
+export interface Plan {
+    /** The next orders, at most one for each engine, the most useful first. */
+    readonly orders: readonly PlannedOrder[];
+    readonly unmet: readonly UnmetNeed[];
+}
+
+export function planOrders(input: PlanInput): Plan {
     const state = new PlanState(input);
     const adapters = new AdapterPlanner(state);
-    return [...adapters.orders(), ...new ModelPlanner(state, adapters).orders()];
+    const adapterOrders = adapters.orders();
+    const models = new ModelPlanner(state, adapters);
+    return { orders: [...adapterOrders, ...models.orders()], unmet: models.unmet() };
 }
 
 /** Loads of models that are lacking or overloaded, and the unloads that make room for them. */
@@ -80,6 +98,22 @@
         return [...this.pendingOrders(), ...wanted.flatMap(({ need }) => this.orderFor(need) ?? [])];
     }
 
+    public unmet(): UnmetNeed[] {
+        return this.state.models
+            .filter(({ model, lacking }) => lacking > 0 && this.state.replicas(model.name) === 0)
+            .map(need => {
+                const free = this.state.input.engines.filter(engine => this.isFree(engine));
+                const nets = free.flatMap(engine => this.values.bestOption(engine, need)?.net ?? []);
+                return {
+                    model: need.model.name,
+                    rate: need.rate,
+                    lacking: need.lacking,
+                    freeEngines: free.length,
+                    bestNet: nets.length === 0 ? undefined : Math.max(...nets),
+                };
+            });
+    }
+
     /** Loads that room was made for. */
     private pendingOrders(): PlannedOrder[] {
         return this.state.input.engines.flatMap(engine => {
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -21,11 +21,16 @@
 /** Removals that a poll may be behind before it gets everything anew. */
 const rememberedRemovals = 2000;
 
+/** Reports that an upstream can't be reached count this long, in milliseconds: until its next announcement is due. */
+const unreachableMs = 2500;
+
 /** What the leader knows of one upstream. */
 export interface RegisteredUpstream {
     readonly upstream: Upstream;
     /** Steady time of the last announcement. */
     readonly heardAt: number;
+    /** When each process, by name, last failed to reach it; since its last announcement. */
+    readonly unreachableFrom: ReadonlyMap<string, number>;
     /** Models of which its host keeps a copy. */
     readonly inMemory: ReadonlySet<string>;
     readonly onDisk: ReadonlySet<string>;
@@ -34,6 +39,7 @@
 interface Entry extends RegisteredUpstream {
     upstream: Upstream;
     heardAt: number;
+    unreachableFrom: Map<string, number>;
     inMemory: ReadonlySet<string>;
     onDisk: ReadonlySet<string>;
     sequence: bigint;
@@ -87,6 +93,7 @@
             upstream,
             sequence: announcement.sequence,
             heardAt: 0,
+            unreachableFrom: new Map(),
             inMemory: new Set(),
             onDisk: new Set(),
             position: 0,
@@ -95,6 +102,7 @@
         this.upstreams.set(upstream.id, entry);
         entry.sequence = announcement.sequence;
         entry.heardAt = steadyNow();
+        entry.unreachableFrom.clear();
         entry.inMemory = new Set(announcement.inMemory);
         entry.onDisk = new Set(announcement.onDisk);
         this.takeIn(entry, upstream, known === undefined);
@@ -119,6 +127,23 @@
         this.replace(entry, next);
     }
 
+    /** A process could not reach an upstream. */
+    public unreachable(id: string, from: string): void {
+        const entry = this.upstreams.get(id);
+        if (entry !== undefined) {
+            entry.unreachableFrom.set(from, steadyNow());
+            this.changed.notify();
+        }
+    }
+
+    /** Whether an upstream seems to be down: silent for longer than `silentMs`, or out of reach of `reports` processes. */
+    public isSuspect(id: string, silentMs: number, reports: number): boolean {
+        const entry = this.upstreams.get(id);
+        const now = steadyNow();
+        const fresh = [...entry?.unreachableFrom.values() ?? []].filter(at => now - at < unreachableMs);
+        return entry === undefined || now - entry.heardAt > silentMs || fresh.length >= reports;
+    }
+
     /** Forgets what was not heard for long. */
     public expire(): void {
         const now = steadyNow();
--- a/packages/fleet/src/services.ts
+++ b/packages/fleet/src/services.ts
@@ -3,15 +3,17 @@
 import { type AnnouncementDesk } from "./announcements.js";
 import { type DemandBook } from "./demands.js";
 import { type Feed } from "./feeds.js";
-import { type FleetService, type Mismatch } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type DemandRequest, type FleetService } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type OrderLease } from "./orderleases.js";
 
 export interface FleetServiceParts {
     readonly feed: Feed;
     readonly desk: AnnouncementDesk;
     readonly demand: Pick<DemandBook, "take">;
+    readonly lease: Pick<OrderLease, "yieldTo">;
     readonly leads: () => boolean;
     /** Called after demand was taken in. */
-    readonly demanded: (mismatches: readonly Mismatch[]) => void;
+    readonly demanded: (report: DemandRequest) => void;
 }
 
 export function fleetService(parts: FleetServiceParts): ServiceImpl<typeof FleetService> {
@@ -35,8 +37,12 @@
         reportDemand: req => {
             checkLeads();
             parts.demand.take(req);
-            parts.demanded(req.mismatches);
+            parts.demanded(req);
             return {};
         },
+        yieldOrders: req => {
+            const { gave, ageMs } = parts.lease.yieldTo(Number(req.token));
+            return { gave, lastOrderAgeMs: Math.round(ageMs) };
+        },
     };
 }
--- a/packages/fleet/src/storepaces.ts
+++ b/packages/fleet/src/storepaces.ts
@@ -3,21 +3,24 @@
 
 /** The span over which starts are counted, in milliseconds; the store's bound is given for five seconds. */
 const windowMs = 5000;
+/** Starts beyond the store's pace that it bears in a window; a new leader may use them beside an earlier one's. */
+const spareStarts = 3;
 
 export class StorePace {
     private starts: number[] = [];
-    private readonly openFrom: number;
+    private readonly ownFrom: number;
 
-    /** `blockedMs`: how long an earlier leader's starts may still count; nothing starts before. */
-    public constructor(blockedMs: number) {
-        this.openFrom = steadyNow() + blockedMs;
+    /** `sharedMs`: how long starts of an earlier leader, which are not known here, may still count. */
+    public constructor(sharedMs: number) {
+        this.ownFrom = steadyNow() + sharedMs;
     }
 
     /** Whether one more load may start now. */
     public mayStart(perSecond: number): boolean {
         const now = steadyNow();
         this.starts = this.starts.filter(start => now - start < windowMs);
-        return now >= this.openFrom && this.starts.length < Math.max(1, Math.floor(perSecond * windowMs / 1000));
+        const bound = Math.max(1, Math.floor(perSecond * windowMs / 1000));
+        return this.starts.length < (now < this.ownFrom ? Math.min(spareStarts, bound) : bound);
     }
 
     public started(): void {
--- a/packages/fleet/src/tests/orderlines.test.ts
+++ b/packages/fleet/src/tests/orderlines.test.ts
@@ -12,10 +12,17 @@
     const registry = registryWith(announcement("u", 1));
     const settled = new Notifier();
     const fenced: string[] = [];
-    const owner = { fence, fenced: (id: string) => fenced.push(id), settled: () => settled.notify() };
+    const unreachable: string[] = [];
+    const owner = {
+        fence,
+        gave: () => undefined,
+        unreachable: (id: string) => unreachable.push(id),
+        fenced: (id: string) => fenced.push(id),
+        settled: () => settled.notify(),
+    };
     const line = new OrderLine("u", registry, engine, owner, silentLog);
     await line.sync();
-    return { line, registry, fenced, settled };
+    return { line, registry, fenced, unreachable, settled };
 }
 
 function held(registry: Registry): string[] {
@@ -112,6 +119,14 @@
         expect([fenced, line.free]).toEqual([["u"], false]);
     });
 
+    it("sends no more to an engine that refuses connections, and says so", async () => {
+        const engine = new ScriptedEngine();
+        const { line, unreachable } = await lineFor(engine);
+        engine.scripts.push(() => OrderReply.unreachable);
+        await line.give(order("load", "m1"), 1);
+        expect([engine.orders.length, unreachable, line.free]).toEqual([1, ["u"], false]);
+    });
+
     it("sends nothing once its host may not give orders any more", async () => {
         const engine = new ScriptedEngine();
         let fence: Fence | undefined = { holder: "h", token: 7 };
--- a/packages/fleet/src/tests/plans.test.ts
+++ b/packages/fleet/src/tests/plans.test.ts
@@ -14,7 +14,7 @@
 };
 
 function plan(values: Partial<PlanInput>): string[] {
-    return planOrders({ ...base, ...values }).map(describePlanned);
+    return planOrders({ ...base, ...values }).orders.map(describePlanned);
 }
 
 function describePlanned({ engine: id, order }: PlannedOrder): string {
@@ -23,7 +23,7 @@
 
 /** Loads of a model, and unloads that make room for it. */
 function planFor(model: string, values: Partial<PlanInput>): string[] {
-    return planOrders({ ...base, ...values })
+    return planOrders({ ...base, ...values }).orders
         .filter(({ order, coming }) => coming === model || (order.kind === "load" && order.model === model))
         .map(describePlanned);
 }
@@ -98,6 +98,13 @@
         });
     });
 
+    it("tells which models are waited for and get nothing", () => {
+        const needs = ["m1", "m2", "m3"].map(model => need(model));
+        const engines = [engine("e1", ["m1", "m2", "m3"])];
+        const { unmet } = planOrders({ ...base, engines, needs: [...needs, need("m4", { lacking: 1 })] });
+        expect(unmet.map(({ model, freeEngines }) => [model, freeEngines])).toEqual([["m4", 1]]);
+    });
+
     describe("a model that nobody asks for", () => {
         it("takes room that is free, so that the first ones to ask need not wait", () => {
             expect(plan({ engines: [engine("e1", ["m1", "m2", "m3"]), engine("e2", ["m1", "m2"])] }))
@@ -122,6 +129,17 @@
             expect(planFor("m1", { engines, needs, capacityOf: () => undefined })).toEqual([]);
         });
 
+        it("takes no place of one that many requests run on, where another would do", () => {
+            const engines = [engine("e1", ["m1"]), engine("e2", ["m2", "m3", "m4"]), engine("e3", ["m2", "m3", "m4"])];
+            const needs = [
+                need("m1", { rate: 10, work: 20_000 }),
+                need("m2", { rate: 0.1, work: 1, running: 20 }),
+                need("m3", { rate: 0.1, work: 200 }),
+                need("m4", { rate: 0.1, work: 200, running: 20 }),
+            ];
+            expect(planFor("m1", { engines, needs })).toEqual(["e2: unload m3"]);
+        });
+
         it("gets none from the store at the cost of a model that is in use", () => {
             const engines = [engine("e1", ["m1"]), engine("e2", ["m2", "m3", "m4"])];
             const needs = [need("m1", { work: 9000 }), ...["m2", "m3", "m4"].map(model => need(model))];
@@ -203,7 +221,7 @@
                     })
                 );
                 const needs = wants.map(({ model, adapter, ...values }) => need(model, values, adapter));
-                const orders = planOrders({
+                const { orders } = planOrders({
                     service: "s",
                     spec,
                     engines,
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -154,6 +154,7 @@
     ): Promise<AttemptOutcome> {
         const { meter, codec, stopping } = this.parts;
         const startedAt = steadyNow();
+        let firstMs: number | undefined;
         const stay = link.begin(job.route.priority, ownTokensOf(job), tokensOf(job));
         meter.started(key);
         this.ejections.sent(link.id);
@@ -166,6 +167,7 @@
                 closing: stopping,
                 maySend: () => this.links.isReady(link),
                 onAnswer: () => {
+                    firstMs = Math.round(ageMs(job));
                     stay.read();
                     this.learnPace(job, stay.tokensAhead, steadyNow() - startedAt);
                     this.parts.metrics.histogram("first_byte", { route: job.route.name }).record(ageMs(job));
@@ -178,6 +180,7 @@
                 viewAgeMs: Math.round(this.parts.view.ageMs),
                 outcome: outcome.kind,
                 reason: "reason" in outcome ? outcome.reason : undefined,
+                firstMs,
                 tookMs: Math.round(steadyNow() - startedAt),
             });
             return outcome;
@@ -273,6 +276,7 @@
                 }
                 if (outcome.unreachable) {
                     this.ejections.unreachable(link.id);
+                    this.parts.meter.missed(link.id);
                     this.parts.log.warn("upstream.ejected", { upstream: link.id, reason: outcome.reason });
                 }
                 return;
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -18,6 +18,7 @@
 import {
     AnnouncementDesk,
     DemandBook,
+    type DemandRequest,
     type DeskControl,
     EnginePlacement,
     Feed,
@@ -25,7 +26,7 @@
     type Fence,
     FleetService,
     fleetService,
-    type Mismatch,
+    OrderLease,
     type PlacementControl,
     Registry,
 } from "@winchpath/fleet";
@@ -50,8 +51,6 @@
 const trailing = 16;
 /** Within this time of its last quorum no other leader can have been elected: orders may be given. */
 const orderQuorumMs = 700;
-/** Beyond the lease of the earlier giver, for orders of its last moment that are still on their way. */
-const orderMarginMs = 200;
 /** An operator tries elsewhere after a second without an answer. */
 const callMs = 900;
 const handOverMs = 1500;
@@ -73,6 +72,7 @@
     private readonly server;
     private readonly metrics = new Metrics();
     private readonly metricsListener = metricsServer(() => this.metrics.toText());
+    private readonly lease: OrderLease;
     private demand: DemandBook;
     private replica!: Replica;
     private rpc!: RpcServer;
@@ -91,6 +91,7 @@
         this.timeline = new Timeline({ process: `control/${host}`, host, dataCentre }, timelineEvents, log);
         this.clients = new RpcClients({ key: undefined, timeline: this.timeline });
         this.registry = new Registry(log);
+        this.lease = new OrderLease(() => settings.current.orderLeaseMs, log);
         this.demand = new DemandBook(log);
         this.feed = new Feed(this.registry, this, log);
         this.desk = new AnnouncementDesk(this.registry, this.feed, this, this.clients);
@@ -219,8 +220,10 @@
             desk: this.desk,
             demand: { take: (report: Parameters<DemandBook["take"]>[0]) => this.demand.take(report) },
             leads: () => this.leads,
-            demanded: (mismatches: readonly Mismatch[]) => {
-                mismatches.forEach(mismatch => this.leadership?.placement.doubt(mismatch));
+            lease: this.lease,
+            demanded: (report: DemandRequest) => {
+                report.mismatches.forEach(mismatch => this.leadership?.placement.doubt(mismatch));
+                report.unreachable.forEach(id => this.registry.unreachable(id, report.entry));
                 this.leadership?.placement.notify();
             },
         };
@@ -266,9 +269,16 @@
         const placement = new EnginePlacement(this, this.registry, this.demand, this.engines, this.log);
         this.leadership = { epoch, end, placement };
         this.log.info("leadership.begun", { epoch });
+        void this.lease.acquire(Number(this.replica.leading!.term), this.otherUrls(), this.clients, end.signal);
         placement.run(end.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
     }
 
+    private otherUrls(): string[] {
+        const { current: cfg } = this.settings;
+        const own = peerUrl(cfg.peers.host, cfg.peers.port);
+        return this.controlUrls.filter(url => url !== own);
+    }
+
     private endLeadership(): void {
         if (this.leadership !== undefined) {
             this.log.info("leadership.ended", { epoch: this.leadership.epoch });
@@ -277,16 +287,23 @@
         }
     }
 
+    /** How often upstreams announce themselves, in milliseconds. */
+    public get announceMs(): number {
+        return this.settings.current.announceMs;
+    }
+
+    public gaveOrder(): void {
+        this.lease.gave();
+    }
+
     /** Orders wait until the earlier leader's lease is over, and need a majority that was heard just now. */
     public fence(): Fence | undefined {
         const leading = this.replica.leading;
         if (leading === undefined || leading.quorumAgeMs > orderQuorumMs) {
             return undefined;
         }
-        const { host, orderLeaseMs } = this.settings.current;
-        return leading.ledMs < orderLeaseMs + orderMarginMs
-            ? undefined
-            : { holder: host, token: Number(leading.term) };
+        const token = Number(leading.term);
+        return this.lease.isOpen(token) ? { holder: this.settings.current.host, token } : undefined;
     }
 
     private async followRegistry(): Promise<void> {
