--- a/packages/fleet/src/modelvalues.ts
+++ b/packages/fleet/src/modelvalues.ts
@@ -22,6 +22,8 @@
  * above it, prompts queue for longer than they take to read.
  */
 const replicaShare = 0.7;
+/** Before any request was heard of, a model with so many replicas is taken to have them for a reason. */
+const replicasBeforeDemand = 2;
 /** What a load costs whatever it brings, in requests: its price on the users' sites, and the risk of a wrong guess. */
 const loadCost = 0.2;
 /** What it costs besides to give a model up: orders, and what was kept of its prompts. */
@@ -50,10 +52,13 @@
 
 export class ModelValues {
     private readonly quietRate: number;
+    /** Replicas that a model keeps whatever comes that nobody asks for. */
+    private readonly keptForQuiet: number;
 
     public constructor(private readonly state: PlanState) {
         const { engines, spec } = state.input;
         const rate = state.models.reduce((sum, need) => sum + need.rate, 0);
+        this.keptForQuiet = rate > 0 ? 1 : replicasBeforeDemand;
         const total = Math.max(rate, engines.length * leastRatePerEngine);
         this.quietRate = quietShare * total / Math.max(1, spec.models.length);
     }
@@ -66,6 +71,9 @@
         }
         let best: LoadOption | undefined;
         for (const victim of this.victims(engine, need)) {
+            if (this.isQuiet(need) && this.state.readyReplicas(victim.model.name) <= this.keptForQuiet) {
+                continue;
+            }
             const busyMs = this.unloadMs(victim) + loadMs;
             const net = this.net(engine, need, victim, busyMs) - this.loss(engine, victim, busyMs);
             if (best === undefined || net > best.net) {
@@ -87,6 +95,10 @@
         return Math.min(longestUnloadMs, running * unloadMsPerRunning);
     }
 
+    private isQuiet(need: ModelNeed): boolean {
+        return need.rate < this.quietRate && need.lacking === 0;
+    }
+
     /** Models of an engine that make enough room when one of them goes. */
     private victims(engine: PlannedEngine, coming: ModelNeed): ModelNeed[] {
         return [...engine.models]
@@ -99,7 +111,7 @@
     private gain(need: ModelNeed, loadMs: number): number {
         const replicas = this.state.replicas(need.model.name);
         const saved = this.shortShare(need, replicas) - this.shortShare(need, replicas + 1);
-        if (replicas === 0 && need.rate < this.quietRate && need.lacking === 0) {
+        if (replicas === 0 && this.isQuiet(need)) {
             // Nobody asks: what is saved is the time that the first ones would wait.
             return this.quietRate * Math.min(horizonMs, this.reloadMs(need.model)) / 1000;
         }
--- a/packages/fleet/src/tests/plans.test.ts
+++ b/packages/fleet/src/tests/plans.test.ts
@@ -111,6 +111,13 @@
                 .toEqual(["e2: load m4"]);
         });
 
+        it("leaves two replicas of others before any demand is heard", () => {
+            const full = ["m1", "m2", "m3"];
+            const two = [engine("e1", full), engine("e2", full)];
+            expect(plan({ engines: two })).toEqual([]);
+            expect(plan({ engines: [...two, engine("e3", full)] })).toEqual(["e1: unload m1"]);
+        });
+
         it("takes the place of none that is in use", () => {
             const needs = ["m1", "m2", "m3"].map(model => need(model));
             expect(plan({ engines: [engine("e1", ["m1", "m2", "m3"])], needs })).toEqual([]);
