--- a/packages/testing/src/deployments/platforms.ts
+++ b/packages/testing/src/deployments/platforms.ts
@@ -6,11 +6,19 @@
 import { freePorts, ownAddress } from "./ports.js";
 import { Process } from "./processes.js";
 
-const controlHosts = 3;
+const usualSize: PlatformSize = { controls: 3, entries: 1 };
+/** Control hosts that the settings name, whatever their number. */
+const seedCount = 3;
 const retryMs = 50;
 const startTimeoutMs = 30_000;
 
-interface PlatformHost {
+export interface PlatformSize {
+    readonly controls: number;
+    readonly entries: number;
+}
+
+export interface PlatformHost {
+    readonly role: "entry" | "control";
     readonly name: string;
     readonly ip: string;
     process: Process;
@@ -18,7 +26,7 @@
 
 export class PlatformDeployment {
     public readonly controls: PlatformHost[] = [];
-    public entry!: PlatformHost;
+    public readonly entries: PlatformHost[] = [];
     private ports!: {
         readonly front: number;
         readonly ready: number;
@@ -27,21 +35,42 @@
         readonly metrics: number;
     };
 
-    private constructor(private readonly folder: string) {}
+    private constructor(private readonly folder: string, private readonly size: PlatformSize) {}
 
-    public static async start(): Promise<PlatformDeployment> {
-        const deployment = new PlatformDeployment(await mkdtemp(join(tmpdir(), "winchpath-platform-")));
-        const ips = Array.from({ length: controlHosts + 1 }, () => ownAddress());
+    public static async start(size: PlatformSize = usualSize): Promise<PlatformDeployment> {
+        const deployment = new PlatformDeployment(await mkdtemp(join(tmpdir(), "winchpath-platform-")), size);
+        const ips = Array.from({ length: size.controls + size.entries }, () => ownAddress());
         const [front, ready, control, peers, metrics] = await freePorts(ips[0], 5);
         deployment.ports = { front, ready, control, peers, metrics };
-        const seeds = ips.slice(0, controlHosts);
-        for (const [index, ip] of seeds.entries()) {
+        const seeds = ips.slice(0, Math.min(size.controls, seedCount));
+        for (const [index, ip] of ips.slice(0, size.controls).entries()) {
             deployment.controls.push(await deployment.startHost("control", `core-${index}`, ip, seeds));
         }
-        deployment.entry = await deployment.startHost("entry", "front-0", ips[controlHosts], seeds);
+        for (const [index, ip] of ips.slice(size.controls).entries()) {
+            deployment.entries.push(await deployment.startHost("entry", `front-${index}`, ip, seeds));
+        }
         return deployment;
     }
 
+    public get entry(): PlatformHost {
+        return this.entries[0];
+    }
+
+    /** Where callers reach an entry. */
+    public frontOf(host: PlatformHost): string {
+        return `${host.ip}:${this.ports.front}`;
+    }
+
+    /** Starts a host again whose process has ended. */
+    public restart(host: PlatformHost): void {
+        host.process = Process.platform(host.role, this.settingsFile(host.name), host.name);
+    }
+
+    /** Empties the disk of a host whose process has ended. */
+    public async wipe(host: PlatformHost): Promise<void> {
+        await rm(join(this.folder, host.name), { recursive: true, force: true });
+    }
+
     /** Addresses where operators and workers call. */
     public get control(): string[] {
         return this.controls.map(({ ip }) => `${ip}:${this.ports.control}`);
@@ -105,10 +134,14 @@
     }
 
     public async stop(): Promise<void> {
-        await Promise.all([...this.controls, this.entry].map(host => host.process.kill()));
+        await Promise.all([...this.controls, ...this.entries].map(host => host.process.kill()));
         await rm(this.folder, { recursive: true, force: true });
     }
 
+    private settingsFile(name: string): string {
+        return join(this.folder, `${name}.yaml`);
+    }
+
     private async startHost(
         role: "entry" | "control",
         name: string,
@@ -119,7 +152,7 @@
         const listen = role === "entry"
             ? { front: `${ip}:${front}`, ready: `${ip}:${ready}` }
             : { control: `${ip}:${control}` };
-        const file = join(this.folder, `${name}.yaml`);
+        const file = this.settingsFile(name);
         // JSON is YAML.
         await writeFile(
             file,
@@ -133,7 +166,7 @@
                 bootstrap: true,
                 ...(role === "control" ? { "data-dir": join(this.folder, name) } : {}),
                 "heartbeat-ms": 1200,
-                "fault-tolerance": { machines: 1 },
+                "fault-tolerance": { machines: Math.floor((this.size.controls - 1) / 2) },
                 bounds: {
                     "grace-s": 8,
                     "lease-ms": 0,
@@ -143,6 +176,6 @@
                 },
             }),
         );
-        return { name, ip, process: Process.platform(role, file, name) };
+        return { role, name, ip, process: Process.platform(role, file, name) };
     }
 }
--- a/packages/testing/src/deployments/processes.ts
+++ b/packages/testing/src/deployments/processes.ts
@@ -63,6 +63,11 @@
         return !this.exited;
     }
 
+    /** Whether it has ended though nobody ended it. */
+    public get endedByItself(): boolean {
+        return this.exited && !this.ending;
+    }
+
     /** Sends a signal. */
     public signal(signal: NodeJS.Signals): void {
         this.child.kill(signal);
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -2,6 +2,8 @@
 export * from "./deployments/platforms.js";
 export * from "./deployments/ports.js";
 export * from "./deployments/processes.js";
+export * from "./soak/schedules.js";
+export * from "./soak/soaks.js";
 export * from "./standins/callers.js";
 export * from "./standins/engines.js";
 export * from "./standins/services.js";
--- a/packages/testing/src/standins/workers.ts
+++ b/packages/testing/src/standins/workers.ts
@@ -44,13 +44,25 @@
     readonly control: readonly string[];
     /** Models that it holds at its start; none of a plain service. */
     readonly models: readonly string[];
+    /** How long a request takes, and the pause between two events of a stream, in milliseconds. */
+    readonly workMs?: number;
+    readonly eventPauseMs?: number;
+    /** Models that it has room for; more than that would make it crash. */
+    readonly places?: number;
+    /** Where callers are to reach it, where that is not its own address. */
+    readonly announced?: (own: string) => string;
 }
 
 export class PlatformWorker {
     /** Ids of the requests that it has run, in order. */
     public readonly ran: string[] = [];
     public readonly orders: Record<string, unknown>[] = [];
+    /** Requests that have arrived, with the time, whether they were run or not. */
+    public readonly arrivals: { readonly id: string; readonly at: number; }[] = [];
     public state: "ready" | "draining" = "ready";
+    /** Ordered to hold more than it has room for. */
+    public overloaded = false;
+    private highestToken = 0;
     private readonly models: Map<string, Set<string>>;
     private readonly server: Server = createServer((req, res) => void this.take(req, res));
     private accepted = 0;
@@ -79,7 +91,7 @@
         this.sequence += 1;
         const body = {
             service,
-            address: `127.0.0.1:${(this.server.address() as AddressInfo).port}`,
+            address: this.options.announced?.(this.address) ?? this.address,
             zone: "plateau",
             version: "v1",
             slots: 8,
@@ -98,6 +110,19 @@
         return false;
     }
 
+    public get id(): string {
+        return this.options.id;
+    }
+
+    public get service(): string {
+        return this.options.service;
+    }
+
+    /** Where it listens. */
+    public get address(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
     private async announceOften(): Promise<void> {
         while (!this.ended) {
             await this.announce();
@@ -121,12 +146,18 @@
             this.takeOrder(JSON.parse(Buffer.concat(chunks).toString()) as Record<string, unknown>, res);
         }
         else {
-            this.run(req, res);
+            await this.run(req, res);
         }
     }
 
     private takeOrder(order: Record<string, unknown>, res: ServerResponse): void {
         this.orders.push(order);
+        const token = Number(order["fence-token"]);
+        if (token < this.highestToken) {
+            res.writeHead(412).end();
+            return;
+        }
+        this.highestToken = token;
         const model = String(order.model);
         const adapter = order.adapter === undefined ? undefined : String(order.adapter);
         const held = this.models.get(model);
@@ -145,6 +176,7 @@
         }
         else if (order.operation === "load") {
             this.models.set(model, new Set());
+            this.overloaded ||= this.models.size > (this.options.places ?? Number.POSITIVE_INFINITY);
         }
         else {
             this.models.delete(model);
@@ -152,8 +184,9 @@
         res.writeHead(202).end();
     }
 
-    private run(req: IncomingMessage, res: ServerResponse): void {
+    private async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const id = String(req.headers["request-id"]);
+        this.arrivals.push({ id, at: Date.now() });
         const [model, adapter] = String(req.headers.model ?? "").split("/");
         const holds = model === ""
             || (this.models.has(model) && (adapter === undefined || this.models.get(model)!.has(adapter)));
@@ -163,11 +196,20 @@
         }
         this.ran.push(id);
         const headers = { "Request-Id": id, "Response-Seal": `sealed-by-${this.options.id}` };
+        await pause(this.options.workMs);
         if (model === "") {
             res.writeHead(200, headers).end(`answer to ${id}`);
             return;
         }
         res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
-        res.end("id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+        res.write("id: 1\ndata: one\n\n");
+        await pause(this.options.eventPauseMs);
+        res.end("id: 2\ndata: two\n\n");
+    }
+}
+
+async function pause(ms: number | undefined): Promise<void> {
+    if (ms !== undefined && ms > 0) {
+        await new Promise(resolve => setTimeout(resolve, ms));
     }
 }
