--- a/packages/fleet/src/modelvalues.ts
+++ b/packages/fleet/src/modelvalues.ts
@@ -7,12 +7,13 @@
 import { type PlannedEngine } from "./plans.js";
 import { type ModelNeed, type PlanState } from "./planstates.js";
 
-/** Demand is taken to last this long, in milliseconds: about as long as it took to move on in trials, 6 to 20 s. */
+/** Demand is taken to last this long, in milliseconds: on the users' standard days it moves on every 10 to 14 s. */
 const horizonMs = 15_000;
 /**
  * Share of all requests that go to models which were not asked for lately,
  * spread over all models: rare ones, and those that are about to become busy.
- * Seen on played days: 0.1 to 0.4.
+ * An estimate: on one played day a seventh went to models with fewer than 15
+ * requests, and the busy ones changed three times.
  */
 const quietShare = 0.3;
 /** Requests a second for each engine that are reckoned with before any were heard of. */
@@ -34,7 +35,8 @@
 const unloadedAdapterShare = 0.5;
 /**
  * An unload waits for the requests that run on the engine, in milliseconds for
- * each: the longest of them counts, and generated texts differ in length.
+ * each: the longest of them counts, and the more there are, the longer that is.
+ * An estimate: waits of some seconds were seen on played days.
  */
 const unloadMsPerRunning = 400;
 /** Such a wait is not reckoned to last longer: about as long as the longest texts take. */
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -75,10 +75,7 @@
     }
 
     public unreachable(upstream: string): void {
-        // Its connection was refused: no other report is needed.
-        for (let report = 0; report < unreachableReports; report++) {
-            this.registry.unreachable(upstream, `leader/${report}`);
-        }
+        this.registry.refused(upstream);
     }
 
     public fenced(upstream: string): void {
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -31,6 +31,8 @@
     readonly heardAt: number;
     /** When each process, by name, last failed to reach it; since its last announcement. */
     readonly unreachableFrom: ReadonlyMap<string, number>;
+    /** When it last refused a connection; since its last announcement. */
+    readonly refusedAt: number;
     /** Models of which its host keeps a copy. */
     readonly inMemory: ReadonlySet<string>;
     readonly onDisk: ReadonlySet<string>;
@@ -40,6 +42,7 @@
     upstream: Upstream;
     heardAt: number;
     unreachableFrom: Map<string, number>;
+    refusedAt: number;
     inMemory: ReadonlySet<string>;
     onDisk: ReadonlySet<string>;
     sequence: bigint;
@@ -94,6 +97,7 @@
             sequence: announcement.sequence,
             heardAt: 0,
             unreachableFrom: new Map(),
+            refusedAt: Number.NEGATIVE_INFINITY,
             inMemory: new Set(),
             onDisk: new Set(),
             position: 0,
@@ -103,6 +107,7 @@
         entry.sequence = announcement.sequence;
         entry.heardAt = steadyNow();
         entry.unreachableFrom.clear();
+        entry.refusedAt = Number.NEGATIVE_INFINITY;
         entry.inMemory = new Set(announcement.inMemory);
         entry.onDisk = new Set(announcement.onDisk);
         this.takeIn(entry, upstream, known === undefined);
@@ -136,12 +141,28 @@
         }
     }
 
-    /** Whether an upstream seems to be down: silent for longer than `silentMs`, or out of reach of `reports` processes. */
+    /** An upstream has refused a connection: its process is not there, so one report is enough. */
+    public refused(id: string): void {
+        const entry = this.upstreams.get(id);
+        if (entry !== undefined) {
+            entry.refusedAt = steadyNow();
+            this.changed.notify();
+        }
+    }
+
+    /**
+     * Whether an upstream seems to be down: it was silent for longer than
+     * `silentMs`, has refused a connection, or is out of reach of `reports` processes.
+     */
     public isSuspect(id: string, silentMs: number, reports: number): boolean {
         const entry = this.upstreams.get(id);
+        if (entry === undefined) {
+            return true;
+        }
         const now = steadyNow();
-        const fresh = [...entry?.unreachableFrom.values() ?? []].filter(at => now - at < unreachableMs);
-        return entry === undefined || now - entry.heardAt > silentMs || fresh.length >= reports;
+        const isFresh = (at: number) => now - at < unreachableMs;
+        const missed = [...entry.unreachableFrom.values()].filter(isFresh).length;
+        return now - entry.heardAt > silentMs || isFresh(entry.refusedAt) || missed >= reports;
     }
 
     /** Forgets what was not heard for long. */
--- a/packages/fleet/src/tests/registries.test.ts
+++ b/packages/fleet/src/tests/registries.test.ts
@@ -16,6 +16,14 @@
             expect(registry.isSuspect("u", silentMs, reports)).toEqual(true);
         });
 
+        it("is one that refused a connection, until it announces itself", () => {
+            const registry = registryWith(announcement("u", 1));
+            registry.refused("u");
+            expect(registry.isSuspect("u", silentMs, reports)).toEqual(true);
+            registry.announce(announcement("u", 2));
+            expect(registry.isSuspect("u", silentMs, reports)).toEqual(false);
+        });
+
         it("is one that was silent for too long", t => {
             t.mock.timers.enable({ apis: ["Date"], now: 1_000_000 });
             const registry = registryWith(announcement("u", 1));
