Serve control beside the entry, in one process, on hosts without a class of their own for it

Now the entry's process does both duties: with a disk it is a replica, without one it leads everyone on to the leader (a redirect for operators, a relay for announcements). First groups form behind seeds without a disk, too; members tell such seeds of themselves, since those forget at a power loss. A full disk closes the replica and opens it again, in place of ending the process. Candidates stand within a fifth of an election time.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -218,7 +218,7 @@
         onFatal: () => undefined,
     });
     const rpc = await RpcServer.listen({ host: loopback, port }, router => {
-        router.service(ConsensusService, consensusService(replica));
+        router.service(ConsensusService, consensusService(() => replica));
     }, { key, timeline });
     replica.start();
     await replica.joined(30_000);
--- a/packages/consensus/src/elections.ts
+++ b/packages/consensus/src/elections.ts
@@ -6,6 +6,13 @@
 import { type PeerConnector } from "./peers.js";
 import { type ReplicaState } from "./states.js";
 
+/**
+ * Candidates stand within this share of an election time of each other. A vote
+ * takes two round trips and a sync, some milliseconds, so two seldom meet; and a
+ * group that was started whole, which hears nobody, elects within it.
+ */
+const spreadShare = 0.2;
+
 export class Election {
     private readonly wake = new Notifier();
     private handover = false;
@@ -46,7 +53,7 @@
         const { electionMs } = this.state.options;
         const sinceHeard = steadyNow() - this.state.lastHeard;
         const base = Math.max(0, electionMs - sinceHeard);
-        return base + Math.random() * electionMs;
+        return base + Math.random() * electionMs * spreadShare;
     }
 
     private async stand(handover: boolean): Promise<void> {
--- a/packages/consensus/src/files.ts
+++ b/packages/consensus/src/files.ts
@@ -54,7 +54,7 @@
         await mkdir(this.folder, { recursive: true });
         await rm(join(this.folder, temporaryName), { force: true });
         const path = join(this.folder, logName);
-        const bytes = await readFile(path).catch(() => Buffer.alloc(0));
+        const bytes = await readExisting(path);
         const { records, soundBytes } = decodeRecords(bytes, path);
         const state = replay(records);
         if (state === undefined) {
@@ -151,6 +151,19 @@
     }
 }
 
+/** Only a file that is not there counts as empty: one that can't be read must not be replaced. */
+async function readExisting(path: string): Promise<Buffer> {
+    try {
+        return await readFile(path);
+    }
+    catch (err) {
+        if ((err as NodeJS.ErrnoException).code === "ENOENT") {
+            return Buffer.alloc(0);
+        }
+        throw err;
+    }
+}
+
 function emptyState(): StoredState {
     return { memberId: newIdentity(), hardState: create(HardStateSchema), snapshot: undefined, entries: [] };
 }
--- a/packages/consensus/src/formations.ts
+++ b/packages/consensus/src/formations.ts
@@ -1,4 +1,4 @@
-/** How a replica without a group finds one, or forms the first. */
+/** How a replica without a group finds one, or forms the first: docs/DESIGN.md has the rules. */
 import { create } from "@bufbuild/protobuf";
 import { newIdentity, sleep, steadyNow } from "@winchpath/core";
 import {
@@ -40,13 +40,16 @@
             if (!signal.aborted && this.isLost()) {
                 await this.rejoin();
             }
+            else {
+                this.introduce();
+            }
         }
     }
 
     /**
      * Returns once the replica belongs to a group under its present URL.
      *
-     * A first group is formed only when every seed answers and none knows of a
+     * A first group is formed only when every seed answers and nobody knows of a
      * group, so that a host with an empty folder can't form a second one while
      * the others are merely out of reach.
      */
@@ -57,8 +60,11 @@
             if (grouped.length > 0) {
                 await this.joinThrough(grouped);
             }
-            else if (this.mayForm(found)) {
-                await this.form(found);
+            else {
+                const founders = this.founders(found);
+                if (founders !== undefined) {
+                    await this.form(founders);
+                }
             }
             if (!this.isEstablished()) {
                 await sleep(retryMs, signal);
@@ -78,17 +84,32 @@
         await this.joinThrough(found.filter(({ answer }) => answer.group === this.state.group));
     }
 
+    /** Seeds outside the group lead others to it: they are told of this member again and again. */
+    private introduce(): void {
+        const members = new Set(this.state.membership?.members.map(member => member.url));
+        void this.probe(this.seeds().filter(url => !members.has(url)));
+    }
+
     private isEstablished(): boolean {
         const self = this.state.membership?.members.find(member => member.id === this.state.memberId);
         return self?.url === this.state.identity.url;
     }
 
-    /** Asks all seeds, and the members that this replica remembers. */
+    /** Asks all seeds, the members that this replica remembers, and the hosts that those name. */
     private async probeAll(): Promise<Found[]> {
         const remembered = this.state.membership?.members.map(member => member.url) ?? [];
-        const probes = [...new Set([...this.seeds(), ...remembered])].map(async url => {
+        const asked = new Set([...this.seeds(), ...remembered]);
+        const found = await this.probe([...asked]);
+        const named = new Set(found.flatMap(({ answer }) => answer.knownUrls).filter(url => !asked.has(url)));
+        return [...found, ...await this.probe([...named])];
+    }
+
+    private async probe(urls: readonly string[]): Promise<Found[]> {
+        const { memberId, identity, store } = this.state;
+        const asker = store.durable ? { memberId, url: identity.url } : undefined;
+        const probes = urls.map(async url => {
             try {
-                return [{ url, answer: await this.peers.connect(url).probe(probeTimeoutMs) }];
+                return [{ url, answer: await this.peers.connect(url).probe(probeTimeoutMs, asker) }];
             }
             catch {
                 return [];
@@ -97,21 +118,37 @@
         return (await Promise.all(probes)).flat();
     }
 
-    /** Of the hosts that could form the group, the one with the lowest identity does. */
-    private mayForm(found: readonly Found[]): boolean {
-        const { memberId, store, options } = this.state;
-        if (!options.mayForm) {
-            return false;
+    /**
+     * Who forms the first group: the seeds that have a disk, by the one with the
+     * lowest identity; where no seed has one, the replica that the first seed has named.
+     * Undefined while a seed does not answer, or where it is for another to do.
+     */
+    private founders(found: readonly Found[]): readonly Found[] | undefined {
+        const { memberId, store, options, group } = this.state;
+        const seeds = this.seeds();
+        const answered = found.filter(({ url }) => seeds.includes(url));
+        if (!options.mayForm || !store.durable || group !== "" || answered.length < seeds.length) {
+            return undefined;
+        }
+        const durable = answered.filter(({ answer }) => answer.hasDisk);
+        if (durable.length > 0) {
+            const ids = durable.map(({ answer }) => answer.memberId).sort();
+            return ids[0] === memberId ? durable : undefined;
         }
-        const complete = found.length === this.seeds().length && found.every(seed => seed.answer.hasDisk);
-        const ids = found.map(seed => seed.answer.memberId).sort();
-        return store.durable && this.state.group === "" && complete && ids[0] === memberId;
+        const first = [...seeds].sort()[0];
+        const named = answered.find(({ url }) => url === first)?.answer.founder;
+        return named === memberId ? [] : undefined;
     }
 
-    private async form(found: readonly Found[]): Promise<void> {
-        const members = found.map(({ url, answer }) =>
-            create(MemberSchema, { id: answer.memberId, host: answer.host, url, voter: true, wantsVote: true })
-        );
+    private async form(founders: readonly Found[]): Promise<void> {
+        const { memberId, identity } = this.state;
+        const others = founders.filter(({ answer }) => answer.memberId !== memberId);
+        const members = [
+            create(MemberSchema, { id: memberId, ...identity, voter: true, wantsVote: true }),
+            ...others.map(({ url, answer }) =>
+                create(MemberSchema, { id: answer.memberId, host: answer.host, url, voter: true, wantsVote: true })
+            ),
+        ];
         const membership = create(MembershipSchema, { group: newIdentity(), members });
         const entry = create(EntrySchema, {
             index: 1n,
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -8,10 +8,12 @@
     type VoteRequest,
     type VoteResponse,
 } from "./gen/winchpath/consensus/v1/consensus_pb.js";
+export * from "./keepers.js";
 export * from "./machines.js";
 export * from "./memory.js";
 export * from "./peers.js";
 export * from "./records.js";
+export * from "./relays.js";
 export * from "./replicas.js";
 export * from "./services.js";
 export * from "./states.js";
--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -87,6 +87,16 @@
         }
     }
 
+    /** Asks the most advanced voter to stand for election, without waiting for its success. */
+    public async nameHeir(timeoutMs: number): Promise<void> {
+        const heir = this.state.term === this.term ? this.bestHeir() : undefined;
+        if (heir !== undefined) {
+            this.state.timeline.record("leader.abdicated", { detail: `to=${heir.url}` });
+            // Unheard, the others elect one after an election time.
+            await this.peers.connect(heir.url).elect(this.term, timeoutMs).catch(() => undefined);
+        }
+    }
+
     /** Adds an entry of this term; it is sent and synced at the same time. */
     public appendEntry(payload: Entry["payload"]): bigint {
         const { log } = this.state;
--- a/packages/consensus/src/peers.ts
+++ b/packages/consensus/src/peers.ts
@@ -12,11 +12,18 @@
     type VoteResponse,
 } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 
+/** A replica that looks for its group. */
+export interface ProbeAsker {
+    readonly memberId: string;
+    readonly url: string;
+}
+
 /** Calls to one other replica. Each fails with a `Failure` when time runs out. */
 export interface Peer {
     vote(req: VoteRequest, timeoutMs: number): Promise<VoteResponse>;
     append(req: AppendRequest, timeoutMs: number): Promise<AppendResponse>;
-    probe(timeoutMs: number): Promise<ProbeResponse>;
+    /** `asker`: who asks, where it holds a log of its own. */
+    probe(timeoutMs: number, asker?: ProbeAsker): Promise<ProbeResponse>;
     join(member: Member, timeoutMs: number): Promise<void>;
     propose(command: Uint8Array, timeoutMs: number): Promise<{ index: bigint; result: Uint8Array; }>;
     readIndex(timeoutMs: number): Promise<{ index: bigint; term: bigint; }>;
@@ -52,8 +59,8 @@
         return this.typed(this.client.append(req, { timeoutMs }));
     }
 
-    public probe(timeoutMs: number): Promise<ProbeResponse> {
-        return this.typed(this.client.probe({}, { timeoutMs }));
+    public probe(timeoutMs: number, asker?: ProbeAsker): Promise<ProbeResponse> {
+        return this.typed(this.client.probe({ ...asker }, { timeoutMs }));
     }
 
     public async join(member: Member, timeoutMs: number): Promise<void> {
--- a/packages/consensus/src/replicas.ts
+++ b/packages/consensus/src/replicas.ts
@@ -190,6 +190,11 @@
         }
     }
 
+    /** Lets another voter take over from a leader that can't write any more. */
+    public async abdicate(timeoutMs: number): Promise<void> {
+        await this.leadership?.nameHeir(timeoutMs);
+    }
+
     /** Ends all tasks and closes the store. */
     public async stop(): Promise<void> {
         this.stopping.abort();
--- a/packages/consensus/src/services.ts
+++ b/packages/consensus/src/services.ts
@@ -6,30 +6,37 @@
 
 const readTimeoutMs = 2000;
 
-export function consensusService(replica: Replica): ServiceImpl<typeof ConsensusService> {
+/** `current` gives the replica of the moment: one whose disk has failed is opened anew. */
+export function consensusService(current: () => Replica): ServiceImpl<typeof ConsensusService> {
     return {
-        vote: req => answer(replica.follower.vote(req)),
-        append: req => answer(replica.follower.append(req)),
-        probe: () => ({
-            memberId: replica.state.memberId,
-            group: replica.state.group,
-            leaderUrl: replica.state.leaderUrl,
-            term: replica.state.term,
-            host: replica.state.identity.host,
-            hasDisk: replica.state.store.durable,
-            appliedIndex: replica.state.appliedIndex,
-        }),
+        vote: req => answer(current().follower.vote(req)),
+        append: req => answer(current().follower.append(req)),
+        probe: () => {
+            const { state } = current();
+            return {
+                memberId: state.memberId,
+                group: state.group,
+                leaderUrl: state.leaderUrl,
+                term: state.term,
+                host: state.identity.host,
+                hasDisk: state.store.durable,
+                appliedIndex: state.appliedIndex,
+                knownUrls: state.membership?.members.map(({ url }) => url) ?? [],
+            };
+        },
         join: async req => {
+            const replica = current();
             await answer(replica.join(req.member!));
             return { group: replica.state.group };
         },
-        propose: req => answer(replica.proposeHere(req.command)),
+        propose: req => answer(current().proposeHere(req.command)),
         readIndex: async () => {
+            const replica = current();
             const index = await answer(replica.readIndex(readTimeoutMs));
             return { index, term: replica.state.term };
         },
         elect: req => {
-            replica.elect(req.term);
+            current().elect(req.term);
             return {};
         },
     };
--- a/packages/consensus/src/tests/groups.ts
+++ b/packages/consensus/src/tests/groups.ts
@@ -5,10 +5,11 @@
 import { type FileHandle, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { ProbeResponseSchema } from "../gen/winchpath/consensus/v1/consensus_pb.js";
+import { ProbeRequestSchema, ProbeResponseSchema } from "../gen/winchpath/consensus/v1/consensus_pb.js";
 import {
     type CommandContext,
     type ConsensusOptions,
+    ConsensusRelay,
     defaultConsensusOptions,
     FileLogStore,
     type LogStore,
@@ -92,6 +93,8 @@
 
 export class Group {
     public readonly nodes = new Map<string, Node>();
+    /** Hosts without a disk that only introduce others to each other. */
+    private readonly relays = new Map<string, ConsensusRelay>();
     public readonly seeds: string[];
     /** Links that are cut, "from>to". */
     private readonly cuts = new Set<string>();
@@ -113,6 +116,29 @@
         return group;
     }
 
+    /** Starts nodes that are told of other hosts as seeds, of which `relays` have no disk. */
+    public static async startBehind(
+        seeds: readonly string[],
+        relays: readonly string[],
+        names: readonly string[],
+        mayForm = true,
+    ): Promise<Group> {
+        const group = new Group(await mkdtemp(join(tmpdir(), "winchpath-group-")), seeds, {});
+        relays.forEach(relay => group.replaceRelay(relay, mayForm));
+        await Promise.all(names.map(name => group.startNode(name)));
+        return group;
+    }
+
+    /** Starts a relay that knows nothing yet. */
+    public replaceRelay(host: string, mayForm = false): void {
+        const known = { host, leaderUrl: () => "", memberUrls: () => [], mayForm: () => mayForm };
+        this.relays.set(host, new ConsensusRelay(known));
+    }
+
+    public relay(name: string): ConsensusRelay | undefined {
+        return this.relays.get(name);
+    }
+
     public async startNode(name: string, store?: LogStore): Promise<Node> {
         const machine = new ListMachine();
         const url = `mem://${name}`;
@@ -231,8 +257,12 @@
         return {
             vote: req => call(replica => replica.follower.vote(req)),
             append: req => call(replica => replica.follower.append(req)),
-            probe: () =>
-                call(({ state }) =>
+            probe: async (_timeoutMs, asker) => {
+                const relay = this.group.relay(to);
+                if (relay !== undefined) {
+                    return create(ProbeResponseSchema, relay.answer(create(ProbeRequestSchema, { ...asker })));
+                }
+                return call(({ state }) =>
                     create(ProbeResponseSchema, {
                         memberId: state.memberId,
                         group: state.group,
@@ -240,7 +270,8 @@
                         host: state.identity.host,
                         hasDisk: state.store.durable,
                     })
-                ),
+                );
+            },
             join: member => call(replica => replica.join(member)),
             propose: command => call(replica => replica.proposeHere(command)),
             readIndex: async timeoutMs => ({ index: await call(replica => replica.readIndex(timeoutMs)), term: 0n }),
--- a/packages/fleet/src/announcements.ts
+++ b/packages/fleet/src/announcements.ts
@@ -19,27 +19,55 @@
     readonly leaderUrl: string;
 }
 
+/** Passes announcements on to the leader. */
+export class AnnouncementRelay {
+    public constructor(
+        private readonly control: Pick<DeskControl, "leaderUrl">,
+        private readonly clients: RpcClients,
+    ) {}
+
+    public async announce(announcement: Announcement): Promise<void> {
+        await this.leader().announce({ announcement }, { timeoutMs: relayMs });
+    }
+
+    public async leave(id: string): Promise<void> {
+        await this.leader().leave({ id }, { timeoutMs: relayMs });
+    }
+
+    private leader() {
+        const { leaderUrl } = this.control;
+        if (leaderUrl === "") {
+            throw Failure.of(FailureCode.noLeader, "no leader is known");
+        }
+        return this.clients.client(FleetService, leaderUrl);
+    }
+}
+
 export class AnnouncementDesk {
+    private readonly relay: AnnouncementRelay;
+
     public constructor(
         private readonly registry: Registry,
         private readonly feed: Feed,
         private readonly control: DeskControl,
-        private readonly clients: RpcClients,
-    ) {}
+        clients: RpcClients,
+    ) {
+        this.relay = new AnnouncementRelay(control, clients);
+    }
 
     /** Returns once the leader knows it and, where the upstream drains, the entries in reach do. */
     public async announce(announcement: Announcement): Promise<void> {
         if (this.control.leads) {
             return this.announceHere(announcement);
         }
-        await this.leader().announce({ announcement }, { timeoutMs: relayMs });
+        await this.relay.announce(announcement);
     }
 
     public async leave(id: string): Promise<void> {
         if (this.control.leads) {
             return this.leaveHere(id);
         }
-        await this.leader().leave({ id }, { timeoutMs: relayMs });
+        await this.relay.leave(id);
     }
 
     public async announceHere(announcement: Announcement): Promise<void> {
@@ -54,12 +82,4 @@
     public async leaveHere(id: string): Promise<void> {
         await this.feed.spread(this.registry.leave(id), spreadMs);
     }
-
-    private leader() {
-        const { leaderUrl } = this.control;
-        if (leaderUrl === "") {
-            throw Failure.of(FailureCode.noLeader, "no leader is known");
-        }
-        return this.clients.client(FleetService, leaderUrl);
-    }
 }
--- a/packages/fleet/src/followers.ts
+++ b/packages/fleet/src/followers.ts
@@ -39,6 +39,11 @@
         return this.leaderUrl;
     }
 
+    /** URLs of control hosts, as the leader told them last. */
+    public get controlUrls(): readonly string[] {
+        return this.remembered;
+    }
+
     /** Polls until the signal is aborted. */
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -194,7 +194,7 @@
         const { cfg, replica, clients, timeline, registrar, declarations, metrics } = this;
         const answer = reportAnswer(replica, declarations);
         this.rpc = await RpcServer.listen(cfg.listen.peers, router => {
-            router.service(ConsensusService, consensusService(replica));
+            router.service(ConsensusService, consensusService(() => replica));
             router.service(RegistrarService, registrarService(registrar, answer));
             router.service(PlacementService, placementService(this.demand));
             router.service(TimelineService, timelineService(timeline));
--- a/packages/winchpathd/src/daemons.ts
+++ b/packages/winchpathd/src/daemons.ts
@@ -48,7 +48,7 @@
     process.on("unhandledRejection", fail);
     process.on("uncaughtException", fail);
     try {
-        const running = await startOnPlatform(role, events, err => finish(exitFailed, err));
+        const running = await startOnPlatform(role, events);
         onHangUp(() => running.reload());
         stopOnSignals(async () => {
             await running.stop();
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -1,14 +1,15 @@
-/** A control host on the platform: configuration, upstreams, orders to engines. */
+/** What a host with a disk does for control on the platform: configuration, upstreams, orders to engines. */
 import {
     ComposedMachine,
     ConsensusService,
     consensusService,
     encodeCommand,
     FileLogStore,
-    Replica,
+    type Replica,
+    ReplicaKeeper,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { type EventLog, messageOf, Metrics } from "@winchpath/core";
+import { type EventLog, messageOf, type Metrics } from "@winchpath/core";
 import {
     type Configuration,
     type ConfigurationDocument,
@@ -30,14 +31,7 @@
     type PlacementControl,
     Registry,
 } from "@winchpath/fleet";
-import {
-    type ControlCalls,
-    controlServer,
-    metricsServer,
-    parseDocument,
-    peerUrl,
-    PlatformEngineCalls,
-} from "@winchpath/platform";
+import { type ControlCalls, controlServer, parseDocument, peerUrl, PlatformEngineCalls } from "@winchpath/platform";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
 import { type LiveSettings } from "./platformsettings.js";
@@ -64,17 +58,16 @@
     private readonly stopping = new AbortController();
     private readonly timeline: Timeline;
     private readonly clients: RpcClients;
-    private readonly documents = new Documents();
+    private documents = new Documents();
     private readonly registry: Registry;
     private readonly feed: Feed;
     private readonly desk: AnnouncementDesk;
     private readonly engines: PlatformEngineCalls;
     private readonly server;
-    private readonly metrics = new Metrics();
-    private readonly metricsListener = metricsServer(() => this.metrics.toText());
     private readonly lease: OrderLease;
     private demand: DemandBook;
-    private replica!: Replica;
+    private readonly keeper: ReplicaKeeper;
+    private keeping: Promise<void> = Promise.resolve();
     private rpc!: RpcServer;
     private leadership:
         | { readonly epoch: string; readonly end: AbortController; readonly placement: EnginePlacement; }
@@ -84,8 +77,8 @@
 
     public constructor(
         private readonly settings: LiveSettings,
+        private readonly metrics: Metrics,
         private readonly log: EventLog,
-        private readonly onFatal: (err: Error) => void,
     ) {
         const { host, dataCentre, control } = settings.current;
         this.timeline = new Timeline({ process: `control/${host}`, host, dataCentre }, timelineEvents, log);
@@ -97,55 +90,66 @@
         this.desk = new AnnouncementDesk(this.registry, this.feed, this, this.clients);
         this.engines = new PlatformEngineCalls(log);
         this.server = controlServer(this, control!.port, log);
+        this.keeper = this.makeKeeper();
     }
 
     public async start(): Promise<void> {
         const { current: cfg } = this.settings;
-        const url = peerUrl(cfg.peers.host, cfg.peers.port);
-        this.replica = await Replica.open({
-            identity: { host: cfg.host, url },
-            store: new FileLogStore(cfg.dataFolder!),
-            machine: new ComposedMachine([this.documents]),
-            peers: new RpcPeerConnector(this.clients),
-            seeds: () => this.settings.current.seeds,
-            timeline: this.timeline,
-            options: {
-                heartbeatMs,
-                electionMs,
-                snapshotEvery,
-                trailing,
-                maxVoters: 2 * cfg.tolerated + 1,
-                mayForm: cfg.firstStart,
-            },
-            log: this.log,
-            onFatal: this.onFatal,
-        });
         this.rpc = await RpcServer.listen(cfg.peers, router => {
-            router.service(ConsensusService, consensusService(this.replica));
+            router.service(ConsensusService, consensusService(() => this.keeper.require()));
             router.service(FleetService, fleetService(this.fleetParts()));
         }, { key: undefined, timeline: this.timeline });
-        this.replica.start();
+        this.keeping = this.keeper.run(this.stopping.signal);
         void this.followReplica();
         void this.followRegistry();
         await this.server.listen(cfg.control!);
-        await this.metricsListener.listen(cfg.metrics);
+    }
+
+    /** Leadership goes to another host; this one stays a voter until it stops. */
+    public async prepareStop(): Promise<void> {
+        await this.replica?.handOver(handOverMs);
     }
 
     public async stop(): Promise<void> {
-        await this.replica.handOver(handOverMs);
+        await this.replica?.handOver(handOverMs);
         this.endLeadership();
         await this.server.close();
-        await this.metricsListener.close();
         this.stopping.abort();
-        await this.replica.stop();
+        await this.keeping;
         this.clients.close();
         await this.engines.close();
         await this.rpc.close(rpcGraceMs);
     }
 
+    /** Undefined while the disk can't be used. */
+    private get replica(): Replica | undefined {
+        return this.keeper.current;
+    }
+
+    private makeKeeper(): ReplicaKeeper {
+        const { current: cfg } = this.settings;
+        return new ReplicaKeeper({
+            identity: { host: cfg.host, url: peerUrl(cfg.peers.host, cfg.peers.port) },
+            store: () => new FileLogStore(cfg.dataFolder!),
+            machine: () => new ComposedMachine([this.documents = new Documents()]),
+            peers: new RpcPeerConnector(this.clients),
+            seeds: () => this.settings.current.seeds,
+            timeline: this.timeline,
+            options: {
+                heartbeatMs,
+                electionMs,
+                snapshotEvery,
+                trailing,
+                maxVoters: 2 * cfg.tolerated + 1,
+                mayForm: cfg.firstStart,
+            },
+            log: this.log,
+        });
+    }
+
     public async putDocument(document: ConfigurationDocument): Promise<DocumentResult> {
         const startedAt = performance.now();
-        const { result } = await this.replica.propose(encodeCommand("documents", document), callMs);
+        const { result } = await this.keeper.require().propose(encodeCommand("documents", document), callMs);
         this.metrics.histogram("document_commit").record(performance.now() - startedAt);
         return JSON.parse(Buffer.from(result).toString()) as DocumentResult;
     }
@@ -164,7 +168,7 @@
     }
 
     public leaderHost(): string | undefined {
-        const { leaderUrl } = this.replica.state;
+        const leaderUrl = this.replica?.state.leaderUrl ?? "";
         return leaderUrl === "" ? undefined : new URL(leaderUrl).hostname;
     }
 
@@ -173,32 +177,32 @@
     }
 
     public get ledMs(): number {
-        return this.replica.leading?.ledMs ?? 0;
+        return this.replica?.leading?.ledMs ?? 0;
     }
 
     /** URL of another host that leads; empty where none is known. */
     public get leaderUrl(): string {
-        const { role, leaderUrl } = this.replica.state;
-        return role === "leader" ? "" : leaderUrl;
+        const state = this.replica?.state;
+        return state === undefined || state.role === "leader" ? "" : state.leaderUrl;
     }
 
     public get controlUrls(): readonly string[] {
-        return this.replica.state.membership?.members.map(member => member.url) ?? [];
+        return this.replica?.state.membership?.members.map(member => member.url) ?? [];
     }
 
     public get document(): ConfigurationDocument | undefined {
         return this.documents.current;
     }
 
-    public barrier(): Promise<void> {
-        return this.replica.barrier(callMs);
+    public async barrier(): Promise<void> {
+        await this.keeper.require().barrier(callMs);
     }
 
     public get epoch(): string | undefined {
-        const leading = this.replica.leading;
+        const leading = this.replica?.leading;
         // A leader that is cut off finds out within an election time; until then it tells nobody anything new.
         const valid = leading !== undefined && leading.quorumAgeMs < electionMs;
-        return valid ? `${leading.term}/${this.replica.state.memberId}` : undefined;
+        return valid ? `${leading.term}/${this.replica!.state.memberId}` : undefined;
     }
 
     public get configuration(): Configuration | undefined {
@@ -231,7 +235,7 @@
 
     private async followReplica(): Promise<void> {
         while (!this.stopping.signal.aborted) {
-            await this.replica.changed.wait(lookMs);
+            await (this.replica ?? this.keeper).changed.wait(lookMs);
             this.tellLeader();
             this.followLeadership();
             this.feed.wake();
@@ -240,6 +244,9 @@
     }
 
     private tellLeader(): void {
+        if (this.replica === undefined) {
+            return;
+        }
         const { role, term, leaderUrl } = this.replica.state;
         const now = `${term} ${role} ${leaderUrl}`;
         if (now !== this.followed) {
@@ -250,8 +257,8 @@
     }
 
     private followLeadership(): void {
-        const leading = this.replica.leading;
-        const epoch = leading === undefined ? undefined : `${leading.term}/${this.replica.state.memberId}`;
+        const leading = this.replica?.leading;
+        const epoch = leading === undefined ? undefined : `${leading.term}/${this.replica!.state.memberId}`;
         if (epoch === this.leadership?.epoch) {
             return;
         }
@@ -269,7 +276,7 @@
         const placement = new EnginePlacement(this, this.registry, this.demand, this.engines, this.log);
         this.leadership = { epoch, end, placement };
         this.log.info("leadership.begun", { epoch });
-        void this.lease.acquire(Number(this.replica.leading!.term), this.otherUrls(), this.clients, end.signal);
+        void this.lease.acquire(Number(this.replica!.leading!.term), this.otherUrls(), this.clients, end.signal);
         placement.run(end.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
     }
 
@@ -298,7 +305,7 @@
 
     /** Orders wait until the earlier leader's lease is over, and need a majority that was heard just now. */
     public fence(): Fence | undefined {
-        const leading = this.replica.leading;
+        const leading = this.replica?.leading;
         if (leading === undefined || leading.quorumAgeMs > orderQuorumMs) {
             return undefined;
         }
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -1,9 +1,15 @@
 /** An entry on the platform: takes callers' requests and forwards them. */
-import { type EventLog, Metrics, sleep, steadyNow } from "@winchpath/core";
+import { type EventLog, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
 import { CallerDoor, Forwarder } from "@winchpath/forwarding";
-import { metricsServer, parseDocument, PlatformRequestCodec, readinessServer } from "@winchpath/platform";
+import {
+    parseDocument,
+    peerUrl,
+    PlatformRequestCodec,
+    type PlatformSettings,
+    readinessServer,
+} from "@winchpath/platform";
 import { RpcClients } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
 import { type LiveSettings } from "./platformsettings.js";
@@ -16,7 +22,6 @@
 
 export class PlatformEntry {
     private readonly stopping = new AbortController();
-    private readonly metrics = new Metrics();
     private readonly clients: RpcClients;
     private readonly view: FleetView<Configuration>;
     private readonly follower: FeedFollower<Configuration>;
@@ -24,11 +29,14 @@
     private readonly forwarder: Forwarder;
     private readonly door: CallerDoor;
     private readonly readiness = readinessServer(() => this.isReady());
-    private readonly metricsListener = metricsServer(() => this.metrics.toText());
     private leaving = false;
     private wasReady = false;
 
-    public constructor(private readonly settings: LiveSettings, private readonly log: EventLog) {
+    public constructor(
+        private readonly settings: LiveSettings,
+        private readonly metrics: Metrics,
+        private readonly log: EventLog,
+    ) {
         const { host, dataCentre, retryBudget } = settings.current;
         const timeline = new Timeline({ process: `entry/${host}`, host, dataCentre });
         this.clients = new RpcClients({ key: undefined, timeline });
@@ -36,7 +44,7 @@
         this.follower = new FeedFollower(this.view, this.clients, {
             entry: host,
             dataCentre,
-            seeds: () => settings.current.seeds,
+            seeds: () => seedsOf(settings.current),
         }, log);
         this.meter = new DemandMeter(log);
         const codec = new PlatformRequestCodec();
@@ -55,14 +63,13 @@
     }
 
     public async start(): Promise<void> {
-        const { callers, readiness, host, metrics } = this.settings.current;
+        const { callers, readiness, host } = this.settings.current;
         const { signal } = this.stopping;
         void this.follower.run(signal);
         void this.meter.run(host, this.clients, () => this.follower.leader, signal);
         void this.followView(signal);
         await this.door.listen(callers!);
         await this.readiness.listen(readiness!);
-        await this.metricsListener.listen(metrics);
     }
 
     public async stop(): Promise<void> {
@@ -75,7 +82,16 @@
         this.forwarder.close();
         this.clients.close();
         await this.readiness.close();
-        await this.metricsListener.close();
+    }
+
+    /** URL of the leader that this entry follows; empty where it follows none. */
+    public get leaderUrl(): string {
+        return this.follower.leader;
+    }
+
+    /** URLs of the control group's members, as a leader told them last. */
+    public get controlUrls(): readonly string[] {
+        return this.follower.controlUrls;
     }
 
     private isReady(): boolean {
@@ -104,3 +120,11 @@
         return parsed.val as Configuration;
     }
 }
+
+/** Where an entry looks for the leader: first at its own host, where that takes part in control. */
+function seedsOf(cfg: PlatformSettings): readonly string[] {
+    const own = cfg.control !== undefined && cfg.dataFolder !== undefined
+        ? [peerUrl(cfg.peers.host, cfg.peers.port)]
+        : [];
+    return [...own, ...cfg.seeds];
+}
--- a/packages/winchpathd/src/platforms.ts
+++ b/packages/winchpathd/src/platforms.ts
@@ -1,6 +1,7 @@
-/** Starts an entry or a control host on the platform. */
+/** Starts a process on the platform. */
 import { Failure, type Result, type StandardEventLog } from "@winchpath/core";
 import { loadPlatformSettings, type PlatformSettings } from "@winchpath/platform";
+import { PlatformHost } from "./platformhosts.js";
 import { LiveSettings } from "./platformsettings.js";
 
 export const platformRoles = ["entry", "control"] as const;
@@ -19,13 +20,12 @@
 export async function startOnPlatform(
     role: PlatformRole,
     log: StandardEventLog,
-    onFatal: (err: Error) => void,
 ): Promise<PlatformProcess> {
     const path = process.env[settingsVariable] ?? "";
     const cfg = usable(loadPlatformSettings(path));
     log.nameHost(cfg.host);
     const settings = new LiveSettings(path, cfg, log);
-    const running = await makeProcess(role, settings, log, onFatal);
+    const running = new PlatformHost(settings, log);
     await running.start();
     log.info("process.started", { role, host: cfg.host, dataCentre: cfg.dataCentre, seeds: cfg.seeds });
     const ended = new AbortController();
@@ -41,21 +41,6 @@
     };
 }
 
-/** Loads only what the role needs: at a share of a core, the rest would delay each start by half a second. */
-async function makeProcess(
-    role: PlatformRole,
-    settings: LiveSettings,
-    log: StandardEventLog,
-    onFatal: (err: Error) => void,
-) {
-    if (role === "entry") {
-        const { PlatformEntry } = await import("./platformentries.js");
-        return new PlatformEntry(settings, log);
-    }
-    const { PlatformControl } = await import("./platformcontrols.js");
-    return new PlatformControl(settings, log, onFatal);
-}
-
 function usable(loaded: Result<PlatformSettings, Failure>): PlatformSettings {
     if (loaded.err) {
         throw new Failure(loaded.val.issues);
