Never let a held-up announcement of a crashed process take its successor's address

Ruled out: sequences alone (each process counts from its own start). Before: two of three new tests red; after: green. Conclusion: an address's earlier holder never comes back; a stranger that says it has announced itself before is taken with its next announcement where another was heard there just now.

--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -18,6 +18,12 @@
 const forgetAfterMs = 12_000;
 /** Ids of upstreams that left are remembered for this long, against announcements that come late. */
 const departedMs = 60_000;
+/** An upstream that was heard this lately holds its address, in milliseconds: two announcements at the usual 1.2 s. */
+const doubtMs = 2400;
+/** Announcements that were held up together arrive within this time; a living sender's next one comes later. */
+const heldUpMs = 600;
+/** A process that has just started has sent no more announcements than these. */
+const firstSequences = 2n;
 /** Removals that a poll may be behind before it gets everything anew. */
 const rememberedRemovals = 2000;
 
@@ -65,6 +71,8 @@
     public readonly changed = new Notifier();
     private readonly upstreams = new Map<string, Entry>();
     private readonly departed = new Map<string, number>();
+    /** When an announcement was first doubted, by the id of its sender. */
+    private readonly doubted = new Map<string, number>();
     private removals: { readonly id: string; readonly position: number; }[] = [];
     private removalFloor = 0;
     private newest = 0;
@@ -91,6 +99,10 @@
         if (this.departed.has(upstream.id) || (known !== undefined && announcement.sequence <= known.sequence)) {
             return this.newest;
         }
+        if (known === undefined && this.isDoubtful(announcement)) {
+            this.log.info("announcement.doubted", { upstream: upstream.id, address: upstream.address });
+            return this.newest;
+        }
         this.dropOthersAt(upstream.address, upstream.id);
         const entry: Entry = known ?? {
             upstream,
@@ -173,11 +185,8 @@
                 this.remove(id, "silent");
             }
         }
-        for (const [id, at] of this.departed) {
-            if (now - at > departedMs) {
-                this.departed.delete(id);
-            }
-        }
+        forgetBefore(this.departed, now - departedMs);
+        forgetBefore(this.doubted, now - departedMs);
     }
 
     /** All that changed after `position`. */
@@ -192,6 +201,7 @@
     public clear(): void {
         this.upstreams.clear();
         this.departed.clear();
+        this.doubted.clear();
         this.removals = [];
         this.removalFloor = 0;
     }
@@ -236,10 +246,30 @@
         this.changed.notify();
     }
 
-    /** An address belongs to the upstream that announced it last. */
+    /**
+     * Whether an announcement may come from a process that has crashed, and was held up on its way: its
+     * sender has announced itself before, never here, and another upstream was heard at its address just now.
+     * A sender that lives announces itself again.
+     */
+    private isDoubtful(announcement: Announcement): boolean {
+        const { id, address } = announcement.upstream!;
+        const now = steadyNow();
+        const isHeld = [...this.upstreams.values()].some(({ upstream, heardAt }) =>
+            upstream.address === address && now - heardAt < doubtMs
+        );
+        if (!isHeld || announcement.sequence <= firstSequences) {
+            return false;
+        }
+        const since = this.doubted.get(id) ?? now;
+        this.doubted.set(id, since);
+        return now - since < heldUpMs;
+    }
+
+    /** An address belongs to the upstream that announced it last; the one before it never comes back. */
     private dropOthersAt(address: string, id: string): void {
         for (const [other, entry] of this.upstreams) {
             if (other !== id && entry.upstream.address === address) {
+                this.departed.set(other, steadyNow());
                 this.remove(other, "its address is another upstream's now");
             }
         }
@@ -259,6 +289,14 @@
     }
 }
 
+function forgetBefore(times: Map<string, number>, limit: number): void {
+    for (const [id, at] of times) {
+        if (at < limit) {
+            times.delete(id);
+        }
+    }
+}
+
 function describe(upstream: Upstream) {
     return {
         upstream: upstream.id,
--- a/packages/fleet/src/tests/registries.test.ts
+++ b/packages/fleet/src/tests/registries.test.ts
@@ -3,6 +3,36 @@
 import { announcement, registryWith } from "./standins.js";
 
 describe("Registry", () => {
+    describe("an announcement of a crashed process that was held up on its way", () => {
+        const at = (id: string, sequence: number) => {
+            const told = announcement(id, sequence);
+            told.upstream!.address = "10.0.0.1:80";
+            return told;
+        };
+
+        it("never brings it back once another has taken its address", () => {
+            const registry = registryWith(at("old", 5), at("new", 1));
+            registry.announce(at("old", 6));
+            expect(registry.all().map(({ upstream }) => upstream.id)).toEqual(["new"]);
+        });
+
+        it("takes no address from one that was heard just now, at a leader that never heard of it", () => {
+            const registry = registryWith(at("new", 1));
+            registry.announce(at("old", 6));
+            registry.announce(at("old", 7));
+            expect(registry.all().map(({ upstream }) => upstream.id)).toEqual(["new"]);
+        });
+
+        it("is told from one of a process that lives, by the next", t => {
+            t.mock.timers.enable({ apis: ["Date"], now: 1_000_000 });
+            const registry = registryWith(at("old", 5));
+            registry.announce(at("new", 4));
+            t.mock.timers.tick(1200);
+            registry.announce(at("new", 5));
+            expect(registry.all().map(({ upstream }) => upstream.id)).toEqual(["new"]);
+        });
+    });
+
     describe("an upstream that seems to be down", () => {
         const silentMs = 3000;
         const reports = 2;
