Start from a code cache, let callers in first, and hold them for the first configuration

Now the program is one script with a cache of its compiled code, made at the build with the same flags; the listener for callers is up before control is loaded; a request that finds no configuration waits 0.4 s for it.

The log of an attempt tells the stream's longest pause.

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -1,5 +1,5 @@
 /** One try of a request at one upstream. */
-import { Deferred, messageOf } from "@winchpath/core";
+import { Deferred, messageOf, steadyNow } from "@winchpath/core";
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
 import { type AnswerFacts, headerOf, type RequestCodec, withoutConnectionHeaders } from "./codecs.js";
@@ -56,6 +56,8 @@
     readonly maySend: () => boolean;
     /** Told when the upstream has begun to answer, in time for the objective. */
     readonly onAnswer: (facts: AnswerFacts) => void;
+    /** Told how long a stream has been silent between two events, in milliseconds. */
+    readonly onPause: (ms: number) => void;
 }
 
 class GivenUp extends Error {}
@@ -69,6 +71,8 @@
     private readonly splitter = new EventSplitter();
     private readonly held: Buffer[] = [];
     private heldSize = 0;
+    /** Steady time of the last event that was handed on. */
+    private eventAt: number | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private sent = false;
     private settled = false;
@@ -239,6 +243,11 @@
             return;
         }
         this.startStream();
+        const now = steadyNow();
+        if (this.eventAt !== undefined) {
+            this.parts.onPause(now - this.eventAt);
+        }
+        this.eventAt = now;
         this.job.lastEventId = lastId ?? this.job.lastEventId;
         this.write(controller, bytes);
     }
--- a/packages/forwarding/src/doors.ts
+++ b/packages/forwarding/src/doors.ts
@@ -2,7 +2,7 @@
  * The listener for callers. It reads paths, headers and bodies as they are
  * written, and hands each request to the forwarder.
  */
-import { type EventLog, sleep, steadyNow } from "@winchpath/core";
+import { type EventLog, Notifier, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration, type ListenerLimits } from "@winchpath/declarations";
 import { type FleetView } from "@winchpath/fleet";
 import { once } from "node:events";
@@ -20,6 +20,11 @@
 const slowCheckMs = 500;
 /** When to come back while no configuration is known. */
 const unconfiguredRetryMs = 500;
+/**
+ * A request that comes right after the start waits this long for the configuration, in milliseconds: a little
+ * more than an election and the first answer of the leader take. Its caller's one return would come later.
+ */
+const configurationWaitMs = 400;
 /** A final answer takes this long on its way, in milliseconds: callers are a few milliseconds away. */
 const answerTripMs = 20;
 /** When to come back, to another entry, from one that stops. */
@@ -42,6 +47,8 @@
         noDelay: true,
     }, (req, res) => void this.take(req, res));
     private table: RouteTable | undefined;
+    /** Notified when routes are known. */
+    private readonly configured = new Notifier();
     private requests = 0;
     private closing = false;
 
@@ -68,6 +75,7 @@
             return;
         }
         this.table = new RouteTable(configuration);
+        this.configured.notify();
         const { headerTimeoutMs, idleTimeoutMs } = configuration.limits;
         this.server.headersTimeout = headerTimeoutMs;
         this.server.keepAliveTimeout = idleTimeoutMs;
@@ -119,8 +127,8 @@
         startedAt: number,
         gone: AbortSignal,
     ): Promise<Job | undefined> {
-        const { table } = this;
         const facts = this.parts.codec.requestFacts(req.rawHeaders);
+        const table = this.table ?? await this.firstTable(startedAt);
         const refuse = (answer: OwnAnswer, retryAfterMs?: number) => {
             this.refuse(req, res, facts.id, answer, retryAfterMs);
             return undefined;
@@ -167,6 +175,15 @@
         };
     }
 
+    /** The routes, once they are known; undefined where they are not in time. */
+    private async firstTable(startedAt: number): Promise<RouteTable | undefined> {
+        const deadline = startedAt + configurationWaitMs;
+        while (this.table === undefined && !this.parts.stopping() && steadyNow() < deadline) {
+            await this.configured.wait(deadline - steadyNow());
+        }
+        return this.table;
+    }
+
     private refuse(
         req: IncomingMessage,
         res: ServerResponse,
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -155,6 +155,7 @@
         const { meter, codec, stopping } = this.parts;
         const startedAt = steadyNow();
         let firstMs: number | undefined;
+        let pauseMs = 0;
         const stay = link.begin(job.route.priority, ownTokensOf(job), tokensOf(job));
         meter.started(key);
         this.ejections.sent(link.id);
@@ -166,6 +167,9 @@
                 urgency: this.engineOf(job.service) === undefined ? undefined : Math.min(9, job.route.priority),
                 closing: stopping,
                 maySend: () => this.links.isReady(link),
+                onPause: ms => {
+                    pauseMs = Math.max(pauseMs, ms);
+                },
                 onAnswer: () => {
                     firstMs = Math.round(ageMs(job));
                     stay.read();
@@ -181,6 +185,7 @@
                 outcome: outcome.kind,
                 reason: "reason" in outcome ? outcome.reason : undefined,
                 firstMs,
+                longestPauseMs: pauseMs === 0 ? undefined : Math.round(pauseMs),
                 tookMs: Math.round(steadyNow() - startedAt),
             });
             return outcome;
--- a/packages/forwarding/src/tests/forwarding.test.ts
+++ b/packages/forwarding/src/tests/forwarding.test.ts
@@ -213,6 +213,16 @@
         expect([answer.whole, answer.headers["x-seal"]]).toEqual([true, "s0"]);
     });
 
+    it("holds a request that comes before the first configuration until that is there", async () => {
+        const only = await upstream(good);
+        entry = new TestEntry(TestEntry.configuration([testRoute({})]));
+        await entry.start();
+        const answer = entry.call("q1");
+        await entry.untilOpen(1);
+        entry.learn({ id: "u0", address: only.address });
+        expect((await answer).status).toEqual(200);
+    });
+
     it("gives the final answer at the route's timeout, and cuts the upstream's connection", async () => {
         const [only] = await entryFor({ kind: "unsafe", timeoutMs: 150 }, () => undefined);
         const answer = await entry.call("q1", { method: "POST", body: "x" });
--- a/packages/winchpathd/src/daemons.ts
+++ b/packages/winchpathd/src/daemons.ts
@@ -13,23 +13,26 @@
 const exitFailed = 1;
 const exitSettings = 2;
 
-const argv = await yargs(process.argv.slice(2))
-    .scriptName("winchpathd")
-    .usage("$0 --settings FILE\n$0 --platform ROLE")
-    .option("settings", { type: "string", describe: "settings file (TOML)" })
-    .option("platform", { choices: platformRoles, describe: "role on the users' platform" })
-    .conflicts("settings", "platform")
-    .check(({ settings, platform }) =>
-        settings !== undefined || platform !== undefined || "give --settings or --platform"
-    )
-    .strict()
-    .parseAsync();
+/** Reads the command line, and starts what it asks for. */
+export async function runDaemon(args: readonly string[]): Promise<void> {
+    const argv = await yargs([...args])
+        .scriptName("winchpathd")
+        .usage("$0 --settings FILE\n$0 --platform ROLE")
+        .option("settings", { type: "string", describe: "settings file (TOML)" })
+        .option("platform", { choices: platformRoles, describe: "role on the users' platform" })
+        .conflicts("settings", "platform")
+        .check(({ settings, platform }) =>
+            settings !== undefined || platform !== undefined || "give --settings or --platform"
+        )
+        .strict()
+        .parseAsync();
 
-if (argv.platform !== undefined) {
-    await serveOnPlatform(argv.platform);
-}
-else {
-    await main(argv.settings!);
+    if (argv.platform !== undefined) {
+        await serveOnPlatform(argv.platform);
+    }
+    else {
+        await main(argv.settings!);
+    }
 }
 
 async function serveOnPlatform(role: PlatformRole): Promise<void> {
--- a/packages/winchpathd/src/main.ts
+++ b/packages/winchpathd/src/main.ts
@@ -3,7 +3,6 @@
  * `winchpathd --settings FILE`: one process of the system, in the role that its settings give;
  * `winchpathd --platform ROLE`: one on the users' platform, with the settings that it writes.
  */
-import "./signals.js";
+import { run } from "./programs.js";
 
-// Loaded only now: a signal that comes meanwhile finds its handler.
-await import("./daemons.js");
+await run(process.argv.slice(2));
--- a/packages/winchpathd/src/platformhosts.ts
+++ b/packages/winchpathd/src/platformhosts.ts
@@ -31,11 +31,13 @@
         if (callers !== undefined) {
             const { PlatformEntry } = await import("./platformentries.js");
             this.entry = new PlatformEntry(this.settings, this.metrics, this.log);
+            // Callers are let in before the rest is loaded: at a share of a core that takes a while.
+            await this.entry.start();
         }
         if (control !== undefined) {
             this.control = dataFolder === undefined ? await this.makeRelay() : await this.makeControl();
         }
-        await Promise.all([this.entry?.start(), this.control?.start(), this.metricsListener.listen(metrics)]);
+        await Promise.all([this.control?.start(), this.metricsListener.listen(metrics)]);
     }
 
     /** Control stays a voter until the entry has served to its end. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,9 +1,10 @@
 /**
- * Builds the platform's program under target/, straight from the sources: it
- * loads in a fraction of the time. What only one role needs stands in a file of
- * its own, and names are kept, so that stack traces in logs can be read.
+ * Builds the platform's program under target/, straight from the sources: one
+ * script, of which what only one role needs is executed only there, with a cache
+ * of its compiled code. Names are kept, so that stack traces in logs can be read.
  */
 import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
 import { existsSync, rmSync } from "node:fs";
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -22,7 +23,7 @@
         });
         bundle.onResolve({ filter: /^\.\.?\/.*\.js$/ }, ({ path, resolveDir }) => {
             const source = join(resolveDir, path.replace(/\.js$/, ".ts"));
-            const acts = source.endsWith("/signals.ts") || source.endsWith("/daemons.ts");
+            const acts = source.endsWith("/signals.ts") || source.endsWith("/launch.ts");
             return existsSync(source) ? { path: source, sideEffects: acts } : undefined;
         });
         // It is CommonJS behind a flag of ES modules, by which its default export would be lost.
@@ -34,25 +35,32 @@
     },
 };
 
-rmSync(join(root, "target/parts"), { recursive: true, force: true });
+const source = name => join(root, "packages/winchpathd/src", name);
+
+rmSync(join(root, "target/program.cache"), { force: true });
 await build({
-    entryPoints: { winchpathd: join(root, "packages/winchpathd/src/main.ts") },
+    entryPoints: {
+        winchpathd: source("launch.ts"),
+        launchers: source("launchers.ts"),
+        program: source("programs.ts"),
+    },
     outdir: join(root, "target"),
-    outExtension: { ".js": ".mjs" },
-    chunkNames: "parts/[name]-[hash]",
+    outExtension: { ".js": ".cjs" },
     bundle: true,
-    splitting: true,
     platform: "node",
     target: "node20",
-    format: "esm",
+    format: "cjs",
     minifyWhitespace: true,
     minifySyntax: true,
     sourcemap: false,
     legalComments: "none",
-    // CommonJS libraries in the bundle ask for Node.js's own modules by require.
-    banner: {
-        js: "import { createRequire as makeRequire } from \"node:module\"; const require = makeRequire(import.meta.url);",
-    },
+    // ES modules in the bundle may ask where they are.
+    define: { "import.meta.url": "moduleUrl" },
+    banner: { js: "const moduleUrl = require(\"node:url\").pathToFileURL(__filename).href;" },
     plugins: [workspace],
     logLevel: "warning",
 });
+
+// The flags of deploy/system.toml: a cache holds for a process with the same ones.
+const flags = ["--max-old-space-size=160", "--max-semi-space-size=2"];
+execFileSync(process.execPath, [...flags, join(root, "scripts/codecache.mjs")], { stdio: "inherit" });
