--- a/packages/winchpath/src/commands/explains.ts
+++ b/packages/winchpath/src/commands/explains.ts
@@ -1,8 +1,10 @@
-/** `explain`: from a request's id to what became of it, by the logs of all processes. */
+/** `explain` and `summarize`: what became of one request, or of all, by the logs of all processes. */
 import { Failure, FailureCode } from "@winchpath/core";
 import { readFileSync } from "node:fs";
 import { type Context, ExitCode } from "../contexts.js";
-import { explain, formatExplanation, parseLog } from "../explanations.js";
+import { explain, formatExplanation } from "../explanations.js";
+import { parseLog } from "../logs.js";
+import { formatSummary, summarize } from "../summaries.js";
 
 export function explainRequest(context: Context, request: string, files: readonly string[]): ExitCode {
     const explanation = explain(files.flatMap(readLog), request);
@@ -13,6 +15,12 @@
     return ExitCode.done;
 }
 
+export function summarizeLogs(context: Context, files: readonly string[], spanSeconds: number): ExitCode {
+    const summary = summarize(files.flatMap(readLog), spanSeconds);
+    context.print(summary, () => formatSummary(summary));
+    return ExitCode.done;
+}
+
 function readLog(file: string) {
     try {
         return parseLog(readFileSync(file, "utf8"));
--- a/packages/winchpath/src/explanations.ts
+++ b/packages/winchpath/src/explanations.ts
@@ -1,14 +1,5 @@
 /** What became of one request, and why: read from the structured logs of all processes. */
-
-/** One line of a process's log. */
-export interface LoggedEvent {
-    /** Time of day in milliseconds since the epoch, by the host's clock. */
-    readonly time: number;
-    readonly process: string;
-    readonly host: string;
-    readonly event: string;
-    readonly values: Readonly<Record<string, unknown>>;
-}
+import { type LoggedEvent } from "./logs.js";
 
 /** A request's history with the beliefs that were in force. */
 export interface Explanation {
@@ -20,8 +11,6 @@
     readonly cause: string;
 }
 
-/** Fields of a line that say nothing about what happened. */
-const bookkeeping = ["level", "steadyMs"];
 /** How far back orders for a model are looked for: a load from the store takes some ten seconds. */
 const ordersBackMs = 20_000;
 /** Orders that are shown at most. */
@@ -29,11 +18,6 @@
 /** Events that tell what an entry believes as a whole. */
 const beliefEvents = ["configuration.in-force", "control.followed", "control.lost", "entry.ready"];
 
-/** Reads lines; what stands before the JSON of a line (a time, a host) is passed over, as are other lines. */
-export function parseLog(text: string): LoggedEvent[] {
-    return text.split("\n").flatMap(line => parseLine(line) ?? []);
-}
-
 /** Undefined where no process tells of the request. */
 export function explain(events: readonly LoggedEvent[], request: string): Explanation | undefined {
     const history = events.filter(event => event.values.request === request).sort((a, b) => a.time - b.time);
@@ -57,23 +41,6 @@
     ].join("\n");
 }
 
-function parseLine(line: string): LoggedEvent | undefined {
-    const start = line.indexOf("{\"level\"");
-    if (start === -1) {
-        return undefined;
-    }
-    try {
-        const { time, process, host, event, ...rest } = JSON.parse(line.slice(start)) as Record<string, unknown>;
-        const values = Object.fromEntries(Object.entries(rest).filter(([name]) => !bookkeeping.includes(name)));
-        const where = String(host ?? line.slice(0, start).trim().split(/\s+/).at(-1) ?? "");
-        return { time: Number(time), process: String(process), host: where, event: String(event), values };
-    }
-    catch {
-        // A line that was cut short when its process was killed.
-        return undefined;
-    }
-}
-
 function entryBeliefs(events: readonly LoggedEvent[], at: LoggedEvent): LoggedEvent[] {
     return beliefEvents.flatMap(name =>
         lastBefore(events, at, event => event.event === name && event.host === at.host) ?? []
--- a/packages/winchpath/src/main.ts
+++ b/packages/winchpath/src/main.ts
@@ -3,11 +3,13 @@
 import { type Kind, kinds } from "@winchpath/declarations";
 import yargs, { type Argv } from "yargs";
 import { apply, diff, drain } from "./commands/applies.js";
-import { explainRequest } from "./commands/explains.js";
+import { explainRequest, summarizeLogs } from "./commands/explains.js";
 import { checkSettings, describe, get, status, timeline, timelineFormats, watch } from "./commands/views.js";
 import { type CommonOptions, Context, ExitCode, reportFailure } from "./contexts.js";
 
 const defaultWaitSeconds = 120;
+/** Rows of a summary by time, as the users' reports have them. */
+const defaultSpanSeconds = 2;
 const kindNames = kinds.flatMap(kind => [kind.toLowerCase(), `${kind.toLowerCase()}s`]);
 
 /** Runs a command, and sets the exit code by how it ends. */
@@ -129,6 +131,15 @@
                 .option("logs", { type: "string", array: true, demandOption: true, describe: "logs of all processes" }),
         args => run(() => explainRequest(contextOf(args), args.request, args.logs)),
     )
+    .command(
+        "summarize",
+        "count from logs why requests were refused or failed, by second, model and upstream",
+        args =>
+            args
+                .option("logs", { type: "string", array: true, demandOption: true, describe: "logs of all processes" })
+                .option("span", { type: "number", default: defaultSpanSeconds, describe: "seconds of one row" }),
+        args => run(() => summarizeLogs(contextOf(args), args.logs, args.span)),
+    )
     .command(
         "check-settings <file>",
         "check a settings file",
--- a/packages/winchpath/src/tests/explanations.test.ts
+++ b/packages/winchpath/src/tests/explanations.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { explain, formatExplanation, parseLog } from "../explanations.js";
+import { explain, formatExplanation } from "../explanations.js";
+import { parseLog } from "../logs.js";
 
 function line(time: number, process: string, host: string, event: string, values: object): string {
     return JSON.stringify({ level: 30, time, process, host, event, steadyMs: time, ...values });
