Free a full accelerator of one of two earlier versions that it holds of a model

Cause: after two changes of version in a row, each accelerator held two earlier versions of a model and was full; room was made only where an earlier version was ready at a second accelerator, so nothing was ever unloaded, and the newest version stayed unready for good. Ruled out: load (the state is final), lost orders (ledger and engines agreed). Before: new test of the placer red; after: green. Conclusion: earlier versions are counted one by one; the last one of a model stays, wherever it is.

--- a/packages/placement/src/rooms.ts
+++ b/packages/placement/src/rooms.ts
@@ -24,23 +24,24 @@
         }
     }
 
-    /** Unloads an earlier version of the model itself, as long as another replica of that version is ready. */
+    /** Unloads earlier versions of the model itself, as long as one of them is ready elsewhere or beside them. */
     private dropEarlierVersion(places: readonly AcceleratorView[], need: number, model: Model): boolean {
-        const isEarlier = (id: string) => id !== model.id && nameOf(id) === model.name;
-        const readyAt = this.plan.accelerators.filter(each =>
-            [...each.items].some(([id, held]) => held.ready && isEarlier(id))
-        );
-        const place = readyAt.find(each => {
-            const earlier = [...each.items].filter(([id]) => isEarlier(id));
-            const freed = earlier.reduce((sum, [, held]) => sum + held.bytes, 0);
-            return places.includes(each) && each.free + bytesUnloading(each) + freed >= need;
-        });
-        if (readyAt.length < 2 || place === undefined) {
-            return false;
+        const earlierAt = (each: AcceleratorView) =>
+            [...each.items].filter(([id, held]) =>
+                id !== model.id && nameOf(id) === model.name && held.state === "resident" && held.ready
+            );
+        const total = this.plan.accelerators.reduce((sum, each) => sum + earlierAt(each).length, 0);
+        for (const place of places) {
+            const earlier = earlierAt(place);
+            // Where all of them are here, as after two changes of version in a row, the last one stays.
+            const dropped = earlier.length === total ? earlier.slice(0, -1) : earlier;
+            const freed = dropped.reduce((sum, [, held]) => sum + held.bytes, 0);
+            if (freed > 0 && place.free + bytesUnloading(place) + freed >= need) {
+                dropped.forEach(([id]) => this.plan.unload(place, id, `room for ${model.id}`));
+                return true;
+            }
         }
-        const resident = [...place.items].filter(([id, held]) => isEarlier(id) && held.state === "resident");
-        resident.forEach(([id]) => this.plan.unload(place, id, `room for ${model.id}`));
-        return true;
+        return false;
     }
 
     /** Unloads replicas that are neither the last nor wanted for demand. */
--- a/packages/placement/src/tests/placers.test.ts
+++ b/packages/placement/src/tests/placers.test.ts
@@ -71,6 +71,16 @@
         expect(plan(view(resources, accelerators))).toEqual(["load m@1 z"]);
     });
 
+    it("gives up one of two earlier versions that share a full accelerator", () => {
+        const resources = ["a", "b", "c", "d"].map(name => model(name, 3, { version: "3" }));
+        const accelerators = [
+            accelerator("x", 10, { "a@1": 3, "a@2": 3, "b@1": 3 }),
+            accelerator("y", 10, { "c@1": 3, "c@2": 3, "d@1": 3 }),
+        ];
+        // The others wait for the memory that this frees.
+        expect(plan(view(resources, accelerators))).toEqual(["unload a@1 x"]);
+    });
+
     it("makes no move for demand that is worth less than the move costs", () => {
         const resources = [model("m", 2)];
         const accelerators = () => [accelerator("x", 20, { "m@1": 2 }), accelerator("y", 20, {})];
