Logs tell equal requests by a keyed digest, and how long one had run when its upstream was lost

Cause: a failed try's line named a request by its id, which is another one at each return, so logs couldn't tell whether one request ends upstream after upstream, our own tries multiply it, or upstreams end for another reason. Now each lost try bears the digest of method, host, path, account and body, keyed for the fleet (the key is drawn by the first leader, kept in the log and told by the feed), and for how long its answer had run. No decision changes. Ruled out: an unkeyed digest (a body could be guessed from a log), a key of each process (entries couldn't be compared).

--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -27,6 +27,8 @@
     readonly leaderUrl: string;
     readonly controlUrls: readonly string[];
     readonly document: ConfigurationDocument | undefined;
+    /** Of the fleet's fingerprints of requests; undefined until one is set. */
+    readonly fingerprintKey: Uint8Array | undefined;
     /** Models that requests wait for at an entry, by {@link modelName}. */
     awaitedAt(entry: string): ReadonlySet<string>;
     /** Returns once all that was accepted before is applied here, or fails. */
@@ -216,6 +218,7 @@
             controlUrls: [...control.controlUrls],
             waitedMs: Math.max(0, state.polledAt - startedAt - 1),
             quorumAgeMs: Math.ceil(control.quorumAgeMs) + 1,
+            fingerprintKey: control.fingerprintKey,
         });
     }
 
--- a/packages/fleet/src/tests/feeds.test.ts
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -13,6 +13,7 @@
     public leaderUrl = "http://other";
     public controlUrls = ["http://a"];
     public document: FeedControl["document"];
+    public fingerprintKey: Uint8Array | undefined;
     public barriers = 0;
     public readonly awaited = new Set<string>();
 
--- a/packages/fleet/src/tests/largefleets.test.ts
+++ b/packages/fleet/src/tests/largefleets.test.ts
@@ -33,6 +33,7 @@
     public readonly leaderUrl = "";
     public readonly controlUrls = [];
     public readonly document = undefined;
+    public readonly fingerprintKey = undefined;
     public readonly awaited = new Map<string, ReadonlySet<string>>();
 
     public awaitedAt(entry: string): ReadonlySet<string> {
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -1,5 +1,6 @@
 /** What an entry knows of upstreams and configuration. It goes on with it while control is out of reach. */
 import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
+import { QuarantineList } from "@winchpath/quarantine";
 import { decodeUpstream } from "./encodings.js";
 import { type PollResponse, type Upstream, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { succeeds } from "./incarnations.js";
@@ -10,6 +11,7 @@
 export class FleetView<C> {
     /** Notified after each change. */
     public readonly changed = new Notifier();
+    public readonly quarantine = new QuarantineList();
     private readonly known = new Map<string, { upstream: Upstream; epoch: string; at: number; }>();
     /** Id of the incarnation that is known under a name, or holds an address. */
     private readonly idOfName = new Map<string, string>();
@@ -73,6 +75,7 @@
     public take(res: PollResponse, sentAt = Number.NEGATIVE_INFINITY): void {
         this.heardAt = steadyNow();
         this.liveEntries = Math.max(1, res.entries);
+        this.quarantine.take(res.fingerprintKey);
         res.removed.forEach(id => this.drop(id));
         res.changed.forEach(bytes => this.put(decodeUpstream(bytes), res.epoch));
         if (res.complete) {
--- a/packages/forwarding/src/doors.ts
+++ b/packages/forwarding/src/doors.ts
@@ -174,6 +174,7 @@
         return {
             id: facts.id ?? "",
             method: req.method!,
+            host: req.headers.host ?? "",
             url: req.url!,
             headers: req.rawHeaders,
             body,
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -9,7 +9,7 @@
 import { attempt, type AttemptOutcome, silentReason, writeHeldAnswer } from "./attempts.js";
 import { type RetryBudgetOptions, WindowBudget } from "./budgets.js";
 import { type RequestCodec } from "./codecs.js";
-import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
+import { ageMs, identityOf, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
 import { UpstreamJudge } from "./judges.js";
 import { type UpstreamLink } from "./links.js";
 import { LinkTable } from "./linktables.js";
@@ -215,6 +215,9 @@
                 reason: "reason" in outcome ? outcome.reason : undefined,
                 firstMs,
                 longestPauseMs: pauseMs === 0 ? undefined : Math.round(pauseMs),
+                // Tells equal requests by, and how long one had been running, where upstreams end under it.
+                fingerprint: isLost(outcome) ? this.parts.view.quarantine.fingerprint(identityOf(job)) : undefined,
+                ranMs: firstMs === undefined || !isLost(outcome) ? undefined : Math.round(ageMs(job)) - firstMs,
                 tookMs: Math.round(steadyNow() - startedAt),
             });
             return outcome;
@@ -380,6 +383,11 @@
     }
 }
 
+/** Whether the upstream, or the way to it, was lost under the request. */
+function isLost({ kind }: AttemptOutcome): boolean {
+    return kind === "unknown" || kind === "broken";
+}
+
 function isSilent(outcome: AttemptOutcome): boolean {
     return outcome.kind === "late" || (outcome.kind === "unknown" && outcome.reason === silentReason);
 }
--- a/packages/forwarding/src/jobs.ts
+++ b/packages/forwarding/src/jobs.ts
@@ -2,12 +2,15 @@
 import { type Charge, type Grant } from "@winchpath/accounts";
 import { steadyNow } from "@winchpath/core";
 import { type Route } from "@winchpath/declarations";
+import { type RequestIdentity } from "@winchpath/quarantine";
 import { type RawHeaders, type RequestFacts } from "./codecs.js";
 
 /** A request with its body, and what was found out about it. */
 export interface Job {
     readonly id: string;
     readonly method: string;
+    /** As the caller wrote it. */
+    readonly host: string;
     /** Path and query, as the caller wrote them. */
     readonly url: string;
     readonly headers: RawHeaders;
@@ -37,6 +40,11 @@
     answerStarted: boolean;
 }
 
+/** What makes it the same request as another. */
+export function identityOf({ method, host, url, grant, body }: Job): RequestIdentity {
+    return { method, host, url, account: grant?.account, body };
+}
+
 /** Whether the request may run more than once. */
 export function isRepeatable(job: Job): boolean {
     const { kind, resumable } = job.route;
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -215,6 +215,7 @@
             controlUrls: [],
             waitedMs: 0,
             leads: false,
+            fingerprintKey: Buffer.from("key of a test"),
             quorumAgeMs: 0,
         }, steadyNow());
         this.door.refresh();
--- a/packages/loadpatterns/src/callers.ts
+++ b/packages/loadpatterns/src/callers.ts
@@ -106,6 +106,7 @@
         return {
             id,
             method: "POST",
+            host: "",
             url: "/",
             headers: [],
             body: nothing,
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -42,6 +42,7 @@
     public readonly announceMs = announceMs;
     public readonly registry = new Registry(silentLog);
     public readonly document: ConfigurationDocument;
+    public readonly fingerprintKey = undefined;
     private readonly feed: Feed;
     private readonly demand = new DemandBook(silentLog);
     private readonly healths = new HealthWatch(this.registry);
--- /dev/null
+++ b/packages/quarantine/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./crashbooks.js";
+export * from "./fingerprints.js";
+export * from "./lists.js";
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -10,7 +10,7 @@
     ReplicaKeeper,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { type EventLog, listenBacklog, messageOf, type Metrics, steadyNow } from "@winchpath/core";
+import { type EventLog, listenBacklog, messageOf, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import {
     type Configuration,
     type ConfigurationDocument,
@@ -42,8 +42,10 @@
     PlatformEngineCalls,
     readCheckedDocument,
 } from "@winchpath/platform";
+import { CrashBook } from "@winchpath/quarantine";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
+import { randomBytes } from "node:crypto";
 import { type LiveSettings } from "./platformsettings.js";
 
 /** Heartbeats cost processor time at every control host; three fit into an election time. */
@@ -65,6 +67,8 @@
 const longestAgeMs = 3_600_000;
 const lookMs = 1000;
 const expireMs = 1000;
+/** Of the fleet's fingerprints: as long as their digest. */
+const fingerprintKeyBytes = 32;
 /** All upstreams are looked at this often at most, in milliseconds; a failure that is reported is looked at at once. */
 const reviewMs = 200;
 
@@ -73,6 +77,7 @@
     private readonly timeline: Timeline;
     private readonly clients: RpcClients;
     private documents = new Documents();
+    private crashes = new CrashBook();
     private readonly registry: Registry;
     private readonly feed: Feed;
     private readonly desk: AnnouncementDesk;
@@ -154,7 +159,7 @@
         return new ReplicaKeeper({
             identity: { host: cfg.host, url: peerUrl(cfg.peers.host, cfg.peers.port) },
             store: () => new FileLogStore(cfg.dataFolder!),
-            machine: () => new ComposedMachine([this.documents = new Documents()]),
+            machine: () => new ComposedMachine([this.documents = new Documents(), this.crashes = new CrashBook()]),
             peers: new RpcPeerConnector(this.clients),
             seeds: () => this.settings.current.seeds,
             timeline: this.timeline,
@@ -226,6 +231,10 @@
         return this.documents.current;
     }
 
+    public get fingerprintKey(): Uint8Array | undefined {
+        return this.crashes.key;
+    }
+
     public awaitedAt(entry: string): ReadonlySet<string> {
         return this.demand.awaitedAt(entry);
     }
@@ -332,9 +341,24 @@
         this.leadership = { epoch, end, placement, healths: new HealthWatch(this.registry) };
         this.log.info("leadership.begun", { epoch });
         void this.lease.acquire(Number(this.replica!.leading!.term), this.otherUrls(), this.clients, end.signal);
+        void this.setFingerprintKey(end.signal);
         placement.run(end.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
     }
 
+    /** The first leader of a fleet draws the key; it holds from then on. */
+    private async setFingerprintKey(signal: AbortSignal): Promise<void> {
+        while (this.crashes.key === undefined && !signal.aborted) {
+            const command = { kind: "set-key", key: randomBytes(fingerprintKeyBytes).toString("base64") };
+            try {
+                await this.keeper.require().propose(encodeCommand("quarantine", command), callMs);
+            }
+            catch (err) {
+                this.log.warn("fingerprints.unset", { error: messageOf(err) });
+                await sleep(lookMs, signal);
+            }
+        }
+    }
+
     private otherUrls(): string[] {
         const { current: cfg } = this.settings;
         const own = peerUrl(cfg.peers.host, cfg.peers.port);
