A request under which three upstreams have ended is held back at all entries

Cause: no process remembered under which request an upstream ended, so each return of one that ends upstreams, at any entry and with any id, went to the next; our own second try did the same within milliseconds. Class: a failure that travels with the work is taken for a failure of the place. Now an entry that loses a connection under a request tells the leader which requests had just begun there, by keyed digest, and whether the address refuses connections. The leader makes sure that the upstream has ended (refused, or its address another's; not draining, not left), writes the end into the log, and tells all entries of requests with two occasions (suspected: no further try by ourselves; a good end clears them) and three (barred: 422 at once). Two that were there each time wait for a fifth occasion; what is put down to one counts against nobody else.

--- a/packages/fleet/src/encodings.ts
+++ b/packages/fleet/src/encodings.ts
@@ -3,7 +3,8 @@
  * a thousand upstreams for ninety entries are a thousand encodings, and not ninety thousand.
  */
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
-import { type Upstream, UpstreamSchema } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type QuarantineChanges } from "@winchpath/quarantine";
+import { type PollResponse, type Upstream, UpstreamSchema } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 
 const encoded = new WeakMap<Upstream, Uint8Array>();
 
@@ -20,3 +21,31 @@
 export function decodeUpstream(bytes: Uint8Array): Upstream {
     return fromBinary(UpstreamSchema, bytes);
 }
+
+export function encodeQuarantine({ position, whole, listed, removed }: QuarantineChanges) {
+    return {
+        quarantinePosition: BigInt(position),
+        quarantineWhole: whole,
+        quarantined: listed.map(({ fingerprint, size, standing, occasions }) => ({
+            fingerprint,
+            size,
+            occasions,
+            barred: standing === "barred",
+        })),
+        unquarantined: [...removed],
+    };
+}
+
+export function decodeQuarantine(res: PollResponse): QuarantineChanges {
+    return {
+        position: Number(res.quarantinePosition),
+        whole: res.quarantineWhole,
+        listed: res.quarantined.map(({ fingerprint, size, barred, occasions }) => ({
+            fingerprint,
+            size,
+            occasions,
+            standing: barred ? "barred" : "suspected",
+        })),
+        removed: res.unquarantined,
+    };
+}
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -2,7 +2,8 @@
 import { create } from "@bufbuild/protobuf";
 import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
 import { type ConfigurationDocument } from "@winchpath/declarations";
-import { encodeUpstream } from "./encodings.js";
+import { type CrashBook } from "@winchpath/quarantine";
+import { encodeQuarantine, encodeUpstream } from "./encodings.js";
 import { gatherMs, ordinaryPaceMs } from "./feedpaces.js";
 import { type PollRequest, type PollResponse, PollResponseSchema } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { modelName } from "./meters.js";
@@ -27,8 +28,8 @@
     readonly leaderUrl: string;
     readonly controlUrls: readonly string[];
     readonly document: ConfigurationDocument | undefined;
-    /** Of the fleet's fingerprints of requests; undefined until one is set. */
-    readonly fingerprintKey: Uint8Array | undefined;
+    /** Requests under which upstreams have ended. */
+    readonly quarantine: Pick<CrashBook, "key" | "position" | "since">;
     /** Models that requests wait for at an entry, by {@link modelName}. */
     awaitedAt(entry: string): ReadonlySet<string>;
     /** Returns once all that was accepted before is applied here, or fails. */
@@ -180,7 +181,7 @@
     /** Whether requests would go wrong, or wait for longer, if the entry was told later. */
     private isUrgent(req: PollRequest): boolean {
         const position = Number(req.position);
-        if (this.registry.urgentPosition > position || this.hasNewerDocument(req)) {
+        if (this.registry.urgentPosition > position || this.hasNewerDocument(req) || this.hasNewerQuarantine(req)) {
             return true;
         }
         const awaited = this.control.awaitedAt(req.entry);
@@ -191,7 +192,13 @@
     }
 
     private hasNews(req: PollRequest): boolean {
-        return this.registry.position > Number(req.position) || this.hasNewerDocument(req);
+        return this.registry.position > Number(req.position) || this.hasNewerDocument(req)
+            || this.hasNewerQuarantine(req);
+    }
+
+    /** Each request that goes on to upstreams meanwhile may end one more. */
+    private hasNewerQuarantine(req: PollRequest): boolean {
+        return this.control.quarantine.position > Number(req.quarantinePosition);
     }
 
     private hasNewerDocument(req: PollRequest): boolean {
@@ -218,7 +225,8 @@
             controlUrls: [...control.controlUrls],
             waitedMs: Math.max(0, state.polledAt - startedAt - 1),
             quorumAgeMs: Math.ceil(control.quorumAgeMs) + 1,
-            fingerprintKey: control.fingerprintKey,
+            fingerprintKey: control.quarantine.key,
+            ...encodeQuarantine(control.quarantine.since(fresh ? 0 : Number(req.quarantinePosition))),
         });
     }
 
--- a/packages/fleet/src/followers.ts
+++ b/packages/fleet/src/followers.ts
@@ -142,6 +142,7 @@
             epoch: known ? this.epoch : "",
             position: known ? this.position : 0n,
             documentVersion: BigInt(this.view.version),
+            quarantinePosition: known ? BigInt(this.view.quarantine.position) : 0n,
             waitMs: pollWaitMs,
         };
         const timeoutMs = known ? pollTimeoutMs : firstTimeoutMs;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./announcements.js";
+export * from "./crashreports.js";
 export * from "./demands.js";
 export * from "./encodings.js";
 export * from "./feeds.js";
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -81,6 +81,8 @@
     private readonly strangers: Strangers;
     /** When an announcement was first doubted, by the id of its sender. */
     private readonly doubted = new Map<string, number>();
+    /** Incarnations whose name or address is another's now: they ended, whatever they had said. */
+    private readonly replaced = new Set<string>();
     private removals: { readonly id: string; readonly position: number; }[] = [];
     private removalFloor = 0;
     private newest = 0;
@@ -105,6 +107,11 @@
         return this.upstreams.get(id);
     }
 
+    /** Whether another incarnation has taken the place of one that never left. */
+    public wasReplaced(id: string): boolean {
+        return this.replaced.has(id);
+    }
+
     public all(): RegisteredUpstream[] {
         return [...this.upstreams.values()];
     }
@@ -261,6 +268,7 @@
         this.changes.clear(this.newest);
         this.strangers.clear();
         this.doubted.clear();
+        this.replaced.clear();
         this.removals = [];
         this.removalFloor = 0;
     }
@@ -362,6 +370,7 @@
         const known = this.known(upstream.name);
         if (known !== undefined && known.id !== upstream.id) {
             this.ended.end(known);
+            this.noteReplaced(known);
             this.remove(known.id, "it has started anew");
         }
     }
@@ -371,11 +380,23 @@
         const other = this.upstreams.get(this.idAtAddress.get(address) ?? "");
         if (other !== undefined && other.upstream.id !== id && other.upstream.address === address) {
             this.ended.end(other.upstream);
+            this.noteReplaced(other.upstream);
             this.remove(other.upstream.id, "its address is another upstream's now");
         }
         this.idAtAddress.set(address, id);
     }
 
+    private noteReplaced({ id, state }: Upstream): void {
+        if (state === UpstreamState.DRAINING) {
+            return;
+        }
+        this.replaced.add(id);
+        const [oldest] = this.replaced;
+        if (this.replaced.size > rememberedRemovals) {
+            this.replaced.delete(oldest);
+        }
+    }
+
     private remove(id: string, reason: string): number {
         const entry = this.upstreams.get(id);
         if (entry !== undefined) {
--- a/packages/fleet/src/services.ts
+++ b/packages/fleet/src/services.ts
@@ -1,6 +1,7 @@
 /** The RPCs of the leader that entries and other control hosts call. */
 import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
 import { type Allowance, type LimitBook } from "@winchpath/accounts";
+import { type CrashWatch } from "@winchpath/quarantine";
 import { type AnnouncementDesk } from "./announcements.js";
 import { type DemandBook } from "./demands.js";
 import { type Feed } from "./feeds.js";
@@ -17,6 +18,8 @@
     readonly demanded: (report: DemandRequest) => void;
     /** Takes in what an entry has counted of accounts. */
     readonly limits: Pick<LimitBook, "take">;
+    /** Of the present leadership. */
+    readonly crashes: () => Pick<CrashWatch, "take"> | undefined;
 }
 
 export function fleetService(parts: FleetServiceParts): ServiceImpl<typeof FleetService> {
@@ -50,6 +53,14 @@
             parts.demanded(req);
             return { allowances: allowancesOf(parts, req) };
         },
+        reportCrashes: req => {
+            const crashes = parts.crashes();
+            if (crashes === undefined) {
+                throw new ConnectError("not the leader", Code.FailedPrecondition);
+            }
+            crashes.take(req.entry, req.sights, req.endedWell);
+            return {};
+        },
         yieldOrders: req => {
             const { gave, ageMs } = parts.lease.yieldTo(Number(req.token));
             return { gave, lastOrderAgeMs: Math.round(ageMs) };
--- a/packages/fleet/src/tests/feeds.test.ts
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -1,5 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { silentLog } from "@winchpath/core";
+import { CrashBook } from "@winchpath/quarantine";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { PollRequestSchema, type PollResponse } from "../gen/winchpath/fleet/v1/fleet_pb.js";
@@ -13,7 +14,7 @@
     public leaderUrl = "http://other";
     public controlUrls = ["http://a"];
     public document: FeedControl["document"];
-    public fingerprintKey: Uint8Array | undefined;
+    public readonly quarantine = new CrashBook();
     public barriers = 0;
     public readonly awaited = new Set<string>();
 
--- a/packages/fleet/src/tests/largefleets.test.ts
+++ b/packages/fleet/src/tests/largefleets.test.ts
@@ -5,6 +5,7 @@
 import { create } from "@bufbuild/protobuf";
 import { silentLog } from "@winchpath/core";
 import { type EngineSpec } from "@winchpath/declarations";
+import { CrashBook } from "@winchpath/quarantine";
 import { expect } from "earl";
 import { describe, it, type TestContext } from "node:test";
 import { type HeldModel, HeldModelSchema, PollRequestSchema } from "../gen/winchpath/fleet/v1/fleet_pb.js";
@@ -33,7 +34,7 @@
     public readonly leaderUrl = "";
     public readonly controlUrls = [];
     public readonly document = undefined;
-    public readonly fingerprintKey = undefined;
+    public readonly quarantine = new CrashBook();
     public readonly awaited = new Map<string, ReadonlySet<string>>();
 
     public awaitedAt(entry: string): ReadonlySet<string> {
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -1,7 +1,7 @@
 /** What an entry knows of upstreams and configuration. It goes on with it while control is out of reach. */
 import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
 import { QuarantineList } from "@winchpath/quarantine";
-import { decodeUpstream } from "./encodings.js";
+import { decodeQuarantine, decodeUpstream } from "./encodings.js";
 import { type PollResponse, type Upstream, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { succeeds } from "./incarnations.js";
 
@@ -75,7 +75,8 @@
     public take(res: PollResponse, sentAt = Number.NEGATIVE_INFINITY): void {
         this.heardAt = steadyNow();
         this.liveEntries = Math.max(1, res.entries);
-        this.quarantine.take(res.fingerprintKey);
+        this.quarantine.takeKey(res.fingerprintKey);
+        this.quarantine.take(decodeQuarantine(res));
         res.removed.forEach(id => this.drop(id));
         res.changed.forEach(bytes => this.put(decodeUpstream(bytes), res.epoch));
         if (res.complete) {
--- a/packages/forwarding/src/answers.ts
+++ b/packages/forwarding/src/answers.ts
@@ -29,6 +29,8 @@
     failed: { status: 502, reason: "failed" },
     /** Time ran out, and an upstream may have run it. */
     late: { status: 504, reason: "late" },
+    /** Upstreams ended each time that they ran it; it goes to no other. */
+    barred: { status: 422, reason: "ends-upstreams" },
     /** The process is stopping; not run. */
     stopping: { status: 503, reason: "stopping" },
 } as const;
@@ -40,8 +42,8 @@
     answer: OwnAnswer,
     options: { readonly retryAfterMs?: number; readonly close: boolean; },
 ): void {
-    const body = JSON.stringify({ error: answer.reason });
-    const headers = ["Content-Type", "application/json", "Content-Length", String(Buffer.byteLength(body))];
+    const [type, body] = bodyOf(answer);
+    const headers = ["Content-Type", type, "Content-Length", String(Buffer.byteLength(body))];
     if (options.retryAfterMs !== undefined) {
         headers.push("Retry-After", (options.retryAfterMs / 1000).toFixed(2));
     }
@@ -54,3 +56,16 @@
     res.writeHead(answer.status, headers);
     res.end(body);
 }
+
+/** Media type and text. */
+function bodyOf(answer: OwnAnswer): [string, string] {
+    if (answer !== OwnAnswer.barred) {
+        return ["application/json", JSON.stringify({ error: answer.reason })];
+    }
+    const { status, reason } = answer;
+    const title = "Upstreams ended each time they ran this request";
+    const detail =
+        "It is held back for an hour, or until an operator lets it in again; coming back sooner is of no use.";
+    const problem = { type: `urn:winchpath:problem:${reason}`, title, status, detail, error: reason };
+    return ["application/problem+json", JSON.stringify(problem)];
+}
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -39,10 +39,10 @@
         readonly misdirected: boolean;
         readonly unreachable: boolean;
     }
-    /** It may have run; nothing was handed on. */
-    | { readonly kind: "unknown"; readonly reason: string; }
+    /** It may have run; nothing was handed on. `lost`: whether its connection ended under it. */
+    | { readonly kind: "unknown"; readonly reason: string; readonly lost: boolean; }
     /** Part of the answer was handed on, and the rest does not come. */
-    | { readonly kind: "broken"; readonly reason: string; }
+    | { readonly kind: "broken"; readonly reason: string; readonly lost: boolean; }
     /** Time ran out. */
     | { readonly kind: "late"; }
     | { readonly kind: "caller-gone"; };
@@ -131,7 +131,7 @@
 
     private endInSilence(): void {
         if (this.sent && this.facts === undefined) {
-            this.drop({ kind: "unknown", reason: silentReason });
+            this.drop({ kind: "unknown", reason: silentReason, lost: false });
         }
     }
 
@@ -139,7 +139,7 @@
         this.controller = controller;
         if (this.sent) {
             // The client would send it anew on another connection; that is for the forwarder to decide.
-            this.settle({ kind: "unknown", reason: "the connection was lost" });
+            this.settle({ kind: "unknown", reason: "the connection was lost", lost: true });
         }
         else if (!this.parts.maySend()) {
             this.settleUnsent("it takes no requests any more");
@@ -190,7 +190,8 @@
             return;
         }
         if (!this.isFramed() && this.link.ends.isReset) {
-            this.settle({ kind: this.handing ? "broken" : "unknown", reason: "reset before the answer was whole" });
+            const kind = this.handing ? "broken" : "unknown";
+            this.settle({ kind, reason: "reset before the answer was whole", lost: true });
         }
         else if (this.isStream()) {
             this.endStream();
@@ -208,10 +209,10 @@
             this.settle({ kind: "not-run", reason: messageOf(err), misdirected: false, unreachable: true });
         }
         else if (this.handing) {
-            this.settle({ kind: "broken", reason: messageOf(err) });
+            this.settle({ kind: "broken", reason: messageOf(err), lost: true });
         }
         else {
-            this.settle({ kind: "unknown", reason: messageOf(err) });
+            this.settle({ kind: "unknown", reason: messageOf(err), lost: true });
         }
     }
 
@@ -236,7 +237,7 @@
     /** An answer of another request, or one that does not look like an upstream's, is handed on to nobody. */
     private checkAnswer(facts: AnswerFacts): void {
         if (facts.id !== this.job.id) {
-            this.drop({ kind: "unknown", reason: "the answer belongs to another request" });
+            this.drop({ kind: "unknown", reason: "the answer belongs to another request", lost: false });
         }
         else if (facts.notRun || facts.misdirected) {
             // Read to its end, so that the connection can be used again.
@@ -244,7 +245,8 @@
             this.settle({ kind: "not-run", reason, misdirected: facts.misdirected, unreachable: false });
         }
         else if (!facts.sealed) {
-            this.drop({ kind: "unknown", reason: `status ${this.status} without the mark of a whole answer` });
+            const reason = `status ${this.status} without the mark of a whole answer`;
+            this.drop({ kind: "unknown", reason, lost: false });
         }
         else {
             this.parts.onAnswer(facts);
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -1,7 +1,7 @@
 /** What happens to a request between its headers and its final answer. */
 import { type EventLog, Metrics, steadyNow } from "@winchpath/core";
 import { type Configuration, type EngineSpec } from "@winchpath/declarations";
-import { type DemandMeter, type FleetView, type ItemKey } from "@winchpath/fleet";
+import { type CrashReporter, type DemandMeter, type FleetView, type ItemKey } from "@winchpath/fleet";
 import { EjectionBook } from "@winchpath/routing";
 import { type ServerResponse } from "node:http";
 import { type Admissions, type Refusal } from "./admissions.js";
@@ -9,13 +9,14 @@
 import { attempt, type AttemptOutcome, silentReason, writeHeldAnswer } from "./attempts.js";
 import { type RetryBudgetOptions, WindowBudget } from "./budgets.js";
 import { type RequestCodec } from "./codecs.js";
-import { ageMs, identityOf, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
+import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
 import { UpstreamJudge } from "./judges.js";
 import { type UpstreamLink } from "./links.js";
 import { LinkTable } from "./linktables.js";
 import { PaceBook } from "./paces.js";
 import { busyRetryMs, leastAttemptMs, Patience, silenceMs } from "./patiences.js";
-import { type Pick, Picker } from "./pickers.js";
+import { type Pick as Choice, Picker } from "./pickers.js";
+import { Quarantine } from "./quarantines.js";
 import { WaitingRoom } from "./waitingrooms.js";
 
 /** A request that waits looks this often whether waiting is still of use, in milliseconds. */
@@ -34,6 +35,7 @@
     readonly dataCentre: string;
     readonly budget: RetryBudgetOptions;
     readonly admissions: Admissions;
+    readonly crashes: Pick<CrashReporter, "lost" | "succeeded">;
     /** Whether the process is stopping: answers tell callers to close their connections. */
     readonly stopping: () => boolean;
     /** Makes one try at an upstream; over the network, where none is given. */
@@ -50,6 +52,7 @@
 export class Forwarder {
     private readonly ejections = new EjectionBook();
     private readonly judge: UpstreamJudge;
+    private readonly quarantine: Quarantine;
     private readonly links: LinkTable;
     private readonly picker: Picker;
     private readonly paces = new PaceBook();
@@ -59,6 +62,7 @@
 
     public constructor(private readonly parts: ForwarderParts) {
         this.judge = new UpstreamJudge(this.ejections, parts.meter, parts.log);
+        this.quarantine = new Quarantine(parts.view, parts.crashes);
         this.links = new LinkTable(parts.view);
         this.patience = new Patience(parts.view, this.links);
         this.picker = new Picker(this.ejections, parts.dataCentre, this.paces, parts.random ?? Math.random);
@@ -76,6 +80,13 @@
 
     /** Serves one request; returns once its final answer was given, or its caller is gone. */
     public async serve(job: Job, res: ServerResponse): Promise<void> {
+        const refusal = this.quarantine.refusal(job);
+        if (refusal !== undefined) {
+            // Before it counts as demand, earns a retry or waits.
+            this.refuse(job, res, refusal);
+            this.settleCharge(job);
+            return;
+        }
         this.budget(job.service).request();
         const key = itemKeyOf(job);
         this.parts.meter.arrived(key, workOf(job));
@@ -112,7 +123,7 @@
         let told = false;
         try {
             for (;;) {
-                const barred = this.parts.admissions.barred(job.grant);
+                const barred = this.barred(job);
                 if (barred !== undefined) {
                     return barred;
                 }
@@ -152,7 +163,7 @@
         });
     }
 
-    private placeNow(job: Job): Pick {
+    private placeNow(job: Job): Choice {
         return this.picker.pick(job, this.links.ready(job.service), this.engineOf(job.service));
     }
 
@@ -160,12 +171,18 @@
         if (refusal.answer === OwnAnswer.lacking) {
             this.parts.meter.refused(itemKeyOf(job));
         }
-        if (job.tried.length > 0) {
+        if (job.tried.length > 0 && refusal.answer !== OwnAnswer.barred) {
             // An upstream may have run it: "not run" would not be true.
             this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.failed);
             return;
         }
-        this.answer(job, res, refusal.answer, refusal.retryAfterMs, refusal.details);
+        const answer = job.answerStarted ? undefined : refusal.answer;
+        this.answer(job, res, answer, refusal.retryAfterMs, refusal.details);
+    }
+
+    /** Why a request that was let in must not be sent now; asked again right before each send. */
+    private barred(job: Job): Refusal | undefined {
+        return this.parts.admissions.barred(job.grant) ?? this.quarantine.refusal(job);
     }
 
     private async tryAt(
@@ -190,7 +207,7 @@
                 urgency: this.engineOf(job.service) === undefined ? undefined : Math.min(9, job.priority),
                 keysAreOurs: this.parts.view.configuration?.accounts !== undefined,
                 closing: stopping,
-                maySend: () => this.links.isReady(link) && this.parts.admissions.barred(job.grant) === undefined,
+                maySend: () => this.links.isReady(link) && this.barred(job) === undefined,
                 silentAfterMs: this.silentAfterMs(job, stay.tokensAhead),
                 onPause: ms => {
                     pauseMs = Math.max(pauseMs, ms);
@@ -206,6 +223,8 @@
                 // The connection may be what is silent, and the idle ones beside it.
                 link.renewConnections();
             }
+            const ranMs = firstMs === undefined ? undefined : Math.round(ageMs(job)) - firstMs;
+            this.quarantine.take(job, link, outcome, { sentAt: startedAt, ranMs });
             this.tell(job, "attempt", {
                 upstream: link.id,
                 try: tries + 1,
@@ -216,8 +235,8 @@
                 firstMs,
                 longestPauseMs: pauseMs === 0 ? undefined : Math.round(pauseMs),
                 // Tells equal requests by, and how long one had been running, where upstreams end under it.
-                fingerprint: isLost(outcome) ? this.parts.view.quarantine.fingerprint(identityOf(job)) : undefined,
-                ranMs: firstMs === undefined || !isLost(outcome) ? undefined : Math.round(ageMs(job)) - firstMs,
+                fingerprint: isLost(outcome) ? this.quarantine.fingerprint(job) : undefined,
+                ranMs: isLost(outcome) ? ranMs : undefined,
                 tookMs: Math.round(steadyNow() - startedAt),
             });
             return outcome;
@@ -275,7 +294,7 @@
     }
 
     private afterDeclined(job: Job, res: ServerResponse): Verdict {
-        const barred = this.parts.admissions.barred(job.grant);
+        const barred = this.barred(job);
         if (barred !== undefined) {
             this.refuse(job, res, barred);
             return "done";
@@ -289,7 +308,7 @@
 
     private afterFailed(job: Job, res: ServerResponse, broken: boolean): Verdict {
         const resumable = !broken || (job.route.resumable && job.lastEventId !== undefined);
-        if (isRepeatable(job) && resumable && this.mayTryAgain(job)) {
+        if (isRepeatable(job) && resumable && !this.quarantine.isSuspected(job) && this.mayTryAgain(job)) {
             return "again";
         }
         this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.failed);
@@ -384,8 +403,8 @@
 }
 
 /** Whether the upstream, or the way to it, was lost under the request. */
-function isLost({ kind }: AttemptOutcome): boolean {
-    return kind === "unknown" || kind === "broken";
+function isLost(outcome: AttemptOutcome): boolean {
+    return (outcome.kind === "unknown" || outcome.kind === "broken") && outcome.lost;
 }
 
 function isSilent(outcome: AttemptOutcome): boolean {
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -141,6 +141,9 @@
 export class TestEntry {
     public readonly view: FleetView<Configuration>;
     public readonly meter = new DemandMeter(silentLog);
+    /** Suspects that were told, by upstream. */
+    public readonly lost: { readonly upstream: string; readonly fingerprint: string; }[] = [];
+    public readonly endedWell: string[] = [];
     public readonly forwarder: Forwarder;
     public readonly door: CallerDoor;
     public stopping = false;
@@ -163,6 +166,10 @@
             dataCentre: "d",
             budget: { ratio: 0.2, slack, windowMs: 10_000 },
             admissions,
+            crashes: {
+                lost: ({ id }, { fingerprint }) => this.lost.push({ upstream: id, fingerprint }),
+                succeeded: fingerprint => this.endedWell.push(fingerprint),
+            },
             stopping: () => this.stopping,
         });
         this.door = new CallerDoor({
@@ -216,6 +223,10 @@
             waitedMs: 0,
             leads: false,
             fingerprintKey: Buffer.from("key of a test"),
+            quarantinePosition: 0n,
+            quarantineWhole: false,
+            quarantined: [],
+            unquarantined: [],
             quorumAgeMs: 0,
         }, steadyNow());
         this.door.refresh();
--- a/packages/loadpatterns/src/entries.ts
+++ b/packages/loadpatterns/src/entries.ts
@@ -65,6 +65,8 @@
                 new Authenticator(this.view, { strict: false, withinMs: 0 }),
                 new AccountLimiter({ windowMs: 0, overage: 0, slack: 0 }, () => undefined),
             ),
+            // Simulated bodies are all alike: there is nothing to tell requests by.
+            crashes: { lost: () => undefined, succeeded: () => undefined },
             stopping: () => false,
             send: (job, link, parts) => this.send(job, link, parts),
             random: () => draws.share(),
@@ -119,7 +121,7 @@
         case "done":
             return { kind: "answered", status: 200 };
         case "failed":
-            return { kind: "unknown", reason: "reset" };
+            return { kind: "unknown", reason: "reset", lost: true };
         case "full":
             return { kind: "not-run", reason: "full", misdirected: false, unreachable: false };
         case "lacking":
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -16,6 +16,7 @@
     Registry,
     type Upstream,
 } from "@winchpath/fleet";
+import { CrashBook } from "@winchpath/quarantine";
 import { type PeerClients } from "@winchpath/rpc";
 import { type SimulatedEngine } from "./engines.js";
 
@@ -42,7 +43,7 @@
     public readonly announceMs = announceMs;
     public readonly registry = new Registry(silentLog);
     public readonly document: ConfigurationDocument;
-    public readonly fingerprintKey = undefined;
+    public readonly quarantine = new CrashBook();
     private readonly feed: Feed;
     private readonly demand = new DemandBook(silentLog);
     private readonly healths = new HealthWatch(this.registry);
--- a/packages/quarantine/src/crashbooks.ts
+++ b/packages/quarantine/src/crashbooks.ts
@@ -1,40 +1,176 @@
-/** The replicated part of the quarantine. */
+/** The replicated part of the quarantine: which requests are suspected, and which are held back. */
+import { Notifier } from "@winchpath/core";
 import Type, { type Static } from "typebox";
 import Value from "typebox/value";
+import { type QuarantineCommand, QuarantineCommand as Command, type UpstreamEnded } from "./commands.js";
+import { type ListedRequest, type QuarantineChanges, StandingLog } from "./standings.js";
+import { type Cause, StoredEnd, Suspicions } from "./suspicions.js";
 
-/** Sets the key of the fleet's fingerprints; the first one that is set holds. */
-export const SetKey = Type.Object({
-    kind: Type.Literal("set-key"),
-    /** Base64. */
-    key: Type.String({ minLength: 1 }),
+/** An end counts against what ran there for this long, in milliseconds: callers come back within minutes. */
+const suspectedMs = 600_000;
+/** A request is held back for this long, in milliseconds; then three more ends hold it back again. */
+const barredMs = 3_600_000;
+/** Requests that are held back at once; the oldest give way. Each has cost three upstreams. */
+const mostBarred = 2000;
+/** Entries are told of a suspect from this many occasions on: one more, or a good end, decides. */
+const occasionsToList = 2;
+
+const BarredRequest = Type.Object({
+    fingerprint: Type.String(),
+    size: Type.Integer(),
+    occasions: Type.Integer(),
+    /** Milliseconds since the epoch, by the leader's clock. */
+    at: Type.Number(),
+});
+type BarredRequest = Static<typeof BarredRequest>;
+
+const StoredState = Type.Object({
+    key: Type.Optional(Type.String()),
+    position: Type.Optional(Type.Integer()),
+    barred: Type.Optional(Type.Array(BarredRequest)),
+    ends: Type.Optional(Type.Array(StoredEnd)),
 });
-export type SetKey = Static<typeof SetKey>;
 
-const State = Type.Object({ key: Type.Optional(Type.String()) });
+/** What a command has done, for the log of the process that proposed it. */
+export interface QuarantineResult {
+    readonly barred: readonly Cause[];
+}
+
+const nothingDone: QuarantineResult = { barred: [] };
 
 /** A slice of the replicated state; a command that it can't read changes nothing. */
 export class CrashBook {
     public readonly slice = "quarantine";
+    /** Notified when entries have something to learn. */
+    public readonly changed = new Notifier();
     private held: Uint8Array | undefined;
+    private suspicions = new Suspicions();
+    private readonly barred = new Map<string, BarredRequest>();
+    private standings = new StandingLog();
 
     /** Of the fleet's fingerprints; undefined until a leader has set one. */
     public get key(): Uint8Array | undefined {
         return this.held;
     }
 
-    public apply(command: unknown): object {
-        if (Value.Check(SetKey, command)) {
-            this.held ??= Buffer.from(command.key, "base64");
-        }
-        return {};
+    /** Position of the newest change. */
+    public get position(): number {
+        return this.standings.position;
+    }
+
+    public since(position: number): QuarantineChanges {
+        return this.standings.since(position);
+    }
+
+    /** What entries are told of a request; undefined where that is nothing. */
+    public standingOf(fingerprint: string): ListedRequest | undefined {
+        return this.standings.get(fingerprint);
+    }
+
+    /** Whether something has been known for long enough; `now` in milliseconds since the epoch. */
+    public isDue(now: number): boolean {
+        const [oldest] = this.barred.values();
+        return oldest !== undefined && now - oldest.at > barredMs;
+    }
+
+    public apply(command: unknown, { time }: { readonly time: number; }): QuarantineResult {
+        return Value.Check(Command, command) ? this.applyChecked(command, time) : nothingDone;
     }
 
     public snapshot(): unknown {
-        return this.held === undefined ? {} : { key: Buffer.from(this.held).toString("base64") };
+        return {
+            ...(this.held === undefined ? {} : { key: Buffer.from(this.held).toString("base64") }),
+            position: this.position,
+            barred: [...this.barred.values()],
+            ends: this.suspicions.snapshot(),
+        };
     }
 
     public restore(state: unknown): void {
-        const key = Value.Check(State, state) ? state.key : undefined;
+        const { key, position = 0, barred = [], ends = [] } = Value.Check(StoredState, state) ? state : {};
         this.held = key === undefined ? undefined : Buffer.from(key, "base64");
+        this.barred.clear();
+        barred.forEach(request => this.barred.set(request.fingerprint, request));
+        this.suspicions = new Suspicions();
+        this.suspicions.restore(ends);
+        // Positions hold within one leadership; entries are told everything at the start of each.
+        this.standings = new StandingLog(position);
+        this.tell();
+    }
+
+    private applyChecked(command: QuarantineCommand, time: number): QuarantineResult {
+        switch (command.kind) {
+            case "set-key":
+                this.held ??= Buffer.from(command.key, "base64");
+                return nothingDone;
+            case "upstream-ended":
+                return this.takeEnd(command, time);
+            case "cleared":
+                command.fingerprints.forEach(fingerprint => this.clear(fingerprint));
+                break;
+            case "expire":
+                this.expire(time);
+                break;
+        }
+        this.tell();
+        return nothingDone;
+    }
+
+    private takeEnd({ upstream, agoMs, suspects }: UpstreamEnded, time: number): QuarantineResult {
+        this.suspicions.forgetBefore(time - suspectedMs);
+        const told = { upstream, at: time - agoMs, toldAt: time, suspects };
+        const causes = this.suspicions.note(told, fingerprint => this.barred.has(fingerprint));
+        causes.forEach(cause => this.barred.set(cause.fingerprint, { ...cause, at: time }));
+        this.dropOldest();
+        this.tell();
+        return { barred: causes };
+    }
+
+    private clear(fingerprint: string): void {
+        this.suspicions.clear(fingerprint);
+        this.barred.delete(fingerprint);
+    }
+
+    private expire(time: number): void {
+        for (const { fingerprint, at } of [...this.barred.values()]) {
+            if (time - at > barredMs) {
+                this.barred.delete(fingerprint);
+            }
+        }
+        this.suspicions.forgetBefore(time - suspectedMs);
+    }
+
+    private dropOldest(): void {
+        while (this.barred.size > mostBarred) {
+            const [oldest] = this.barred.keys();
+            this.barred.delete(oldest);
+        }
+    }
+
+    /** Brings what entries are told into line with what is known. */
+    private tell(): void {
+        const before = this.position;
+        const listed = this.listed();
+        const kept = new Set(listed.map(({ fingerprint }) => fingerprint));
+        this.standings.all()
+            .filter(({ fingerprint }) => !kept.has(fingerprint))
+            .forEach(({ fingerprint }) => this.standings.remove(fingerprint));
+        listed.forEach(request => this.standings.put(request));
+        if (this.position !== before) {
+            this.changed.notify();
+        }
+    }
+
+    private listed(): ListedRequest[] {
+        const barred = [...this.barred.values()].map(({ fingerprint, size, occasions }): ListedRequest => ({
+            fingerprint,
+            size,
+            occasions,
+            standing: "barred",
+        }));
+        const suspected = this.suspicions.all()
+            .filter(({ fingerprint, occasions }) => occasions >= occasionsToList && !this.barred.has(fingerprint))
+            .map((suspect): ListedRequest => ({ ...suspect, standing: "suspected" }));
+        return [...barred, ...suspected];
     }
 }
--- a/packages/quarantine/src/tests/fingerprints.test.ts
+++ b/packages/quarantine/src/tests/fingerprints.test.ts
@@ -30,8 +30,8 @@
 describe("the key of the fleet's fingerprints", () => {
     it("is the first that was set, and outlives a snapshot", () => {
         const book = new CrashBook();
-        book.apply({ kind: "set-key", key: "b25l" });
-        book.apply({ kind: "set-key", key: "dHdv" });
+        book.apply({ kind: "set-key", key: "b25l" }, { time: 0 });
+        book.apply({ kind: "set-key", key: "dHdv" }, { time: 0 });
         const restored = new CrashBook();
         restored.restore(JSON.parse(JSON.stringify(book.snapshot())));
         expect([book.key, restored.key].map(held => Buffer.from(held!).toString())).toEqual(["one", "one"]);
@@ -39,7 +39,9 @@
 
     it("isn't changed by a command that can't be read", () => {
         const book = new CrashBook();
-        [undefined, {}, { kind: "set-key", key: 3 }, { kind: "other" }].forEach(command => book.apply(command));
+        [undefined, {}, { kind: "set-key", key: 3 }, { kind: "other" }].forEach(command =>
+            book.apply(command, { time: 0 })
+        );
         expect(book.key).toEqual(undefined);
     });
 });
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -34,6 +34,7 @@
     OrderLease,
     type PlacementControl,
     Registry,
+    UpstreamState,
 } from "@winchpath/fleet";
 import {
     type ControlCalls,
@@ -42,7 +43,13 @@
     PlatformEngineCalls,
     readCheckedDocument,
 } from "@winchpath/platform";
-import { CrashBook } from "@winchpath/quarantine";
+import {
+    CrashBook,
+    CrashWatch,
+    type Presence,
+    type QuarantineCommand,
+    type QuarantineResult,
+} from "@winchpath/quarantine";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
 import { randomBytes } from "node:crypto";
@@ -95,6 +102,7 @@
             readonly end: AbortController;
             readonly placement: EnginePlacement;
             readonly healths: HealthWatch;
+            readonly crashes: CrashWatch;
         }
         | undefined;
     private parsed: { readonly version: number; readonly configuration: Configuration | undefined; } | undefined;
@@ -231,8 +239,8 @@
         return this.documents.current;
     }
 
-    public get fingerprintKey(): Uint8Array | undefined {
-        return this.crashes.key;
+    public get quarantine(): CrashBook {
+        return this.crashes;
     }
 
     public awaitedAt(entry: string): ReadonlySet<string> {
@@ -271,6 +279,7 @@
             leads: () => this.leads,
             lease: this.lease,
             limits: { take: (told: EntryCounts) => this.limits.take(told) },
+            crashes: () => this.leads ? this.leadership?.crashes : undefined,
             demanded: (report: DemandRequest) => {
                 report.mismatches.forEach(mismatch => this.leadership?.placement.doubt(mismatch));
                 report.unreachable.forEach(id => this.registry.unreachable(id, report.entry));
@@ -338,19 +347,44 @@
         this.limits.follow(this.configuration?.accounts ?? []);
         const end = new AbortController();
         const placement = new EnginePlacement(this, this.registry, this.demand, this.engines, this.log);
-        this.leadership = { epoch, end, placement, healths: new HealthWatch(this.registry) };
+        const crashes = this.crashWatch();
+        this.leadership = { epoch, end, placement, healths: new HealthWatch(this.registry), crashes };
         this.log.info("leadership.begun", { epoch });
         void this.lease.acquire(Number(this.replica!.leading!.term), this.otherUrls(), this.clients, end.signal);
         void this.setFingerprintKey(end.signal);
+        void crashes.run(end.signal);
         placement.run(end.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
     }
 
+    private crashWatch(): CrashWatch {
+        return new CrashWatch({
+            book: () => this.crashes,
+            presence: upstream => this.presenceOf(upstream),
+            propose: command => this.proposeQuarantine(command),
+            log: this.log,
+        });
+    }
+
+    private presenceOf(upstream: string): Presence {
+        const known = this.registry.get(upstream)?.upstream;
+        if (known !== undefined) {
+            return known.state === UpstreamState.DRAINING ? "leaving" : "serving";
+        }
+        return this.registry.wasReplaced(upstream) ? "replaced" : "unknown";
+    }
+
+    private async proposeQuarantine(command: QuarantineCommand): Promise<QuarantineResult> {
+        const { result } = await this.keeper.require().propose(encodeCommand("quarantine", command), callMs);
+        this.feed.wake();
+        return JSON.parse(Buffer.from(result).toString()) as QuarantineResult;
+    }
+
     /** The first leader of a fleet draws the key; it holds from then on. */
     private async setFingerprintKey(signal: AbortSignal): Promise<void> {
         while (this.crashes.key === undefined && !signal.aborted) {
-            const command = { kind: "set-key", key: randomBytes(fingerprintKeyBytes).toString("base64") };
             try {
-                await this.keeper.require().propose(encodeCommand("quarantine", command), callMs);
+                const key = randomBytes(fingerprintKeyBytes).toString("base64");
+                await this.proposeQuarantine({ kind: "set-key", key });
             }
             catch (err) {
                 this.log.warn("fingerprints.unset", { error: messageOf(err) });
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -2,7 +2,7 @@
 import { AccountLimiter, Authenticator } from "@winchpath/accounts";
 import { type EventLog, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
-import { DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
+import { CrashReporter, DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
 import { Admissions, CallerDoor, Forwarder } from "@winchpath/forwarding";
 import {
     peerUrl,
@@ -11,6 +11,7 @@
     readCheckedDocument,
     readinessServer,
 } from "@winchpath/platform";
+import { isRefused } from "@winchpath/quarantine";
 import { RpcClients } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
 import { type LiveSettings } from "./platformsettings.js";
@@ -27,6 +28,7 @@
     private readonly view: FleetView<Configuration>;
     private readonly follower: FeedFollower<Configuration>;
     private readonly meter: DemandMeter;
+    private readonly crashes: CrashReporter;
     private readonly forwarder: Forwarder;
     private readonly door: CallerDoor;
     private readonly authenticator: Authenticator;
@@ -50,6 +52,7 @@
             seeds: () => seedsOf(settings.current),
         }, log);
         this.meter = new DemandMeter(log);
+        this.crashes = new CrashReporter(isRefused, log);
         const codec = new PlatformRequestCodec();
         const stopping = () => this.leaving;
         const { revocation, limitTolerance } = settings.current;
@@ -66,6 +69,7 @@
             dataCentre,
             budget: retryBudget,
             admissions,
+            crashes: this.crashes,
             stopping,
         });
         this.door = new CallerDoor({ view: this.view, codec, forwarder: this.forwarder, admissions, log, stopping });
@@ -76,6 +80,7 @@
         const { signal } = this.stopping;
         void this.follower.run(signal);
         void this.meter.run(host, this.clients, () => this.follower.followed, signal);
+        void this.crashes.run(host, this.clients, () => this.follower.followed, signal);
         void this.followView(signal);
         await this.door.listen(callers!);
         await this.readiness.listen(readiness!);
