--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -16,7 +16,7 @@
 import { PaceBook } from "./paces.js";
 import { busyRetryMs, leastAttemptMs, Patience, silenceMs } from "./patiences.js";
 import { type Pick as Choice, Picker } from "./pickers.js";
-import { Quarantine } from "./quarantines.js";
+import { isLost, Quarantine } from "./quarantines.js";
 import { WaitingRoom } from "./waitingrooms.js";
 
 /** A request that waits looks this often whether waiting is still of use, in milliseconds. */
@@ -402,11 +402,6 @@
     }
 }
 
-/** Whether the upstream, or the way to it, was lost under the request. */
-function isLost(outcome: AttemptOutcome): boolean {
-    return (outcome.kind === "unknown" || outcome.kind === "broken") && outcome.lost;
-}
-
 function isSilent(outcome: AttemptOutcome): boolean {
     return outcome.kind === "late" || (outcome.kind === "unknown" && outcome.reason === silentReason);
 }
--- a/packages/forwarding/src/quarantines.ts
+++ b/packages/forwarding/src/quarantines.ts
@@ -1,6 +1,6 @@
 /** What an entry does about requests under which upstreams end. */
 import { type CrashReporter, type FleetView } from "@winchpath/fleet";
-import { type ListedRequest } from "@winchpath/quarantine";
+import { GoodEnds, type ListedRequest } from "@winchpath/quarantine";
 import { type Refusal } from "./admissions.js";
 import { OwnAnswer } from "./answers.js";
 import { type AttemptOutcome } from "./attempts.js";
@@ -13,6 +13,12 @@
  */
 const longestFuseMs = 2000;
 
+/**
+ * Good ends of larger bodies aren't remembered, in bytes: a digest takes 13 µs for 5 KB and 74 µs for this much, a
+ * thousandth of what serving such a request takes.
+ */
+const mostRememberedBytes = 64 * 1024;
+
 /** A try of a request. */
 interface Run {
     /** Steady time. */
@@ -22,6 +28,8 @@
 }
 
 export class Quarantine {
+    private readonly goodEnds = new GoodEnds();
+
     public constructor(
         private readonly view: Pick<FleetView<unknown>, "quarantine">,
         private readonly reporter: Pick<CrashReporter, "lost" | "succeeded">,
@@ -49,15 +57,14 @@
     /** Takes in how a try ended. */
     public take(job: Job, link: UpstreamLink, outcome: AttemptOutcome, { sentAt, ranMs }: Run): void {
         if (outcome.kind === "answered") {
-            this.clear(job);
+            this.noteGoodEnd(job);
             return;
         }
-        const isLost = (outcome.kind === "unknown" || outcome.kind === "broken") && outcome.lost;
-        if (!isLost || (ranMs ?? 0) > longestFuseMs) {
+        if (!isLost(outcome) || (ranMs ?? 0) > longestFuseMs) {
             return;
         }
         const fingerprint = this.fingerprint(job);
-        if (fingerprint !== undefined) {
+        if (fingerprint !== undefined && !this.goodEnds.has(fingerprint)) {
             this.reporter.lost(link.description, { fingerprint, size: job.body.length, sentAt });
         }
     }
@@ -66,7 +73,13 @@
         return this.view.quarantine.fingerprint(identityOf(job));
     }
 
-    private clear(job: Job): void {
+    private noteGoodEnd(job: Job): void {
+        if (job.body.length <= mostRememberedBytes) {
+            const fingerprint = this.fingerprint(job);
+            if (fingerprint !== undefined) {
+                this.goodEnds.note(fingerprint);
+            }
+        }
         const listed = this.listed(job);
         if (listed !== undefined) {
             this.reporter.succeeded(listed.fingerprint);
@@ -77,3 +90,8 @@
         return this.view.quarantine.standingOf(identityOf(job));
     }
 }
+
+/** Whether the upstream, or the way to it, was lost under the request. */
+export function isLost(outcome: AttemptOutcome): boolean {
+    return (outcome.kind === "unknown" || outcome.kind === "broken") && outcome.lost;
+}
--- a/packages/quarantine/src/crashbooks.ts
+++ b/packages/quarantine/src/crashbooks.ts
@@ -8,8 +8,14 @@
 
 /** An end counts against what ran there for this long, in milliseconds: callers come back within minutes. */
 const suspectedMs = 600_000;
-/** A request is held back for this long, in milliseconds; then three more ends hold it back again. */
-const barredMs = 3_600_000;
+/**
+ * A request is held back for this long at first, in milliseconds, and twice as long each time after. Then it is let
+ * in on probation: one more end holds it back again, so that one that is held back wrongly isn't for ever.
+ */
+const firstBarredMs = 600_000;
+const longestBarredMs = 24 * 3_600_000;
+/** Probation ends after this long without another end, in milliseconds. */
+const probationMs = 3_600_000;
 /** Requests that are held back at once; the oldest give way. Each has cost three upstreams. */
 const mostBarred = 2000;
 /** Entries are told of a suspect from this many occasions on: one more, or a good end, decides. */
@@ -19,8 +25,10 @@
     fingerprint: Type.String(),
     size: Type.Integer(),
     occasions: Type.Integer(),
-    /** Milliseconds since the epoch, by the leader's clock. */
-    at: Type.Number(),
+    /** Until when it is held back; milliseconds since the epoch, by the leader's clock. */
+    until: Type.Number(),
+    /** How often it was held back. */
+    times: Type.Integer(),
 });
 type BarredRequest = Static<typeof BarredRequest>;
 
@@ -28,6 +36,7 @@
     key: Type.Optional(Type.String()),
     position: Type.Optional(Type.Integer()),
     barred: Type.Optional(Type.Array(BarredRequest)),
+    probation: Type.Optional(Type.Array(BarredRequest)),
     ends: Type.Optional(Type.Array(StoredEnd)),
 });
 
@@ -46,6 +55,8 @@
     private held: Uint8Array | undefined;
     private suspicions = new Suspicions();
     private readonly barred = new Map<string, BarredRequest>();
+    /** Held back before, and let in again. */
+    private readonly probation = new Map<string, BarredRequest>();
     private standings = new StandingLog();
 
     /** Of the fleet's fingerprints; undefined until a leader has set one. */
@@ -69,8 +80,8 @@
 
     /** Whether something has been known for long enough; `now` in milliseconds since the epoch. */
     public isDue(now: number): boolean {
-        const [oldest] = this.barred.values();
-        return oldest !== undefined && now - oldest.at > barredMs;
+        return [...this.barred.values()].some(({ until }) => until < now)
+            || [...this.probation.values()].some(({ until }) => until + probationMs < now);
     }
 
     public apply(command: unknown, { time }: { readonly time: number; }): QuarantineResult {
@@ -82,15 +93,20 @@
             ...(this.held === undefined ? {} : { key: Buffer.from(this.held).toString("base64") }),
             position: this.position,
             barred: [...this.barred.values()],
+            probation: [...this.probation.values()],
             ends: this.suspicions.snapshot(),
         };
     }
 
     public restore(state: unknown): void {
-        const { key, position = 0, barred = [], ends = [] } = Value.Check(StoredState, state) ? state : {};
+        const { key, position = 0, barred = [], probation = [], ends = [] } = Value.Check(StoredState, state)
+            ? state
+            : {};
         this.held = key === undefined ? undefined : Buffer.from(key, "base64");
         this.barred.clear();
+        this.probation.clear();
         barred.forEach(request => this.barred.set(request.fingerprint, request));
+        probation.forEach(request => this.probation.set(request.fingerprint, request));
         this.suspicions = new Suspicions();
         this.suspicions.restore(ends);
         // Positions hold within one leadership; entries are told everything at the start of each.
@@ -101,7 +117,7 @@
     private applyChecked(command: QuarantineCommand, time: number): QuarantineResult {
         switch (command.kind) {
             case "set-key":
-                this.held ??= Buffer.from(command.key, "base64");
+                this.setKey(command.key);
                 return nothingDone;
             case "upstream-ended":
                 return this.takeEnd(command, time);
@@ -116,25 +132,53 @@
         return nothingDone;
     }
 
+    private setKey(key: string): void {
+        if (this.held === undefined) {
+            this.held = Buffer.from(key, "base64");
+            this.standings.touch();
+            this.changed.notify();
+        }
+    }
+
     private takeEnd({ upstream, agoMs, suspects }: UpstreamEnded, time: number): QuarantineResult {
         this.suspicions.forgetBefore(time - suspectedMs);
         const told = { upstream, at: time - agoMs, toldAt: time, suspects };
-        const causes = this.suspicions.note(told, fingerprint => this.barred.has(fingerprint));
-        causes.forEach(cause => this.barred.set(cause.fingerprint, { ...cause, at: time }));
+        const isKnown = (fingerprint: string) => this.barred.has(fingerprint) || this.probation.has(fingerprint);
+        const again = suspects.map(({ fingerprint }) => this.probation.get(fingerprint)).filter(found =>
+            found !== undefined
+        );
+        const causes = [...this.suspicions.note(told, isKnown), ...again];
+        causes.forEach(cause => this.bar(cause, time));
         this.dropOldest();
         this.tell();
         return { barred: causes };
     }
 
+    private bar({ fingerprint, size, occasions }: Cause, time: number): void {
+        const before = this.probation.get(fingerprint);
+        this.probation.delete(fingerprint);
+        const times = (before?.times ?? 0) + 1;
+        const until = time + Math.min(longestBarredMs, firstBarredMs * 2 ** (times - 1));
+        const seen = before === undefined ? occasions : before.occasions + 1;
+        this.barred.set(fingerprint, { fingerprint, size, occasions: seen, until, times });
+    }
+
     private clear(fingerprint: string): void {
         this.suspicions.clear(fingerprint);
         this.barred.delete(fingerprint);
+        this.probation.delete(fingerprint);
     }
 
     private expire(time: number): void {
-        for (const { fingerprint, at } of [...this.barred.values()]) {
-            if (time - at > barredMs) {
-                this.barred.delete(fingerprint);
+        for (const request of [...this.probation.values()]) {
+            if (request.until + probationMs < time) {
+                this.probation.delete(request.fingerprint);
+            }
+        }
+        for (const request of [...this.barred.values()]) {
+            if (request.until < time) {
+                this.barred.delete(request.fingerprint);
+                this.probation.set(request.fingerprint, request);
             }
         }
         this.suspicions.forgetBefore(time - suspectedMs);
@@ -168,9 +212,14 @@
             occasions,
             standing: "barred",
         }));
-        const suspected = this.suspicions.all()
+        const suspected = [...this.suspicions.all(), ...this.probation.values()]
             .filter(({ fingerprint, occasions }) => occasions >= occasionsToList && !this.barred.has(fingerprint))
-            .map((suspect): ListedRequest => ({ ...suspect, standing: "suspected" }));
+            .map(({ fingerprint, size, occasions }): ListedRequest => ({
+                fingerprint,
+                size,
+                occasions,
+                standing: "suspected",
+            }));
         return [...barred, ...suspected];
     }
 }
--- a/packages/quarantine/src/crashwatches.ts
+++ b/packages/quarantine/src/crashwatches.ts
@@ -4,6 +4,7 @@
  * said, counts against nobody.
  */
 import { type EventLog, messageOf, Notifier, steadyNow } from "@winchpath/core";
+import { randomBytes } from "node:crypto";
 import { type QuarantineCommand, type Suspect } from "./commands.js";
 import { type CrashBook, type QuarantineResult } from "./crashbooks.js";
 
@@ -15,8 +16,14 @@
 const lookMs = 50;
 const idleMs = 1000;
 
-/** What control knows of an incarnation of an upstream. */
-export type Presence = "serving" | "leaving" | "replaced" | "unknown";
+/** Bytes of the key of the fleet's fingerprints: as many as their digest has. */
+const keyBytes = 32;
+
+/**
+ * What control knows of an incarnation of an upstream. A leader that has just begun has not heard of all that serve
+ * (`unheard`); later, one that it doesn't know has left (`gone`).
+ */
+export type Presence = "serving" | "leaving" | "replaced" | "unheard" | "gone";
 
 /** What an entry saw of an upstream that seems to have ended. */
 export interface CrashSight {
@@ -66,16 +73,25 @@
 
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
+            await this.setKey();
             await this.wake.wait(this.pending.size > 0 ? lookMs : idleMs);
             await this.look();
         }
     }
 
+    /** The first leader of a fleet draws the key; it holds from then on. */
+    private async setKey(): Promise<void> {
+        if (this.parts.book().key === undefined) {
+            await this.write({ kind: "set-key", key: randomBytes(keyBytes).toString("base64") });
+        }
+    }
+
     private takeSight(entry: string, { upstream, refused, agoMs, suspects }: CrashSight): void {
         const now = steadyNow();
         const presence = this.parts.presence(upstream);
         let pending = this.pending.get(upstream);
-        if (pending === undefined && !this.written.has(upstream) && presence !== "serving" && presence !== "replaced") {
+        const hasLeft = presence === "leaving" || presence === "gone";
+        if (pending === undefined && !this.written.has(upstream) && hasLeft) {
             this.parts.log.info("upstream.end-ignored", { upstream, entry, presence, suspects: suspects.length });
             return;
         }
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./crashbooks.js";
 export * from "./crashwatches.js";
 export * from "./fingerprints.js";
+export * from "./goodends.js";
 export * from "./lists.js";
 export * from "./probes.js";
 export * from "./standings.js";
--- a/packages/quarantine/src/standings.ts
+++ b/packages/quarantine/src/standings.ts
@@ -51,6 +51,11 @@
         return [...this.placed.values()].map(({ request }) => request);
     }
 
+    /** Something else that entries are told has changed. */
+    public touch(): void {
+        this.newest += 1;
+    }
+
     public put(request: ListedRequest): void {
         const before = this.get(request.fingerprint);
         if (before?.standing !== request.standing || before.occasions !== request.occasions) {
--- a/packages/quarantine/src/suspicions.ts
+++ b/packages/quarantine/src/suspicions.ts
@@ -13,6 +13,11 @@
  * fourth or fifth upstream is the price of not refusing a bystander on each doubt.
  */
 const occasionsToBarAll = 5;
+/**
+ * Times of two reports may be off by this much, in milliseconds: a message takes a few, and a busy process some more.
+ * A second try is sent within a millisecond of the end before it.
+ */
+const reportSlackMs = 25;
 /** Ends that are remembered; the oldest give way. Only upstreams that really end take places here. */
 const mostEnds = 256;
 /** Requests that are noted at one end: more than run and wait at one upstream. */
@@ -184,7 +189,7 @@
     let count = 0;
     let last = Number.NEGATIVE_INFINITY;
     for (const { at, suspects } of [...ends].sort((a, b) => a.at - b.at)) {
-        if (suspects.get(fingerprint)!.sentAt > last) {
+        if (suspects.get(fingerprint)!.sentAt > last - reportSlackMs) {
             count += 1;
             last = at;
         }
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -10,7 +10,7 @@
     ReplicaKeeper,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { type EventLog, listenBacklog, messageOf, type Metrics, sleep, steadyNow } from "@winchpath/core";
+import { type EventLog, listenBacklog, messageOf, type Metrics, steadyNow } from "@winchpath/core";
 import {
     type Configuration,
     type ConfigurationDocument,
@@ -52,7 +52,6 @@
 } from "@winchpath/quarantine";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
-import { randomBytes } from "node:crypto";
 import { type LiveSettings } from "./platformsettings.js";
 
 /** Heartbeats cost processor time at every control host; three fit into an election time. */
@@ -74,8 +73,8 @@
 const longestAgeMs = 3_600_000;
 const lookMs = 1000;
 const expireMs = 1000;
-/** Of the fleet's fingerprints: as long as their digest. */
-const fingerprintKeyBytes = 32;
+/** A new leader has heard of every upstream by then, in milliseconds: three announcements at the usual 1.2 s. */
+const heardMs = 4000;
 /** All upstreams are looked at this often at most, in milliseconds; a failure that is reported is looked at at once. */
 const reviewMs = 200;
 
@@ -351,7 +350,6 @@
         this.leadership = { epoch, end, placement, healths: new HealthWatch(this.registry), crashes };
         this.log.info("leadership.begun", { epoch });
         void this.lease.acquire(Number(this.replica!.leading!.term), this.otherUrls(), this.clients, end.signal);
-        void this.setFingerprintKey(end.signal);
         void crashes.run(end.signal);
         placement.run(end.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
     }
@@ -370,7 +368,10 @@
         if (known !== undefined) {
             return known.state === UpstreamState.DRAINING ? "leaving" : "serving";
         }
-        return this.registry.wasReplaced(upstream) ? "replaced" : "unknown";
+        if (this.registry.wasReplaced(upstream)) {
+            return "replaced";
+        }
+        return this.ledMs < heardMs ? "unheard" : "gone";
     }
 
     private async proposeQuarantine(command: QuarantineCommand): Promise<QuarantineResult> {
@@ -379,20 +380,6 @@
         return JSON.parse(Buffer.from(result).toString()) as QuarantineResult;
     }
 
-    /** The first leader of a fleet draws the key; it holds from then on. */
-    private async setFingerprintKey(signal: AbortSignal): Promise<void> {
-        while (this.crashes.key === undefined && !signal.aborted) {
-            try {
-                const key = randomBytes(fingerprintKeyBytes).toString("base64");
-                await this.proposeQuarantine({ kind: "set-key", key });
-            }
-            catch (err) {
-                this.log.warn("fingerprints.unset", { error: messageOf(err) });
-                await sleep(lookMs, signal);
-            }
-        }
-    }
-
     private otherUrls(): string[] {
         const { current: cfg } = this.settings;
         const own = peerUrl(cfg.peers.host, cfg.peers.port);
