Quarantine at our own interface too, and at most two upstreams under one request by our own tries

The same cause elsewhere: at our own interface a repeatable request was tried up to eight times within milliseconds, so a first return could end eight upstreams before anybody knew. An agent now says that its upstream's process has ended (its address refuses connections) and names that end; entries write it into the same replicated book and refuse a barred request with 422 before it waits, after it has waited, and where it bears an idempotency key (not-run). At both doors a request goes to no third upstream after two ended under it, and to no second once it is suspected.

--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -1,7 +1,8 @@
 /** The two ways of deciding that are compared: winchpath's, and a naive one. */
-import { Metrics, sleep } from "@winchpath/core";
+import { Metrics, silentLog, sleep } from "@winchpath/core";
 import { FirstFitPlacer, IncrementalPlacer, type Placer } from "@winchpath/placement";
-import { type AgentConnector, Claims, type Job, RequestHandler } from "@winchpath/requests";
+import { CrashBook } from "@winchpath/quarantine";
+import { type AgentConnector, Claims, type Job, RequestHandler, RequestQuarantine } from "@winchpath/requests";
 import { RoundRobinPicker, Router } from "@winchpath/routing";
 import { Timeline } from "@winchpath/timeline";
 import { type Registrar } from "@winchpath/upstream";
@@ -29,12 +30,18 @@
 
     public newEntry(name: string, agents: AgentConnector, registrar: Registrar): EntryPolicy {
         const claims = new Claims();
+        const crashes = new CrashBook();
         const handler = new RequestHandler({
             entry: name,
             agents,
             router: new Router(),
             registrar,
             log: { propose: async command => claims.apply(command, { time: Date.now() }) },
+            quarantine: new RequestQuarantine({
+                book: () => crashes,
+                propose: async command => crashes.apply(command, { time: Date.now() }),
+                log: silentLog,
+            }),
             timeline: new Timeline({ process: name, host: name, dataCentre: name }, 100),
             metrics: new Metrics(),
             queueLimit: 256,
--- a/packages/forwarding/src/doors.ts
+++ b/packages/forwarding/src/doors.ts
@@ -189,6 +189,7 @@
             gone,
             tried: [],
             declined: new Set(),
+            lost: 0,
             lastEventId: undefined,
             answerStarted: false,
         };
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -308,7 +308,7 @@
 
     private afterFailed(job: Job, res: ServerResponse, broken: boolean): Verdict {
         const resumable = !broken || (job.route.resumable && job.lastEventId !== undefined);
-        if (isRepeatable(job) && resumable && !this.quarantine.isSuspected(job) && this.mayTryAgain(job)) {
+        if (isRepeatable(job) && resumable && this.quarantine.mayTryAgain(job) && this.mayTryAgain(job)) {
             return "again";
         }
         this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.failed);
--- a/packages/forwarding/src/jobs.ts
+++ b/packages/forwarding/src/jobs.ts
@@ -34,6 +34,8 @@
     readonly tried: string[];
     /** Upstreams that stated that they have not run it. */
     readonly declined: Set<string>;
+    /** Upstreams whose connections were lost under it. */
+    lost: number;
     /** Last event that the caller has got whole. */
     lastEventId: string | undefined;
     /** Whether part of an answer has gone out. */
--- a/packages/forwarding/src/quarantines.ts
+++ b/packages/forwarding/src/quarantines.ts
@@ -1,6 +1,6 @@
 /** What an entry does about requests under which upstreams end. */
 import { type CrashReporter, type FleetView } from "@winchpath/fleet";
-import { GoodEnds, type ListedRequest } from "@winchpath/quarantine";
+import { endsOfOneRequest, GoodEnds, type ListedRequest } from "@winchpath/quarantine";
 import { type Refusal } from "./admissions.js";
 import { OwnAnswer } from "./answers.js";
 import { type AttemptOutcome } from "./attempts.js";
@@ -47,11 +47,11 @@
     }
 
     /**
-     * Whether a request whose try was lost goes to no further upstream by itself: it has ended two already. Its
-     * caller may send it again.
+     * Whether a request whose try was lost may go to another upstream by itself; not where two have ended under it,
+     * now or before. Its caller may send it again.
      */
-    public isSuspected(job: Job): boolean {
-        return this.listed(job) !== undefined;
+    public mayTryAgain(job: Job): boolean {
+        return job.lost < endsOfOneRequest && this.listed(job) === undefined;
     }
 
     /** Takes in how a try ended. */
@@ -60,7 +60,11 @@
             this.noteGoodEnd(job);
             return;
         }
-        if (!isLost(outcome) || (ranMs ?? 0) > longestFuseMs) {
+        if (!isLost(outcome)) {
+            return;
+        }
+        job.lost += 1;
+        if ((ranMs ?? 0) > longestFuseMs) {
             return;
         }
         const fingerprint = this.fingerprint(job);
--- a/packages/loadpatterns/src/callers.ts
+++ b/packages/loadpatterns/src/callers.ts
@@ -133,6 +133,7 @@
             gone: new AbortController().signal,
             tried: [],
             declined: new Set(),
+            lost: 0,
             lastEventId: undefined,
             answerStarted: false,
         };
--- a/packages/quarantine/src/crashbooks.ts
+++ b/packages/quarantine/src/crashbooks.ts
@@ -69,6 +69,11 @@
         return this.standings.position;
     }
 
+    /** Whether nothing is suspected or barred, as far as entries are told. */
+    public get isEmpty(): boolean {
+        return this.standings.isEmpty;
+    }
+
     public since(position: number): QuarantineChanges {
         return this.standings.since(position);
     }
--- a/packages/quarantine/src/standings.ts
+++ b/packages/quarantine/src/standings.ts
@@ -43,6 +43,10 @@
         return this.newest;
     }
 
+    public get isEmpty(): boolean {
+        return this.placed.size === 0;
+    }
+
     public get(fingerprint: string): ListedRequest | undefined {
         return this.placed.get(fingerprint)?.request;
     }
--- a/packages/requests/src/executions.ts
+++ b/packages/requests/src/executions.ts
@@ -1,5 +1,6 @@
 /** Runs one request over as many attempts as it takes and may have. */
-import { type Metrics, sleep } from "@winchpath/core";
+import { type Metrics, sleep, steadyNow } from "@winchpath/core";
+import { endsOfOneRequest } from "@winchpath/quarantine";
 import { type RoutedReplica } from "@winchpath/routing";
 import { type Timeline } from "@winchpath/timeline";
 import { Refusal } from "@winchpath/upstream";
@@ -9,6 +10,7 @@
 import { type AnswerEvent, type Job } from "./jobs.js";
 import { ProblemCode, RequestFailure } from "./problems.js";
 import { Progress } from "./progress.js";
+import { type RequestQuarantine } from "./quarantines.js";
 import { type Queues } from "./queues.js";
 import { AnswerReader, type AttemptEnd } from "./readers.js";
 
@@ -25,6 +27,7 @@
     readonly attempts: Attempts;
     readonly queues: Queues;
     readonly budget: RetryBudget;
+    readonly quarantine: RequestQuarantine;
     readonly timeline: Timeline;
     readonly metrics: Metrics;
 }
@@ -37,6 +40,8 @@
     private readonly tried = new Map<string, bigint>();
     private attempt = 0;
     private mayHaveRun = false;
+    /** Upstreams that ended under it. */
+    private upstreamEnds = 0;
 
     public constructor(private readonly parts: ExecutionParts, private readonly job: Job) {}
 
@@ -64,10 +69,16 @@
 
     /** Makes an attempt; where only the way to its answer was lost, goes on with the same one. */
     public async *attemptAndResume(plan: AttemptPlan): AsyncGenerator<AnswerEvent, AttemptEnd> {
+        const { queues, quarantine } = this.parts;
         const startedAt = Date.now();
+        const sentAt = steadyNow();
         const end = yield* this.attemptWhileHeard(plan);
         if (end.tag === "whole") {
-            this.parts.queues.of(this.job.resource).noteService(Date.now() - startedAt);
+            queues.of(this.job.resource).noteService(Date.now() - startedAt);
+            quarantine.succeeded(this.job);
+        }
+        else if (end.tag === "broken" && end.upstreamEnd !== "") {
+            quarantine.lost(this.job, { upstreamEnd: end.upstreamEnd, sentAt });
         }
         return end;
     }
@@ -110,8 +121,12 @@
     /** A replica that has not failed the request, or was heard since it did. */
     public async admit(): Promise<RoutedReplica> {
         const { job, tried } = this;
+        this.refuseIfBarred();
         try {
-            return await this.parts.queues.of(job.resource).admit(job, tried);
+            const replica = await this.parts.queues.of(job.resource).admit(job, tried);
+            // It may have become known while this one waited.
+            this.refuseIfBarred();
+            return replica;
         }
         catch (err) {
             if (err instanceof RequestFailure && this.mayHaveRun) {
@@ -134,6 +149,11 @@
         if (end.tag === "different") {
             throw this.failure(ProblemCode.upstreamLost, "the answer broke off, and another attempt began otherwise");
         }
+        const isLost = end.tag === "broken" && end.upstreamEnd !== "";
+        this.upstreamEnds += isLost ? 1 : 0;
+        if (isLost && (this.upstreamEnds >= endsOfOneRequest || this.parts.quarantine.isSuspected(job))) {
+            throw this.failure(ProblemCode.upstreamLost, "upstreams ended under this request before");
+        }
         if (end.tag !== "refused" && !job.repeatable) {
             throw this.failure(ProblemCode.upstreamLost, detailOf(end));
         }
@@ -148,6 +168,13 @@
         this.parts.metrics.count("retries_total", { resource: job.resource });
     }
 
+    private refuseIfBarred(): void {
+        const refusal = this.parts.quarantine.refusal(this.job, this.mayHaveRun);
+        if (refusal !== undefined) {
+            throw refusal;
+        }
+    }
+
     /** A failure with the outcome that is certain. */
     public failure(code: ProblemCode, detail: string, retryMs?: number): RequestFailure {
         return new RequestFailure(code, this.mayHaveRun ? "unknown" : "not-run", detail, retryMs);
--- a/packages/requests/src/handlers.ts
+++ b/packages/requests/src/handlers.ts
@@ -11,6 +11,7 @@
 import { type ClaimLog, KeyedExecution, type KeyedParts } from "./keyed.js";
 import { DemandMeter } from "./meters.js";
 import { ProblemCode, RequestFailure } from "./problems.js";
+import { type RequestQuarantine } from "./quarantines.js";
 import { Queues } from "./queues.js";
 import { AttemptWatch } from "./watches.js";
 
@@ -25,6 +26,7 @@
     readonly router: Router;
     readonly registrar: Registrar;
     readonly log: ClaimLog;
+    readonly quarantine: RequestQuarantine;
     readonly timeline: Timeline;
     readonly metrics: Metrics;
     readonly queueLimit: number;
@@ -52,6 +54,7 @@
             attempts: new Attempts(agents, this.watch, router, entry),
             queues: this.queues,
             budget: new RetryBudget(parts.retryShare),
+            quarantine: parts.quarantine,
             timeline,
             metrics,
             log: parts.log,
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./meters.js";
 export * from "./parsers.js";
 export * from "./problems.js";
+export * from "./quarantines.js";
 export * from "./queues.js";
 export * from "./readers.js";
 export * from "./schemas.js";
--- a/packages/requests/src/problems.ts
+++ b/packages/requests/src/problems.ts
@@ -17,6 +17,7 @@
     callerLeft: "caller-left",
     stopping: "stopping",
     control: "control-unavailable",
+    endsUpstreams: "request-ends-upstreams",
     internal: "internal-error",
 } as const;
 export type ProblemCode = typeof ProblemCode[keyof typeof ProblemCode];
@@ -34,6 +35,7 @@
     "caller-left": 499,
     "stopping": 503,
     "control-unavailable": 503,
+    "request-ends-upstreams": 422,
     "internal-error": 500,
 };
 
@@ -50,6 +52,7 @@
     "caller-left": "The caller left",
     "stopping": "The entry is stopping",
     "control-unavailable": "The control group can't be reached",
+    "request-ends-upstreams": "Upstreams ended each time they ran this request",
     "internal-error": "The entry failed",
 };
 
--- a/packages/requests/src/readers.ts
+++ b/packages/requests/src/readers.ts
@@ -14,7 +14,13 @@
     /** The agent has, or had, the request, and this entry lost the way to the answer. */
     | { readonly tag: "lost"; readonly message: string; }
     /** The upstream's answer broke off. */
-    | { readonly tag: "broken"; readonly message: string; readonly timedOut: boolean; }
+    | {
+        readonly tag: "broken";
+        readonly message: string;
+        readonly timedOut: boolean;
+        /** Name of the end of the upstream's process under it; empty where that lives. */
+        readonly upstreamEnd: string;
+    }
     /** The answer began otherwise than what the caller has already. */
     | { readonly tag: "different"; };
 
@@ -52,7 +58,8 @@
             this.end = { tag: "refused", refusal, revision: Number(revision), message };
         }
         else if (broken !== undefined) {
-            this.end = { tag: "broken", message: broken.message, timedOut: broken.timedOut };
+            const { message, timedOut, upstreamEnd } = broken;
+            this.end = { tag: "broken", message, timedOut, upstreamEnd };
         }
         else if (end !== undefined) {
             this.end ??= this.endOf(Number(end.bodyBytes));
@@ -82,11 +89,16 @@
 
     private endOf(bodyBytes: number): AttemptEnd {
         if (bodyBytes !== this.receivedBytes || !this.replay.done) {
-            return { tag: "broken", message: `${this.receivedBytes} of ${bodyBytes} bytes came`, timedOut: false };
+            return brokenBy(`${this.receivedBytes} of ${bodyBytes} bytes came`);
         }
         if (this.needsMark && !this.progress.endsWith(endMark)) {
-            return { tag: "broken", message: "the stream ended without its end mark", timedOut: false };
+            return brokenBy("the stream ended without its end mark");
         }
         return { tag: "whole" };
     }
 }
+
+/** An answer that is not whole, of an upstream that lives. */
+function brokenBy(message: string): AttemptEnd {
+    return { tag: "broken", message, timedOut: false, upstreamEnd: "" };
+}
--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -1,6 +1,7 @@
 /** Agents and upstreams in memory, with connections that tests cut. */
 import { create } from "@bufbuild/protobuf";
-import { Metrics } from "@winchpath/core";
+import { Metrics, silentLog } from "@winchpath/core";
+import { CrashBook } from "@winchpath/quarantine";
 import { type RoutedReplica, Router } from "@winchpath/routing";
 import { Timeline } from "@winchpath/timeline";
 import {
@@ -22,6 +23,7 @@
     type Job,
     NotSentError,
     RequestHandler,
+    RequestQuarantine,
 } from "../index.js";
 
 /** What goes wrong, in the order of the runs; nothing more where a list has ended. */
@@ -39,8 +41,13 @@
 export const whole = Array.from({ length: 12 }, (_, index) => `data: piece ${index} of the answer\n\n`);
 export const wholeText = `${whole.join("")}data: [DONE]\n\n`;
 
+/** Body of a request that ends each upstream that runs it, after a piece of its answer. */
+export const deadly = "deadly";
+
 class FakeUpstream implements Upstream {
     public readonly runs = new Map<string, number>();
+    /** Whether its process has ended; it is back before the next run. */
+    private ended = false;
 
     public constructor(private readonly faults: Faults) {}
 
@@ -55,12 +62,20 @@
     public async send(req: UpstreamRequest): Promise<UpstreamAnswer> {
         const id = String(Buffer.from(req.body));
         this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
+        this.ended = id === deadly;
         const pieces = this.faults.breaks.shift() ?? Number.POSITIVE_INFINITY;
         const headers = { "content-type": "text/event-stream" };
+        if (this.ended) {
+            return { status: 200, headers, body: bodyOf(1, ""), discard: async () => undefined };
+        }
         const mark = this.faults.varied ? `run ${this.runs.get(id)}: ` : "";
         return { status: 200, headers, body: bodyOf(pieces, mark), discard: async () => undefined };
     }
 
+    public async hasEnded() {
+        return this.ended;
+    }
+
     public async close() {}
 }
 
@@ -155,10 +170,21 @@
     }
 }
 
-/** A handler before these agents; several of them share one log of claims. */
-export function handlerFor(agents: FakeAgents, claims = new Claims()): RequestHandler {
+/** A quarantine of one process, whose log is its memory. */
+export function quarantineFor(book = new CrashBook()): RequestQuarantine {
+    const quarantine = new RequestQuarantine({
+        book: () => book,
+        propose: async command => book.apply(command, { time: Date.now() }),
+        log: silentLog,
+    });
+    return quarantine;
+}
+
+/** A handler before these agents; several of them share one log of claims, and one quarantine. */
+export function handlerFor(agents: FakeAgents, claims = new Claims(), quarantine = quarantineFor()): RequestHandler {
     return new RequestHandler({
         entry: "entry",
+        quarantine,
         agents,
         router: new Router(),
         registrar: agents.registrar,
--- a/packages/upstream/src/engines.ts
+++ b/packages/upstream/src/engines.ts
@@ -1,5 +1,6 @@
 /** How an agent speaks to the upstream beside it. */
 import { messageOf, safeParse } from "@winchpath/core";
+import { isRefused } from "@winchpath/quarantine";
 import { Agent, type Dispatcher, request } from "undici";
 import { type EngineOrder, EngineState } from "./schemas.js";
 
@@ -40,6 +41,8 @@
     /** Sends one order. Never throws. */
     order(order: EngineOrder): Promise<OrderAnswer>;
     send(req: UpstreamRequest): Promise<UpstreamAnswer>;
+    /** Whether its process has ended: its address refuses connections. */
+    hasEnded(): Promise<boolean>;
     close(): Promise<void>;
 }
 
@@ -96,6 +99,10 @@
         }
     }
 
+    public hasEnded(): Promise<boolean> {
+        return isRefused(new URL(this.url).host);
+    }
+
     public async close(): Promise<void> {
         await this.dispatcher.destroy();
     }
--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -17,6 +17,7 @@
 import { answerGone, refusedChunk, type RunRecord } from "./records.js";
 import { notStartedHeader } from "./schemas.js";
 import { RunTable } from "./tables.js";
+import { UpstreamEnds } from "./upstreamends.js";
 
 /** A request that may be cut off and that nobody reads any more is cut off after this time. */
 const orphanMs = 3000;
@@ -42,12 +43,15 @@
     public readonly table = new RunTable();
     /** Notified when a request ends. */
     public readonly ended: Notifier = this.table.ended;
+    private readonly ends: UpstreamEnds;
 
     public constructor(
         private readonly upstream: Upstream,
         private readonly admit: Admission,
         private readonly timeline: Timeline,
-    ) {}
+    ) {
+        this.ends = new UpstreamEnds(upstream);
+    }
 
     /** Runs a request, or attaches to the attempt where it is known already. */
     public async *run(req: RunRequest): AsyncGenerator<RunChunk> {
@@ -111,7 +115,7 @@
             await this.receive(record, answer);
         }
         catch (err) {
-            this.recordFailure(record, req, err, timedOut());
+            await this.recordFailure(record, req, err, timedOut());
         }
         finally {
             clearTimeout(timer);
@@ -134,14 +138,21 @@
         record.finish(FenceOutcome.FINISHED, { end });
     }
 
-    private recordFailure(record: RunRecord, req: RunRequest, err: unknown, timedOut: boolean): void {
+    private async recordFailure(
+        record: RunRecord,
+        req: RunRequest,
+        err: unknown,
+        timedOut: boolean,
+    ): Promise<void> {
         if (err instanceof NotConnectedError) {
             this.table.refuse(record, Refusal.UNREACHABLE, err.message);
             return;
         }
         const message = messageOf(err);
         this.timeline.record("request.broken", { requestId: req.requestId, resource: req.resource, detail: message });
-        const broken = create(RunBrokenSchema, { message, timedOut });
+        const cutHere = timedOut || record.abort.signal.aborted;
+        const upstreamEnd = cutHere ? "" : await this.ends.nameNow();
+        const broken = create(RunBrokenSchema, { message, timedOut, upstreamEnd });
         record.finish(FenceOutcome.BROKEN, { broken });
     }
 }
--- a/packages/upstream/src/tests/agents.test.ts
+++ b/packages/upstream/src/tests/agents.test.ts
@@ -28,6 +28,7 @@
     readState: async () => undefined,
     order: async () => "taken",
     send: () => new Promise(() => undefined),
+    hasEnded: async () => false,
     close: async () => undefined,
 };
 
--- a/packages/upstream/src/tests/orders.test.ts
+++ b/packages/upstream/src/tests/orders.test.ts
@@ -32,6 +32,10 @@
         throw new Error("not asked here");
     }
 
+    public async hasEnded() {
+        return false;
+    }
+
     public async close() {}
 }
 
--- a/packages/upstream/src/tests/runners.test.ts
+++ b/packages/upstream/src/tests/runners.test.ts
@@ -37,6 +37,10 @@
         return { status: 200, headers: {}, body: this.body(), discard: async () => undefined };
     }
 
+    public async hasEnded() {
+        return false;
+    }
+
     public async close() {}
 
     private async *body() {
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -11,7 +11,7 @@
     Replica,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { logger, Metrics, sleep, steadyNow } from "@winchpath/core";
+import { type EventValues, logger, Metrics, sleep, steadyNow } from "@winchpath/core";
 import { CatalogueCache, Declarations, type Model } from "@winchpath/declarations";
 import { operatorServer } from "@winchpath/operators";
 import {
@@ -27,7 +27,15 @@
     placementService,
     RpcOrderSender,
 } from "@winchpath/placement";
-import { callerServer, type ClaimResult, Claims, RequestHandler, RpcAgentConnector } from "@winchpath/requests";
+import { CrashBook, type QuarantineResult } from "@winchpath/quarantine";
+import {
+    callerServer,
+    type ClaimResult,
+    Claims,
+    RequestHandler,
+    RequestQuarantine,
+    RpcAgentConnector,
+} from "@winchpath/requests";
 import { Router, RoutingTable } from "@winchpath/routing";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { type Settings } from "@winchpath/settings";
@@ -42,6 +50,8 @@
 /** Time for the platform's balancer to see that an entry is not ready, before it stops to listen. */
 const balancerMs = 1000;
 const handOverMs = 5000;
+/** An end of an upstream is written within this time, or tried again, in milliseconds. */
+const quarantineMs = 1000;
 /** How often a stopping entry looks whether all requests have ended. */
 const drainPollMs = 50;
 /** A host that has heard no leader for this long is not ready: it may act on old declarations. */
@@ -63,6 +73,15 @@
     private readonly declarations = new Declarations();
     private readonly ledger = new Ledger();
     private readonly claims = new Claims();
+    private readonly crashes = new CrashBook();
+    private readonly quarantine = new RequestQuarantine({
+        book: () => this.crashes,
+        propose: command => this.propose<QuarantineResult>("quarantine", command, quarantineMs),
+        log: {
+            info: (event, values) => this.tellQuarantine(event, values),
+            warn: (event, values) => this.tellQuarantine(event, values),
+        },
+    });
     private readonly demand = new DemandBook();
     private readonly catalogues = new CatalogueCache(this.declarations);
     private readonly drains = new DrainBook(() => this.catalogues.current.drained);
@@ -86,6 +105,7 @@
             router: new Router(),
             registrar: this.registrar,
             log: { propose: (command, timeoutMs) => this.propose<ClaimResult>("claims", command, timeoutMs) },
+            quarantine: this.quarantine,
             timeline: this.timeline,
             metrics: this.metrics,
             queueLimit: cfg.limits.queue,
@@ -154,7 +174,7 @@
         this.replica = await Replica.open({
             identity: { host: cfg.host, url: cfg.peerUrl },
             store: cfg.dataFolder === undefined ? new MemoryLogStore() : new FileLogStore(cfg.dataFolder),
-            machine: new ComposedMachine([this.declarations, this.ledger, this.claims]),
+            machine: new ComposedMachine([this.declarations, this.ledger, this.claims, this.crashes]),
             peers: new RpcPeerConnector(clients),
             seeds: cfg.control.seeds,
             timeline,
@@ -250,6 +270,7 @@
             this.glueUpstreams(signal),
             this.glueDeclarations(signal),
             this.reportDemand(signal),
+            this.quarantine.run(signal),
         ]);
     }
 
@@ -306,6 +327,10 @@
         return cutOff ? "cut off from the control group" : "";
     }
 
+    private tellQuarantine(event: string, values: EventValues = {}): void {
+        this.timeline.record(event, { detail: JSON.stringify(values) });
+    }
+
     private async propose<T>(slice: string, command: unknown, timeoutMs: number): Promise<T> {
         const { result } = await this.replica.propose(encodeCommand(slice, command), timeoutMs);
         return JSON.parse(Buffer.from(result).toString()) as T;
