--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -41,6 +41,7 @@
                 book: () => crashes,
                 propose: async command => crashes.apply(command, { time: Date.now() }),
                 log: silentLog,
+                metrics: new Metrics(),
             }),
             timeline: new Timeline({ process: name, host: name, dataCentre: name }, 100),
             metrics: new Metrics(),
--- a/packages/quarantine/src/crashwatches.ts
+++ b/packages/quarantine/src/crashwatches.ts
@@ -3,7 +3,7 @@
  * has, and writes both into the replicated log. A connection that was reset, or an upstream that has left as it
  * said, counts against nobody.
  */
-import { type EventLog, messageOf, Notifier, steadyNow } from "@winchpath/core";
+import { type EventLog, messageOf, type Metrics, Notifier, steadyNow } from "@winchpath/core";
 import { randomBytes } from "node:crypto";
 import { type QuarantineCommand, type Suspect } from "./commands.js";
 import { type CrashBook, type QuarantineResult } from "./crashbooks.js";
@@ -16,6 +16,8 @@
 const lookMs = 50;
 const idleMs = 1000;
 
+/** Fingerprints in one line of the log: as many as run at an upstream at once. */
+const mostLogged = 64;
 /** Bytes of the key of the fleet's fingerprints: as many as their digest has. */
 const keyBytes = 32;
 
@@ -41,6 +43,7 @@
     /** Writes a command into the log; returns once it is applied here. */
     readonly propose: (command: QuarantineCommand) => Promise<QuarantineResult>;
     readonly log: EventLog;
+    readonly metrics: Pick<Metrics, "count">;
 }
 
 interface Pending {
@@ -152,11 +155,14 @@
             upstream,
             agoMs: Math.round(agoMs),
             refused: pending.refused,
-            suspects: told.map(({ fingerprint }) => fingerprint),
+            suspects: told.slice(0, mostLogged).map(({ fingerprint }) => fingerprint),
+            suspectCount: told.length,
         });
-        result.barred.forEach(({ fingerprint, occasions }) =>
-            this.parts.log.warn("request.barred", { fingerprint, occasions, upstream })
-        );
+        this.parts.metrics.count("upstreams_ended_total");
+        for (const { fingerprint, occasions } of result.barred) {
+            this.parts.log.warn("request.barred", { fingerprint, occasions, upstream });
+            this.parts.metrics.count("requests_barred_total");
+        }
     }
 
     /** Undefined where it could not be written. */
--- a/packages/quarantine/src/tests/bystanders.test.ts
+++ b/packages/quarantine/src/tests/bystanders.test.ts
@@ -4,8 +4,8 @@
  */
 import { expect } from "earl";
 import fc from "fast-check";
-import { mock } from "node:test";
-import { afterEach, beforeEach, describe, it } from "node:test";
+import { afterEach, beforeEach, describe, it, mock } from "node:test";
+import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { CrashBook, GoodEnds, occasionsToBar, type Suspect } from "../index.js";
 
 const upstreams = 8;
@@ -20,13 +20,11 @@
     readonly endsAt: number;
 }
 
-/** A number from 0 to 1 that follows from a seed. */
+/** Numbers from 0 to 1, without 1, that follow from a seed. */
 function drawsOf(seed: number): () => number {
-    let state = seed >>> 0;
-    return () => {
-        state = (Math.imul(state, 1664525) + 1013904223) >>> 0;
-        return state / 2 ** 32;
-    };
+    const generator = xoroshiro128plus(seed);
+    const fineness = 2 ** 30;
+    return () => unsafeUniformIntDistribution(0, fineness - 1, generator) / fineness;
 }
 
 class Fleet {
--- a/packages/quarantine/src/tests/crashwatches.test.ts
+++ b/packages/quarantine/src/tests/crashwatches.test.ts
@@ -1,4 +1,4 @@
-import { silentLog } from "@winchpath/core";
+import { Metrics, silentLog } from "@winchpath/core";
 import { expect } from "earl";
 import { describe, it, type TestContext } from "node:test";
 import { CrashBook, CrashWatch, type Presence, type QuarantineCommand } from "../index.js";
@@ -24,6 +24,7 @@
                 return this.book.apply(command, { time: Date.now() });
             },
             log: silentLog,
+            metrics: new Metrics(),
         });
         void this.watch.run(this.ended.signal);
     }
--- a/packages/requests/src/quarantines.ts
+++ b/packages/requests/src/quarantines.ts
@@ -1,5 +1,5 @@
 /** Requests under which upstreams end, at our own interface. Each process there holds the log's state itself. */
-import { type EventLog, steadyNow } from "@winchpath/core";
+import { type EventLog, type Metrics, steadyNow } from "@winchpath/core";
 import {
     type CrashBook,
     CrashWatch,
@@ -16,6 +16,7 @@
     /** Writes a command into the log; returns once it is applied here. */
     readonly propose: (command: QuarantineCommand) => Promise<QuarantineResult>;
     readonly log: EventLog;
+    readonly metrics: Pick<Metrics, "count">;
 }
 
 /** A run of a job under which an upstream ended. */
--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -172,12 +172,12 @@
 
 /** A quarantine of one process, whose log is its memory. */
 export function quarantineFor(book = new CrashBook()): RequestQuarantine {
-    const quarantine = new RequestQuarantine({
+    return new RequestQuarantine({
         book: () => book,
         propose: async command => book.apply(command, { time: Date.now() }),
         log: silentLog,
+        metrics: new Metrics(),
     });
-    return quarantine;
 }
 
 /** A handler before these agents; several of them share one log of claims, and one quarantine. */
--- a/packages/winchpath/src/explanations.ts
+++ b/packages/winchpath/src/explanations.ts
@@ -25,7 +25,12 @@
     if (last === undefined) {
         return undefined;
     }
-    const beliefs = [...entryBeliefs(events, last), ...upstreamBeliefs(events, history), ...orders(events, last)];
+    const beliefs = [
+        ...entryBeliefs(events, last),
+        ...upstreamBeliefs(events, history),
+        ...orders(events, last),
+        ...ends(events, last),
+    ];
     return { request, history, beliefs, cause: causeOf(history, beliefs) };
 }
 
@@ -73,6 +78,21 @@
         .slice(-shownOrders);
 }
 
+/** Upstreams that ended under a request that is held back. */
+function ends(events: readonly LoggedEvent[], at: LoggedEvent): LoggedEvent[] {
+    const { fingerprint } = at.values;
+    if (fingerprint === undefined) {
+        return [];
+    }
+    return events
+        .filter(({ event, values }) =>
+            (event === "upstream.ended" && (values.suspects as readonly unknown[]).includes(fingerprint))
+            || (event === "request.barred" && values.fingerprint === fingerprint)
+        )
+        .filter(event => event.time <= at.time)
+        .sort((a, b) => a.time - b.time);
+}
+
 function lastBefore(
     events: readonly LoggedEvent[],
     at: LoggedEvent,
@@ -120,6 +140,10 @@
             } a second: the request counts ${String(values.units)}, and ${
                 String(values.credit)
             } were left at the entry`;
+        case "ends-upstreams":
+            return `upstreams ended each time that they ran an equal request (${String(values.occasions)} times): ${
+                endsText(beliefs)
+            }; it is held back at all entries`;
         case "no-upstream":
             return "the service had no upstream that takes requests";
         case "stopping":
@@ -138,6 +162,13 @@
     return `${String(values.model)}${values.adapter === undefined ? "" : `/${String(values.adapter)}`}`;
 }
 
+function endsText(beliefs: readonly LoggedEvent[]): string {
+    const ended = beliefs.filter(({ event }) => event === "upstream.ended");
+    return ended.length === 0
+        ? "the leader's logs would name them"
+        : ended.map(({ values }) => values.upstream).join(", ");
+}
+
 function ordersText(beliefs: readonly LoggedEvent[]): string {
     const last = beliefs.findLast(event => event.event.startsWith("order."));
     return last === undefined
--- a/packages/winchpath/src/tests/explanations.test.ts
+++ b/packages/winchpath/src/tests/explanations.test.ts
@@ -48,6 +48,16 @@
         reason: "keys-unconfirmed",
         keysAgeMs: 4900,
     }),
+    line(2040, "control", "c1", "upstream.ended", { upstream: "u3", suspects: ["f1", "f2"] }),
+    line(2050, "control", "c1", "upstream.ended", { upstream: "u4", suspects: ["f2"] }),
+    line(2060, "control", "c1", "upstream.ended", { upstream: "u5", suspects: ["f1"] }),
+    line(2070, "entry", "f1", "request.own-answer", {
+        request: "q8",
+        status: 422,
+        reason: "ends-upstreams",
+        fingerprint: "f1",
+        occasions: 3,
+    }),
     "{\"level\":30,\"time\":2100,\"event\":\"cut sh",
     "no log line",
 ].join("\n");
@@ -69,6 +79,11 @@
         ],
         ["one with an unknown key", "q6", "in configuration 7 no account holds the key"],
         ["one whose key nobody could confirm", "q7", "no leader had confirmed for 4900 ms which keys hold"],
+        [
+            "one under which upstreams ended",
+            "q8",
+            "upstreams ended each time that they ran an equal request (3 times): u3, u5; it is held back",
+        ],
         ["one that came before there was a configuration", "q4", "the entry knew no configuration yet"],
     ];
     for (const [what, request, cause] of causes) {
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -77,6 +77,7 @@
     private readonly quarantine = new RequestQuarantine({
         book: () => this.crashes,
         propose: command => this.propose<QuarantineResult>("quarantine", command, quarantineMs),
+        metrics: this.metrics,
         log: {
             info: (event, values) => this.tellQuarantine(event, values),
             warn: (event, values) => this.tellQuarantine(event, values),
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -360,6 +360,7 @@
             presence: upstream => this.presenceOf(upstream),
             propose: command => this.proposeQuarantine(command),
             log: this.log,
+            metrics: this.metrics,
         });
     }
 
