Quarantine: nothing that came during a failed write is lost, a bound on probation, and names

What entries told while a write failed was overwritten by what was gathered before; probation counts into the bound of 2,000. At our own interface a good end wakes the watch only where it clears something. Pick is called Choice, since the language has a type of that name.

--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -15,7 +15,7 @@
 import { LinkTable } from "./linktables.js";
 import { PaceBook } from "./paces.js";
 import { busyRetryMs, leastAttemptMs, Patience, silenceMs } from "./patiences.js";
-import { type Pick as Choice, Picker } from "./pickers.js";
+import { type Choice, Picker } from "./pickers.js";
 import { isLost, Quarantine } from "./quarantines.js";
 import { WaitingRoom } from "./waitingrooms.js";
 
--- a/packages/forwarding/src/patiences.ts
+++ b/packages/forwarding/src/patiences.ts
@@ -5,7 +5,7 @@
 import { OwnAnswer } from "./answers.js";
 import { ageMs, type Job, leftMs, patienceLeftMs } from "./jobs.js";
 import { type LinkTable } from "./linktables.js";
-import { type Pick } from "./pickers.js";
+import { type Choice } from "./pickers.js";
 
 /** A request that can't be served is refused within this share of its objective, while a second try can still be in time. */
 const refusalShare = 0.2;
@@ -42,7 +42,7 @@
 }
 
 /** Why no upstream was found. */
-export type Obstacle = Exclude<Pick["kind"], "upstream">;
+export type Obstacle = Exclude<Choice["kind"], "upstream">;
 
 export class Patience {
     public constructor(private readonly view: FleetView<Configuration>, private readonly links: LinkTable) {}
--- a/packages/forwarding/src/pickers.ts
+++ b/packages/forwarding/src/pickers.ts
@@ -18,7 +18,7 @@
 const slotsOfPlainService = 2;
 
 /** What was found for a request. */
-export type Pick =
+export type Choice =
     | { readonly kind: "upstream"; readonly link: UpstreamLink; }
     /** There are holders, but all are full. */
     | { readonly kind: "full"; }
@@ -37,7 +37,7 @@
     ) {}
 
     /** `engine`: what the service's upstreams are, where they are model engines. */
-    public pick(job: Job, ready: readonly UpstreamLink[], engine: EngineSpec | undefined): Pick {
+    public pick(job: Job, ready: readonly UpstreamLink[], engine: EngineSpec | undefined): Choice {
         if (ready.length === 0) {
             return { kind: "none" };
         }
--- a/packages/forwarding/src/quarantines.ts
+++ b/packages/forwarding/src/quarantines.ts
@@ -1,6 +1,6 @@
 /** What an entry does about requests under which upstreams end. */
 import { type CrashReporter, type FleetView } from "@winchpath/fleet";
-import { endsOfOneRequest, GoodEnds, type ListedRequest } from "@winchpath/quarantine";
+import { GoodEnds, type ListedRequest, mostEndsOfOneRequest } from "@winchpath/quarantine";
 import { type Refusal } from "./admissions.js";
 import { OwnAnswer } from "./answers.js";
 import { type AttemptOutcome } from "./attempts.js";
@@ -51,7 +51,7 @@
      * now or before. Its caller may send it again.
      */
     public mayTryAgain(job: Job): boolean {
-        return job.lost < endsOfOneRequest && this.listed(job) === undefined;
+        return job.lost < mostEndsOfOneRequest && this.listed(job) === undefined;
     }
 
     /** Takes in how a try ended. */
--- a/packages/quarantine/src/crashbooks.ts
+++ b/packages/quarantine/src/crashbooks.ts
@@ -16,8 +16,8 @@
 const longestBarredMs = 24 * 3_600_000;
 /** Probation ends after this long without another end, in milliseconds. */
 const probationMs = 3_600_000;
-/** Requests that are held back at once; the oldest give way. Each has cost three upstreams. */
-const mostBarred = 2000;
+/** Requests that are held back or on probation at once; the oldest give way. Each has cost three upstreams. */
+const mostHeld = 2000;
 /** Entries are told of a suspect from this many occasions on: one more, or a good end, decides. */
 const occasionsToList = 2;
 
@@ -104,9 +104,8 @@
     }
 
     public restore(state: unknown): void {
-        const { key, position = 0, barred = [], probation = [], ends = [] } = Value.Check(StoredState, state)
-            ? state
-            : {};
+        const stored = Value.Check(StoredState, state) ? state : {};
+        const { key, position = 0, barred = [], probation = [], ends = [] } = stored;
         this.held = key === undefined ? undefined : Buffer.from(key, "base64");
         this.barred.clear();
         this.probation.clear();
@@ -149,9 +148,9 @@
         this.suspicions.forgetBefore(time - suspectedMs);
         const told = { upstream, at: time - agoMs, toldAt: time, suspects };
         const isKnown = (fingerprint: string) => this.barred.has(fingerprint) || this.probation.has(fingerprint);
-        const again = suspects.map(({ fingerprint }) => this.probation.get(fingerprint)).filter(found =>
-            found !== undefined
-        );
+        const again = suspects
+            .map(({ fingerprint }) => this.probation.get(fingerprint))
+            .filter(found => found !== undefined);
         const causes = [...this.suspicions.note(told, isKnown), ...again];
         causes.forEach(cause => this.bar(cause, time));
         this.dropOldest();
@@ -190,9 +189,10 @@
     }
 
     private dropOldest(): void {
-        while (this.barred.size > mostBarred) {
-            const [oldest] = this.barred.keys();
-            this.barred.delete(oldest);
+        while (this.barred.size + this.probation.size > mostHeld) {
+            const held = this.probation.size > 0 ? this.probation : this.barred;
+            const [oldest] = held.keys();
+            held.delete(oldest);
         }
     }
 
--- a/packages/quarantine/src/crashwatches.ts
+++ b/packages/quarantine/src/crashwatches.ts
@@ -15,7 +15,6 @@
 /** How often what was told is looked at while some of it is open, and otherwise, in milliseconds. */
 const lookMs = 50;
 const idleMs = 1000;
-
 /** Fingerprints in one line of the log: as many as run at an upstream at once. */
 const mostLogged = 64;
 /** Bytes of the key of the fleet's fingerprints: as many as their digest has. */
@@ -147,7 +146,8 @@
         }));
         const result = await this.write({ kind: "upstream-ended", upstream, agoMs, suspects: told });
         if (result === undefined) {
-            // No majority just now; what was gathered is still true.
+            // No majority just now; what was gathered is still true, and more may have come since.
+            this.pending.get(upstream)?.suspects.forEach((suspect, fingerprint) => suspects.set(fingerprint, suspect));
             this.pending.set(upstream, pending);
             return;
         }
--- a/packages/quarantine/src/suspicions.ts
+++ b/packages/quarantine/src/suspicions.ts
@@ -10,7 +10,7 @@
  * Upstreams that may end under one request before it goes to no other by itself: a second try saves the many that
  * ran beside the cause, a third would be made within milliseconds, before any entry could know.
  */
-export const endsOfOneRequest = 2;
+export const mostEndsOfOneRequest = 2;
 /** Occasions that make a suspect the cause: fewer happen to a request that is merely repeated while upstreams fail. */
 export const occasionsToBar = 3;
 /**
--- a/packages/requests/src/quarantines.ts
+++ b/packages/requests/src/quarantines.ts
@@ -71,7 +71,9 @@
             return;
         }
         this.goodEnds.note(fingerprint);
-        this.watch.take("", [], [fingerprint]);
+        if (this.parts.book().standingOf(fingerprint) !== undefined) {
+            this.watch.take("", [], [fingerprint]);
+        }
     }
 
     private listed(job: Job) {
