--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -1,7 +1,7 @@
 /** What callers ask for, as the leader hears it from all entries. */
 import { type EventLog, steadyNow } from "@winchpath/core";
 import { type DemandRequest, type EnginePace, type ItemDemand } from "./gen/winchpath/fleet/v1/fleet_pb.js";
-import { type ItemKey, itemName, modelName } from "./meters.js";
+import { type ItemKey, itemName, modelName } from "./items.js";
 
 /** An entry's counts are left out after this long without a report: three reports at the usual half second. */
 const staleMs = 2000;
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -6,7 +6,7 @@
 import { encodeQuarantine, encodeUpstream } from "./encodings.js";
 import { gatherMs, ordinaryPaceMs } from "./feedpaces.js";
 import { type PollRequest, type PollResponse, PollResponseSchema } from "./gen/winchpath/fleet/v1/fleet_pb.js";
-import { modelName } from "./meters.js";
+import { modelName } from "./items.js";
 import { type Registry } from "./registries.js";
 
 /** An entry that has not polled for this long is taken for dead or cut off: three polls at the usual second. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -26,6 +26,7 @@
 export * from "./healths.js";
 export * from "./healthwatches.js";
 export * from "./incarnations.js";
+export * from "./items.js";
 export * from "./meters.js";
 export * from "./orderleases.js";
 export * from "./orderlines.js";
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -3,7 +3,6 @@
 import { type AccountCounts, type Allowance } from "@winchpath/accounts";
 import { type EventLog, messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
 import { type PeerClients } from "@winchpath/rpc";
-import { halfLifeMs } from "./demands.js";
 import { ordinaryPaceMs } from "./feedpaces.js";
 import {
     type AccountAllowance,
@@ -12,6 +11,8 @@
     ItemDemandSchema,
     type Mismatch,
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type ItemKey, itemName, modelName } from "./items.js";
+import { PastDemands } from "./pastdemands.js";
 
 /** How often demand is told, in milliseconds; a model's load takes a second and more. */
 const reportMs = 500;
@@ -49,24 +50,6 @@
     isNew: boolean;
 }
 
-/** Requests for one item, each counted less the longer ago it came, as the leader counts them. */
-interface PastDemand {
-    readonly key: ItemKey;
-    requests: number;
-    work: number;
-    at: number;
-}
-
-/** What was not asked for in this time is told to no new leader, in milliseconds: a thousandth of it would be left. */
-const forgetPastMs = 10 * halfLifeMs;
-
-/** What a request asks of an engine; the adapter is empty where the model alone is asked for. */
-export interface ItemKey {
-    readonly service: string;
-    readonly model: string;
-    readonly adapter: string;
-}
-
 export class DemandMeter {
     private readonly items = new Map<string, ItemDemand>();
     private mismatches: Mismatch[] = [];
@@ -77,7 +60,7 @@
     private reportedAt = Number.NEGATIVE_INFINITY;
     private readonly paces = new Map<string, KnownPace>();
     /** What was asked for in the past, for a leader that has not heard it. */
-    private readonly past = new Map<string, PastDemand>();
+    private readonly past = new PastDemands();
     /** Leadership that was told last. */
     private toldTo = "";
 
@@ -107,7 +90,7 @@
         const item = this.item(key);
         item.arrived += 1;
         item.work += BigInt(Math.round(work));
-        this.remember(key, work);
+        this.past.remember(key, work);
     }
 
     public started(key: ItemKey): void {
@@ -229,48 +212,24 @@
 
     /** What this report would tell, with what earlier ones told another leader. */
     private itemsWithPast(): ItemDemand[] {
-        const now = steadyNow();
-        for (const { key } of this.past.values()) {
-            this.item(key);
-        }
+        this.past.keys().forEach(key => this.item(key));
         return [...this.items].map(([name, item]) => {
             const copy = clone(ItemDemandSchema, item);
-            const past = this.past.get(name);
-            const faded = past === undefined ? 0 : fadedShare(past, now);
+            const { requests, work } = this.past.faded(name);
             // What came in since the last report is told as it is.
-            copy.earlier = Math.max(0, (past?.requests ?? 0) * faded - item.arrived);
-            copy.earlierWork = Math.max(0, (past?.work ?? 0) * faded - Number(item.work));
+            copy.earlier = Math.max(0, requests - item.arrived);
+            copy.earlierWork = Math.max(0, work - Number(item.work));
             return copy;
         });
     }
 
-    private remember(key: ItemKey, work: number): void {
-        const now = steadyNow();
-        const name = itemName(key);
-        const past = this.past.get(name) ?? { key, requests: 0, work: 0, at: now };
-        const faded = fadedShare(past, now);
-        past.requests = past.requests * faded + 1;
-        past.work = past.work * faded + work;
-        past.at = now;
-        this.past.set(name, past);
-    }
-
-    private forgetPast(): void {
-        const now = steadyNow();
-        for (const [name, past] of this.past) {
-            if (now - past.at > forgetPastMs) {
-                this.past.delete(name);
-            }
-        }
-    }
-
     private get hasNews(): boolean {
         return this.items.size > 0 || this.mismatches.length > 0 || this.unreachable.size > 0
             || this.outcomes.size > 0 || (this.accounts?.counts().length ?? 0) > 0;
     }
 
     private settle(): void {
-        this.forgetPast();
+        this.past.forgetOld();
         this.mismatches = [];
         this.unreachable.clear();
         this.outcomes.clear();
@@ -313,17 +272,3 @@
 function decodeAllowance(allowance: AccountAllowance): Allowance {
     return { ...allowance, grant: Number(allowance.grant), reportAfter: Number(allowance.reportAfter) };
 }
-
-function fadedShare(past: PastDemand, now: number): number {
-    return 2 ** (-(now - past.at) / halfLifeMs);
-}
-
-/** One string for a service's model, for maps. */
-export function modelName(service: string, model: string): string {
-    return `${service}/${model}`;
-}
-
-/** One string for an item, for maps. */
-export function itemName(key: ItemKey): string {
-    return `${key.service}/${key.model}/${key.adapter}`;
-}
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -2,8 +2,9 @@
 import { Deferred, messageOf, steadyNow } from "@winchpath/core";
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
-import { type AnswerFacts, headerOf, type RequestCodec, withoutConnectionHeaders } from "./codecs.js";
+import { type AnswerFacts, type RequestCodec, withoutConnectionHeaders } from "./codecs.js";
 import { EventSplitter } from "./events.js";
+import { type HeldAnswer, isFramed, withoutLength, writeHeldAnswer } from "./heldanswers.js";
 import { type Job, leftMs } from "./jobs.js";
 import { type UpstreamLink } from "./links.js";
 
@@ -19,13 +20,6 @@
 /** Why a try ended whose upstream, or connection, has said nothing. */
 export const silentReason = "silent";
 
-/** An answer of an upstream that was read whole. */
-export interface HeldAnswer {
-    readonly status: number;
-    readonly headers: readonly string[];
-    readonly body: Buffer;
-}
-
 /** What came of a try. */
 export type AttemptOutcome =
     /** The whole answer was handed on. */
@@ -361,35 +355,3 @@
         }
     }
 }
-
-/** Hands on an answer that was read whole. */
-export function writeHeldAnswer(res: ServerResponse, answer: HeldAnswer, close: boolean): void {
-    const headers = withoutLength(withoutConnectionHeaders(answer.headers));
-    const framed = isFramed(answer.headers);
-    if (framed) {
-        headers.push("Content-Length", String(answer.body.length));
-    }
-    else {
-        // Nobody knows whether it is whole, so it must not look more whole than it came.
-        res.useChunkedEncodingByDefault = false;
-    }
-    if (close || !framed) {
-        headers.push("Connection", "close");
-    }
-    res.writeHead(answer.status, headers);
-    res.end(answer.body);
-}
-
-function isFramed(headers: readonly string[]): boolean {
-    return headerOf(headers, "content-length") !== undefined || headerOf(headers, "transfer-encoding") !== undefined;
-}
-
-function withoutLength(headers: readonly string[]): string[] {
-    const kept: string[] = [];
-    for (let index = 0; index < headers.length; index += 2) {
-        if (headers[index].toLowerCase() !== "content-length") {
-            kept.push(headers[index], headers[index + 1]);
-        }
-    }
-    return kept;
-}
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -5,26 +5,26 @@
 import { EjectionBook } from "@winchpath/routing";
 import { type ServerResponse } from "node:http";
 import { type Admissions, type Refusal } from "./admissions.js";
-import { OwnAnswer, writeOwnAnswer } from "./answers.js";
-import { attempt, type AttemptOutcome, silentReason, writeHeldAnswer } from "./attempts.js";
-import { type RetryBudgetOptions, WindowBudget } from "./budgets.js";
+import { OwnAnswer } from "./answers.js";
+import { attempt, type AttemptOutcome, silentReason } from "./attempts.js";
+import { type RetryBudgetOptions } from "./budgets.js";
 import { type RequestCodec } from "./codecs.js";
-import { ageMs, isRepeatable, type Job, leftMs, ownTokensOf, tokensOf, workOf } from "./jobs.js";
+import { ageMs, isRepeatable, type Job, ownTokensOf, tokensOf, workOf } from "./jobs.js";
 import { UpstreamJudge } from "./judges.js";
 import { type UpstreamLink } from "./links.js";
 import { LinkTable } from "./linktables.js";
 import { PaceBook } from "./paces.js";
-import { busyRetryMs, leastAttemptMs, Patience, silenceMs } from "./patiences.js";
+import { busyRetryMs, Patience, silenceMs } from "./patiences.js";
 import { type Choice, Picker } from "./pickers.js";
 import { isLost, Quarantine } from "./quarantines.js";
+import { Replies } from "./replies.js";
+import { Retries } from "./retries.js";
 import { WaitingRoom } from "./waitingrooms.js";
 
 /** A request that waits looks this often whether waiting is still of use, in milliseconds. */
 const lookAgainMs = 100;
 /** When to come back, to another entry, from one that stops. */
 const stoppingRetryMs = 50;
-/** Upstreams that may decline a request before it is given up. */
-const maxDeclined = 3;
 
 export interface ForwarderParts {
     readonly view: FleetView<Configuration>;
@@ -58,12 +58,15 @@
     private readonly paces = new PaceBook();
     private readonly patience: Patience;
     private readonly room = new WaitingRoom<Place>();
-    private readonly budgets = new Map<string, WindowBudget>();
+    private readonly retries: Retries;
+    private readonly replies: Replies;
 
     public constructor(private readonly parts: ForwarderParts) {
         this.judge = new UpstreamJudge(this.ejections, parts.meter, parts.log);
         this.quarantine = new Quarantine(parts.view, parts.crashes);
         this.links = new LinkTable(parts.view);
+        this.retries = new Retries(parts.view, parts.budget, parts.metrics);
+        this.replies = new Replies({ ...parts, waiting: () => this.room.size });
         this.patience = new Patience(parts.view, this.links);
         this.picker = new Picker(this.ejections, parts.dataCentre, this.paces, parts.random ?? Math.random);
     }
@@ -87,13 +90,13 @@
             this.settleCharge(job);
             return;
         }
-        this.budget(job.service).request();
+        this.retries.arrived(job);
         const key = itemKeyOf(job);
         this.parts.meter.arrived(key, workOf(job));
         for (let tries = 0;; tries++) {
             const place = await this.place(job);
             if (job.gone.aborted) {
-                this.tell(job, "caller-gone", {});
+                this.replies.tell(job, "caller-gone", {});
                 this.settleCharge(job);
                 return;
             }
@@ -173,11 +176,10 @@
         }
         if (job.tried.length > 0 && refusal.answer !== OwnAnswer.barred) {
             // An upstream may have run it: "not run" would not be true.
-            this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.failed);
+            this.replies.answer(job, res, OwnAnswer.failed);
             return;
         }
-        const answer = job.answerStarted ? undefined : refusal.answer;
-        this.answer(job, res, answer, refusal.retryAfterMs, refusal.details);
+        this.replies.answer(job, res, refusal.answer, refusal.retryAfterMs, refusal.details);
     }
 
     /** Why a request that was let in must not be sent now; asked again right before each send. */
@@ -225,7 +227,7 @@
             }
             const ranMs = firstMs === undefined ? undefined : Math.round(ageMs(job)) - firstMs;
             this.quarantine.take(job, link, outcome, { sentAt: startedAt, ranMs });
-            this.tell(job, "attempt", {
+            this.replies.tell(job, "attempt", {
                 upstream: link.id,
                 try: tries + 1,
                 load: Math.round(link.load),
@@ -269,23 +271,23 @@
         this.judge.take(job, link.id, outcome);
         switch (outcome.kind) {
             case "answered":
-                this.count(job, "answered");
+                this.replies.count(job, "answered");
                 return "done";
             case "caller-gone":
-                this.count(job, "caller-gone");
+                this.replies.count(job, "caller-gone");
                 return "done";
             case "late":
-                this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.late);
+                this.replies.answer(job, res, OwnAnswer.late);
                 return "done";
             case "not-run":
                 job.tried.splice(job.tried.lastIndexOf(link.id), 1);
                 job.declined.add(link.id);
                 return this.afterDeclined(job, res);
             case "failure":
-                if (isRepeatable(job) && outcome.answer.status >= 500 && this.mayTryAgain(job)) {
+                if (isRepeatable(job) && outcome.answer.status >= 500 && this.retries.takeAfterFailure(job)) {
                     return "again";
                 }
-                this.handOn(job, res, outcome.answer);
+                this.replies.handOn(job, res, outcome.answer);
                 return "done";
             case "unknown":
             case "broken":
@@ -299,7 +301,7 @@
             this.refuse(job, res, barred);
             return "done";
         }
-        if (job.declined.size < maxDeclined && leftMs(job) > leastAttemptMs && this.spend(job)) {
+        if (this.retries.takeAfterDecline(job)) {
             return "again";
         }
         this.refuse(job, res, { kind: "refused", answer: OwnAnswer.declined, retryAfterMs: busyRetryMs });
@@ -308,98 +310,16 @@
 
     private afterFailed(job: Job, res: ServerResponse, broken: boolean): Verdict {
         const resumable = !broken || (job.route.resumable && job.lastEventId !== undefined);
-        if (isRepeatable(job) && resumable && this.quarantine.mayTryAgain(job) && this.mayTryAgain(job)) {
+        if (isRepeatable(job) && resumable && this.quarantine.mayTryAgain(job) && this.retries.takeAfterFailure(job)) {
             return "again";
         }
-        this.answer(job, res, job.answerStarted ? undefined : OwnAnswer.failed);
+        this.replies.answer(job, res, OwnAnswer.failed);
         return "done";
     }
 
-    private mayTryAgain(job: Job): boolean {
-        return job.tried.length < job.route.maxAttempts && leftMs(job) > leastAttemptMs && this.spend(job);
-    }
-
-    private spend(job: Job): boolean {
-        const spent = this.budget(job.service).spend(this.parts.view.entries);
-        if (!spent) {
-            this.parts.metrics.count("retries_denied_total", { service: job.service });
-        }
-        return spent;
-    }
-
-    private handOn(job: Job, res: ServerResponse, answer: Parameters<typeof writeHeldAnswer>[1]): void {
-        if (job.answerStarted) {
-            this.answer(job, res, undefined);
-            return;
-        }
-        this.count(job, "failure");
-        writeHeldAnswer(res, answer, this.parts.stopping());
-    }
-
-    /** Gives the final answer; without one, the connection ends, since part of an answer is out already. */
-    private answer(
-        job: Job,
-        res: ServerResponse,
-        answer: OwnAnswer | undefined,
-        retryAfterMs?: number,
-        details: Readonly<Record<string, unknown>> = {},
-    ): void {
-        this.count(job, answer?.reason ?? "cut");
-        this.tell(job, answer === undefined ? "cut" : "own-answer", {
-            status: answer?.status,
-            reason: answer?.reason,
-            retryAfterMs: retryAfterMs === undefined ? undefined : Math.round(retryAfterMs),
-            configuration: this.parts.view.version,
-            viewAgeMs: Math.round(this.parts.view.ageMs),
-            waiting: this.room.size,
-            ...details,
-        });
-        if (answer === undefined) {
-            res.destroy();
-            return;
-        }
-        // An entry that can't tell whose keys hold sends callers to others.
-        const close = this.parts.stopping() || answer === OwnAnswer.unconfirmed;
-        writeOwnAnswer(res, answer, { retryAfterMs, close });
-    }
-
-    private count(job: Job, outcome: string): void {
-        this.parts.metrics.count("requests_total", { route: job.route.name, outcome });
-        this.parts.metrics.histogram("request", { route: job.route.name, outcome }).record(ageMs(job));
-    }
-
-    private tell(job: Job, what: string, values: Readonly<Record<string, unknown>>): void {
-        const { model, adapter } = job.facts;
-        const failed = what !== "attempt" || values.outcome !== "answered";
-        const line = {
-            request: job.id,
-            route: job.route.name,
-            account: job.grant?.account,
-            model: model === "" ? undefined : model,
-            adapter: adapter === "" ? undefined : adapter,
-            ageMs: Math.round(ageMs(job)),
-            ...values,
-        };
-        if (failed) {
-            this.parts.log.warn(`request.${what}`, line);
-        }
-        else {
-            this.parts.log.info(`request.${what}`, line);
-        }
-    }
-
     private engineOf(service: string): EngineSpec | undefined {
         return this.parts.view.configuration?.services.find(({ name }) => name === service)?.engine;
     }
-
-    private budget(service: string): WindowBudget {
-        let budget = this.budgets.get(service);
-        if (budget === undefined) {
-            budget = new WindowBudget(this.parts.budget);
-            this.budgets.set(service, budget);
-        }
-        return budget;
-    }
 }
 
 function isSilent(outcome: AttemptOutcome): boolean {
