--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -1,6 +1,6 @@
 /** Runs admitted requests at the upstream, and hands their answers to whoever reads them. */
 import { create } from "@bufbuild/protobuf";
-import { messageOf, Notifier, sleep } from "@winchpath/core";
+import { messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import { NotConnectedError, type Upstream, type UpstreamAnswer } from "./engines.js";
 import {
@@ -104,6 +104,7 @@
         const timer = setTimeout(() => record.abort.abort(), req.timeoutMs);
         const timedOut = () => Date.now() >= deadline;
         const deadline = Date.now() + req.timeoutMs;
+        const startedAt = steadyNow();
         try {
             const answer = await this.upstream.send({
                 method: req.method,
@@ -115,7 +116,7 @@
             await this.receive(record, answer);
         }
         catch (err) {
-            await this.recordFailure(record, req, err, timedOut());
+            await this.recordFailure(record, req, err, { startedAt, timedOut: timedOut() });
         }
         finally {
             clearTimeout(timer);
@@ -142,7 +143,7 @@
         record: RunRecord,
         req: RunRequest,
         err: unknown,
-        timedOut: boolean,
+        { startedAt, timedOut }: { readonly startedAt: number; readonly timedOut: boolean; },
     ): Promise<void> {
         if (err instanceof NotConnectedError) {
             this.table.refuse(record, Refusal.UNREACHABLE, err.message);
@@ -151,7 +152,7 @@
         const message = messageOf(err);
         this.timeline.record("request.broken", { requestId: req.requestId, resource: req.resource, detail: message });
         const cutHere = timedOut || record.abort.signal.aborted;
-        const upstreamEnd = cutHere ? "" : await this.ends.nameNow();
+        const upstreamEnd = cutHere ? "" : await this.ends.nameFor(startedAt);
         const broken = create(RunBrokenSchema, { message, timedOut, upstreamEnd });
         record.finish(FenceOutcome.BROKEN, { broken });
     }
--- a/packages/upstream/src/upstreamends.ts
+++ b/packages/upstream/src/upstreamends.ts
@@ -1,23 +1,23 @@
 /** Gives one name to all that is told of one end of the upstream. */
-import { newIdentity } from "@winchpath/core";
+import { newIdentity, steadyNow } from "@winchpath/core";
 import { type Upstream } from "./engines.js";
 
-/** Requests that an end breaks off are told of it within this time of each other, in milliseconds. */
-const togetherMs = 500;
-
 export class UpstreamEnds {
+    /** `at`: steady time at which it was first noticed. */
     private current: { readonly name: string; readonly at: number; } | undefined;
 
     public constructor(private readonly upstream: Pick<Upstream, "hasEnded">) {}
 
-    /** Name of the end under which a request was broken off just now; empty where the upstream lives. */
-    public async nameNow(): Promise<string> {
+    /**
+     * Name of the end under which a request was broken off just now; empty where the upstream lives. A request that
+     * began no sooner than the last known end was broken off by another one, however soon the upstream was back.
+     */
+    public async nameFor(startedAt: number): Promise<string> {
         if (!await this.upstream.hasEnded()) {
             return "";
         }
-        const now = Date.now();
-        if (this.current === undefined || now - this.current.at > togetherMs) {
-            this.current = { name: newIdentity(), at: now };
+        if (this.current === undefined || startedAt >= this.current.at) {
+            this.current = { name: newIdentity(), at: steadyNow() };
         }
         return this.current.name;
     }
