Logs tell what an answer says of its upstream, and when an entry forgets an upstream on the leader's word

Cause: the logs of the incident could not tell whether an answer said that its upstream leaves or wants rest, nor when an entry dropped an upstream because the leader said that it has gone. No decision changes.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./logs.js";
 export * from "./names.js";
 export * from "./results.js";
+export * from "./retryafters.js";
 export * from "./schemas.js";
 export * from "./tasks.js";
 export * from "./units.js";
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -77,7 +77,7 @@
         this.liveEntries = Math.max(1, res.entries);
         this.quarantine.takeKey(res.fingerprintKey);
         this.quarantine.take(decodeQuarantine(res));
-        res.removed.forEach(id => this.drop(id));
+        res.removed.forEach(id => this.forget(id, res.epoch));
         res.changed.forEach(bytes => this.put(decodeUpstream(bytes), res.epoch));
         if (res.complete) {
             this.dropUnconfirmed(res.epoch);
@@ -131,6 +131,14 @@
         }
     }
 
+    /** The leader says that an upstream is gone. */
+    private forget(id: string, epoch: string): void {
+        if (this.get(id) !== undefined) {
+            this.log.info("upstream.forgotten", { upstream: id, epoch });
+            this.drop(id);
+        }
+    }
+
     private drop(id: string): void {
         const upstream = this.get(id);
         if (upstream === undefined) {
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -58,8 +58,10 @@
      * milliseconds after the start; undefined where the request can't go anywhere else.
      */
     readonly silentAfterMs: number | undefined;
+    /** Told what the head of any answer says, whether it is handed on or not. */
+    readonly onHead: (facts: AnswerFacts) => void;
     /** Told when the upstream has begun to answer, in time for the objective. */
-    readonly onAnswer: (facts: AnswerFacts) => void;
+    readonly onAnswer: () => void;
     /** Told how long a stream has been silent between two events, in milliseconds. */
     readonly onPause: (ms: number) => void;
 }
@@ -156,6 +158,7 @@
         if (this.facts.load !== undefined) {
             this.link.report(this.facts.load);
         }
+        this.parts.onHead(this.facts);
         this.checkAnswer(this.facts);
     }
 
@@ -243,7 +246,7 @@
             this.drop({ kind: "unknown", reason, lost: false });
         }
         else {
-            this.parts.onAnswer(facts);
+            this.parts.onAnswer();
         }
     }
 
--- a/packages/forwarding/src/codecs.ts
+++ b/packages/forwarding/src/codecs.ts
@@ -67,6 +67,10 @@
     /** Whether it does not hold what was asked for, or is another run than the one named. */
     readonly misdirected: boolean;
     readonly load: ReportedLoad | undefined;
+    /** Whether the upstream says that it is about to leave. */
+    readonly leaving: boolean;
+    /** For how long it wants no requests from this process, in milliseconds; undefined where it asks for no rest. */
+    readonly restMs: number | undefined;
 }
 
 export interface RequestCodec {
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -8,7 +8,7 @@
 import { OwnAnswer } from "./answers.js";
 import { attempt, type AttemptOutcome, silentReason } from "./attempts.js";
 import { type RetryBudgetOptions } from "./budgets.js";
-import { type RequestCodec } from "./codecs.js";
+import { type AnswerFacts, type RequestCodec } from "./codecs.js";
 import { ageMs, isRepeatable, type Job, ownTokensOf, tokensOf, workOf } from "./jobs.js";
 import { UpstreamJudge } from "./judges.js";
 import { type UpstreamLink } from "./links.js";
@@ -196,6 +196,7 @@
     ): Promise<AttemptOutcome> {
         const { meter, codec, stopping } = this.parts;
         const startedAt = steadyNow();
+        let head: AnswerFacts | undefined;
         let firstMs: number | undefined;
         let pauseMs = 0;
         const stay = link.begin(job.priority, ownTokensOf(job), tokensOf(job));
@@ -214,6 +215,9 @@
                 onPause: ms => {
                     pauseMs = Math.max(pauseMs, ms);
                 },
+                onHead: facts => {
+                    head = facts;
+                },
                 onAnswer: () => {
                     firstMs = Math.round(ageMs(job));
                     stay.read();
@@ -239,6 +243,9 @@
                 // Tells equal requests by, and how long one had been running, where upstreams end under it.
                 fingerprint: isLost(outcome) ? this.quarantine.fingerprint(job) : undefined,
                 ranMs: isLost(outcome) ? ranMs : undefined,
+                // What the upstream said of itself in this answer.
+                leaving: head?.leaving || undefined,
+                restMs: head?.restMs,
                 tookMs: Math.round(steadyNow() - startedAt),
             });
             return outcome;
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -1,7 +1,7 @@
 /** An upstream that answers as a test says, byte by byte, and an entry in one process. */
 import { create } from "@bufbuild/protobuf";
 import { AccountLimiter, Authenticator, type RevocationOptions } from "@winchpath/accounts";
-import { Metrics, silentLog, steadyNow } from "@winchpath/core";
+import { Metrics, retryAfterMs, silentLog, steadyNow } from "@winchpath/core";
 import { type Configuration, type EngineSpec, type Route } from "@winchpath/declarations";
 import { DemandMeter, encodeUpstream, FleetView, type Upstream, UpstreamSchema, UpstreamState } from "@winchpath/fleet";
 import { once } from "node:events";
@@ -41,6 +41,8 @@
         notRun: headerOf(headers, "x-not-run") !== undefined,
         misdirected: status === 421,
         load: undefined,
+        leaving: headerOf(headers, "x-leaving") === "1",
+        restMs: status === 503 ? retryAfterMs(headerOf(headers, "retry-after")) : undefined,
     }),
 };
 
--- a/packages/loadpatterns/src/entries.ts
+++ b/packages/loadpatterns/src/entries.ts
@@ -108,7 +108,7 @@
             outputTokens: tokensOf(job) - ownTokensOf(job),
         };
         const end = await this.engines.get(link.id)!.run(work, cut, () => {
-            parts.onAnswer({ id: job.id, sealed: true, notRun: false, misdirected: false, load: undefined });
+            parts.onAnswer();
             job.answerStarted = true;
             (parts.res as unknown as SimulatedResponse).first();
         });
