What an upstream says of itself holds: in any answer, for every sender of the process, under every leader

Cause: nobody read what an answer says of its upstream (leaving, rest), and what the control group knew of a departure was lost with its leader: one that had lost its majority 0.4 s before acknowledged it, the next one believed a late announcement, and entries dropped what they had known. Class: word of a fact that is final, or holds for a time, is kept only where it happened to be heard. Ruled out: a request chosen seconds before (sent 5 ms after it came in); ejection letting resting ones in (nothing was ejected); our own tries as the whole cause (61 of 92 were first tries). Change: packages/availability, one book for the process, by incarnation, asked at the choice and right before bytes go out. Leaving is final; entries tell every leader of a leaver for a minute, leaders tell entries which of those that are gone had left; a departure is acknowledged once a majority has confirmed the leader. A rest is apart from ejection, the longest holds, one request ends it; where all rest callers are refused at once with its end. Orders and reports to an engine keep its rest, and read its word, too.

--- /dev/null
+++ b/packages/availability/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./availabilities.js";
+export * from "./leavers.js";
+export * from "./rests.js";
--- a/packages/fleet/src/announcements.ts
+++ b/packages/fleet/src/announcements.ts
@@ -17,8 +17,13 @@
 /** Stands for the leader's URL where this host leads itself. */
 const ownUrl = "self";
 
+/** A leader that can't confirm by then that it still is one acknowledges no departure, in milliseconds. */
+const confirmMs = 700;
+
 export interface DeskControl {
     readonly leads: boolean;
+    /** Returns once a majority has confirmed that this host leads still; fails where none has in time. */
+    confirmLeadership(timeoutMs: number): Promise<void>;
     /** URL of the leader; empty where none is known. */
     readonly leaderUrl: string;
 }
@@ -115,11 +120,19 @@
         const position = this.registry.announce(announcement);
         this.feed.wake();
         if (upstream?.state === UpstreamState.DRAINING) {
-            await this.feed.spread(position, spreadMs);
+            await this.settleDeparture(position);
         }
     }
 
     public async leaveHere({ name, born }: Incarnation): Promise<void> {
-        await this.feed.spread(this.registry.leave(name, born), spreadMs);
+        await this.settleDeparture(this.registry.leave(name, born));
+    }
+
+    /**
+     * Returns once entries know it and this host has shown that it leads. One that had lost its majority 0.4 s before
+     * acknowledged a departure that the next leader never heard of; the upstream asks another host where this fails.
+     */
+    private async settleDeparture(position: number): Promise<void> {
+        await Promise.all([this.feed.spread(position, spreadMs), this.control.confirmLeadership(confirmMs)]);
     }
 }
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -218,6 +218,7 @@
             position: BigInt(changes.position),
             changed: changes.changed.map(encodeUpstream),
             removed: [...changes.removed],
+            left: [...changes.left],
             documentVersion: BigInt(document?.version ?? 0),
             documentText: document?.text ?? "",
             entries: this.liveEntries,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -27,6 +27,7 @@
 export * from "./healthwatches.js";
 export * from "./incarnations.js";
 export * from "./items.js";
+export * from "./leavers.js";
 export * from "./meters.js";
 export * from "./orderleases.js";
 export * from "./orderlines.js";
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -1,6 +1,7 @@
 /** Counts at an entry what callers ask for, and tells the leader. */
 import { clone, create } from "@bufbuild/protobuf";
 import { type AccountCounts, type Allowance } from "@winchpath/accounts";
+import { AvailabilityBook } from "@winchpath/availability";
 import { type EventLog, messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
 import { type PeerClients } from "@winchpath/rpc";
 import { ordinaryPaceMs } from "./feedpaces.js";
@@ -12,6 +13,7 @@
     type Mismatch,
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type ItemKey, itemName, modelName } from "./items.js";
+import { ToldLeavers } from "./leavers.js";
 import { PastDemands } from "./pastdemands.js";
 
 /** How often demand is told, in milliseconds; a model's load takes a second and more. */
@@ -55,6 +57,7 @@
     private mismatches: Mismatch[] = [];
     private readonly unreachable = new Set<string>();
     private readonly outcomes = new Map<string, { readonly upstream: string; served: number; failed: number; }>();
+    private readonly leavers: ToldLeavers;
     private readonly urgent = new Notifier();
     /** Steady time of the last report. */
     private reportedAt = Number.NEGATIVE_INFINITY;
@@ -69,7 +72,10 @@
     private accounts: AccountMeter | undefined;
     private pressed: NodeJS.Timeout | undefined;
 
-    public constructor(private readonly log: EventLog) {}
+    /** `availability`: what upstreams have said of themselves; leaders are told which leave. */
+    public constructor(private readonly log: EventLog, availability = new AvailabilityBook()) {
+        this.leavers = new ToldLeavers(availability);
+    }
 
     /** Reports tell of accounts too. */
     public tellOf(accounts: AccountMeter): void {
@@ -131,6 +137,11 @@
         this.urgent.notify();
     }
 
+    /** An upstream has told this process that it leaves: others are to hear of it soon. */
+    public leaving(): void {
+        this.urgent.notify();
+    }
+
     /** A request ended at an upstream; failures are told at once. */
     public outcome(upstream: string, failed: boolean): void {
         let counts = this.outcomes.get(upstream);
@@ -179,6 +190,7 @@
         const { mismatches } = this;
         const unreachable = [...this.unreachable];
         const outcomes = [...this.outcomes.values()];
+        const leaving = this.leavers.toTell(epoch);
         this.settle();
         this.reportedAt = steadyNow();
         clearTimeout(this.pressed);
@@ -197,11 +209,13 @@
                 paces,
                 unreachable,
                 outcomes,
+                leaving,
                 accounts: counts.map(encodeCounts),
                 process: BigInt(this.process),
             };
             const res = await clients.client(FleetService, url).reportDemand(req, { timeoutMs: reportTimeoutMs });
             this.toldTo = epoch;
+            this.leavers.told(leaving, epoch);
             this.accounts?.take(counts, res.allowances.map(decodeAllowance));
         }
         catch (err) {
@@ -225,7 +239,7 @@
 
     private get hasNews(): boolean {
         return this.items.size > 0 || this.mismatches.length > 0 || this.unreachable.size > 0
-            || this.outcomes.size > 0 || (this.accounts?.counts().length ?? 0) > 0;
+            || this.outcomes.size > 0 || this.leavers.hasNews || (this.accounts?.counts().length ?? 0) > 0;
     }
 
     private settle(): void {
--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -158,7 +158,19 @@
         this.expected = undefined;
     }
 
+    /** Waits while the engine wants nothing from this host, which may send it callers' requests too. */
+    private async untilRested(): Promise<void> {
+        for (let upstream = this.upstream; upstream !== undefined; upstream = this.upstream) {
+            const ms = this.calls.restMs(upstream);
+            if (ms <= 0) {
+                return;
+            }
+            await sleep(ms);
+        }
+    }
+
     private async send(order: EngineOrder): Promise<OrderReply> {
+        await this.untilRested();
         const { upstream } = this;
         const fence = this.owner.fence();
         if (upstream === undefined || fence === undefined || this.expected === undefined) {
@@ -285,6 +297,7 @@
     private async read(upstream: Upstream): Promise<boolean> {
         // A report from before the last order took effect would tell of room that is taken.
         await sleep(Math.max(0, this.lastOrderAt + reportLagMs - steadyNow()));
+        await this.untilRested();
         const report = await this.calls.report(upstream);
         if (report === undefined) {
             return false;
--- a/packages/fleet/src/orders.ts
+++ b/packages/fleet/src/orders.ts
@@ -47,6 +47,8 @@
     order(upstream: Upstream, order: EngineOrder, expected: number, fence: Fence): Promise<OrderReply>;
     /** Undefined where no report could be had. */
     report(upstream: Upstream): Promise<EngineReport | undefined>;
+    /** For how long an engine wants nothing from this host, in milliseconds; 0 where it takes orders. */
+    restMs(upstream: Upstream): number;
 }
 
 export function describeOrder(order: EngineOrder): string {
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -1,5 +1,6 @@
 /** The upstreams that have announced themselves, as the leader of the control group knows them. */
 import { clone, create, equals } from "@bufbuild/protobuf";
+import { LeaverBook } from "@winchpath/availability";
 import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
 import { ChangeLog } from "./changelogs.js";
 import {
@@ -65,6 +66,8 @@
     readonly position: number;
     readonly changed: readonly Upstream[];
     readonly removed: readonly string[];
+    /** Those among `removed` that had said that they leave. */
+    readonly left: readonly string[];
     /** Whether `changed` is everything there is. */
     readonly whole: boolean;
 }
@@ -79,6 +82,8 @@
     private readonly ended = new EndedIncarnations();
     private readonly changes = new ChangeLog();
     private readonly strangers: Strangers;
+    /** Outlives leaderships and silences: what an incarnation has said once holds until its end. */
+    private readonly leavers = new LeaverBook();
     /** When an announcement was first doubted, by the id of its sender. */
     private readonly doubted = new Map<string, number>();
     /** Incarnations whose name or address is another's now: they ended, whatever they had said. */
@@ -180,7 +185,25 @@
         const known = this.known(name);
         const left = born === 0n && known !== undefined ? known : { name, born };
         this.ended.end(left);
-        return known !== undefined && !succeeds(known, left) ? this.remove(known.id, "left") : this.newest;
+        if (known === undefined || succeeds(known, left)) {
+            return this.newest;
+        }
+        this.leavers.add(known.id);
+        return this.remove(known.id, "left");
+    }
+
+    /** An answer of an upstream has said that it leaves, whatever it announces. */
+    public noteLeaving(id: string, from: string): void {
+        const isNew = this.leavers.add(id);
+        const entry = this.upstreams.get(id);
+        if (isNew) {
+            this.log.info("upstream.leaving", { upstream: id, told: "answer", from });
+        }
+        if (entry !== undefined && entry.upstream.state !== UpstreamState.DRAINING) {
+            const next = clone(UpstreamSchema, entry.upstream);
+            next.state = UpstreamState.DRAINING;
+            this.replace(entry, next);
+        }
     }
 
     /** Sets what an engine holds, as it was read or as orders have changed it. */
@@ -256,7 +279,8 @@
         const whole = position < this.removalFloor;
         const changed = whole ? [...this.upstreams.values()] : this.changedSince(position);
         const removed = this.removals.filter(removal => removal.position > position).map(removal => removal.id);
-        return { position: this.newest, changed: changed.map(entry => entry.upstream), removed, whole };
+        const left = removed.filter(id => this.leavers.has(id));
+        return { position: this.newest, changed: changed.map(entry => entry.upstream), removed, left, whole };
     }
 
     /** Forgets everything, at the start of a leadership: what was known may be old. */
@@ -300,11 +324,14 @@
 
     private takeIn(entry: Entry, told: Upstream, isNew: boolean): void {
         const next = clone(UpstreamSchema, told);
+        if (next.state === UpstreamState.DRAINING) {
+            this.leavers.add(next.id);
+        }
+        else if (this.leavers.has(next.id)) {
+            // An announcement that says otherwise was sent before, or by an upstream that says so in its answers only.
+            next.state = UpstreamState.DRAINING;
+        }
         if (!isNew) {
-            // Draining is final: an announcement that says otherwise was sent before.
-            if (entry.upstream.state === UpstreamState.DRAINING) {
-                next.state = UpstreamState.DRAINING;
-            }
             if (entry.modelsFromOrders) {
                 next.models = entry.upstream.models;
             }
--- a/packages/fleet/src/tests/orderlines.test.ts
+++ b/packages/fleet/src/tests/orderlines.test.ts
@@ -1,4 +1,4 @@
-import { Notifier, silentLog, until } from "@winchpath/core";
+import { Notifier, silentLog, steadyNow, until } from "@winchpath/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { type EngineOrder, type Fence, OrderLine, OrderReply, type Registry } from "../index.js";
@@ -43,6 +43,16 @@
         expect(line.free).toEqual(true);
     });
 
+    it("sends nothing to an engine that wants rest from this host, and goes on once that is over", async () => {
+        const engine = new ScriptedEngine();
+        const { line, registry } = await lineFor(engine);
+        engine.restsUntil = steadyNow() + 120;
+        const startedAt = steadyNow();
+        await line.give(order("load", "m1"), 1);
+        expect(held(registry)).toEqual(["m1"]);
+        expect(steadyNow() - startedAt).toBeGreaterThanOrEqual(120);
+    });
+
     it("says what is held once a load has ended", async () => {
         const engine = new ScriptedEngine();
         const { line, registry } = await lineFor(engine);
--- a/packages/fleet/src/tests/standins.ts
+++ b/packages/fleet/src/tests/standins.ts
@@ -1,6 +1,6 @@
 /** Engines, upstreams and demand for the tests of this slice. */
 import { create } from "@bufbuild/protobuf";
-import { silentLog } from "@winchpath/core";
+import { silentLog, steadyNow } from "@winchpath/core";
 import { type EngineSpec } from "@winchpath/declarations";
 import {
     type Announcement,
@@ -97,6 +97,8 @@
     public accepted = 0;
     public busy = false;
     public crashed = false;
+    /** Steady time until which it wants nothing. */
+    public restsUntil = 0;
     /** Answers in place of the engine's own, while there are any. */
     public readonly scripts: Script[] = [];
 
@@ -105,6 +107,10 @@
         return this.scripts.shift()?.(order, expected) ?? this.carryOut(order, expected);
     }
 
+    public restMs(): number {
+        return Math.max(0, this.restsUntil - steadyNow());
+    }
+
     public async report(): Promise<EngineReport | undefined> {
         const models = [...this.models].map(([name, adapters]) =>
             create(HeldModelSchema, { name, adapters: [...adapters] })
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -1,4 +1,5 @@
 /** What an entry knows of upstreams and configuration. It goes on with it while control is out of reach. */
+import { AvailabilityBook } from "@winchpath/availability";
 import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
 import { QuarantineList } from "@winchpath/quarantine";
 import { decodeQuarantine, decodeUpstream } from "./encodings.js";
@@ -21,7 +22,12 @@
     private heardAt = Number.NEGATIVE_INFINITY;
     private confirmed = Number.NEGATIVE_INFINITY;
 
-    public constructor(private readonly read: DocumentReader<C>, private readonly log: EventLog) {}
+    /** `availability`: what upstreams have said of themselves, in whatever way this process has heard it. */
+    public constructor(
+        private readonly read: DocumentReader<C>,
+        private readonly log: EventLog,
+        public readonly availability = new AvailabilityBook(),
+    ) {}
 
     public get configuration(): C | undefined {
         return this.held?.configuration;
@@ -77,6 +83,8 @@
         this.liveEntries = Math.max(1, res.entries);
         this.quarantine.takeKey(res.fingerprintKey);
         this.quarantine.take(decodeQuarantine(res));
+        // Outlives this leader: the next one may not have heard of it, and believe a late announcement.
+        res.left.forEach(id => this.availability.leaves(id));
         res.removed.forEach(id => this.forget(id, res.epoch));
         res.changed.forEach(bytes => this.put(decodeUpstream(bytes), res.epoch));
         if (res.complete) {
@@ -99,8 +107,11 @@
             return;
         }
         const before = this.known.get(upstream.id);
-        if (before?.upstream.state === UpstreamState.DRAINING) {
-            // A new leader may not have heard yet that it drains.
+        if (upstream.state === UpstreamState.DRAINING) {
+            this.availability.leaves(upstream.id);
+        }
+        else if (this.availability.isLeaving(upstream.id)) {
+            // A leader may not have heard yet what this process knows, or may have forgotten the upstream meanwhile.
             upstream.state = UpstreamState.DRAINING;
         }
         if (before?.upstream.state !== upstream.state) {
--- a/packages/forwarding/src/answers.ts
+++ b/packages/forwarding/src/answers.ts
@@ -19,6 +19,8 @@
     bodyLate: { status: 408, reason: "body-late" },
     /** All upstreams are busy; not run. */
     overloaded: { status: 503, reason: "overloaded" },
+    /** All upstreams that hold what it asks for have asked this entry for rest; not run. */
+    resting: { status: 503, reason: "resting" },
     /** What it asks for is not loaded anywhere; not run. */
     lacking: { status: 503, reason: "lacking" },
     /** The service has no upstream that takes requests; not run. */
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -19,6 +19,7 @@
 import { isLost, Quarantine } from "./quarantines.js";
 import { Replies } from "./replies.js";
 import { Retries } from "./retries.js";
+import { UpstreamSignals } from "./signals.js";
 import { WaitingRoom } from "./waitingrooms.js";
 
 /** A request that waits looks this often whether waiting is still of use, in milliseconds. */
@@ -53,6 +54,7 @@
     private readonly ejections = new EjectionBook();
     private readonly judge: UpstreamJudge;
     private readonly quarantine: Quarantine;
+    private readonly signals: UpstreamSignals;
     private readonly links: LinkTable;
     private readonly picker: Picker;
     private readonly paces = new PaceBook();
@@ -64,11 +66,14 @@
     public constructor(private readonly parts: ForwarderParts) {
         this.judge = new UpstreamJudge(this.ejections, parts.meter, parts.log);
         this.quarantine = new Quarantine(parts.view, parts.crashes);
+        const { availability } = parts.view;
+        this.signals = new UpstreamSignals({ ...parts, availability });
         this.links = new LinkTable(parts.view);
         this.retries = new Retries(parts.view, parts.budget, parts.metrics);
         this.replies = new Replies({ ...parts, waiting: () => this.room.size });
-        this.patience = new Patience(parts.view, this.links);
-        this.picker = new Picker(this.ejections, parts.dataCentre, this.paces, parts.random ?? Math.random);
+        const random = parts.random ?? Math.random;
+        this.patience = new Patience(parts.view, this.links, random);
+        this.picker = new Picker(this.ejections, availability, parts.dataCentre, this.paces, random);
     }
 
     /** Follows what the view knows now, and lets those that wait try again. */
@@ -142,9 +147,9 @@
                     told = true;
                     this.parts.meter.waits(key);
                 }
-                const waitMs = this.patience.waitMs(job, found.kind);
+                const waitMs = this.patience.waitMs(job, found);
                 if (waitMs <= 0 || job.gone.aborted) {
-                    return this.patience.refusal(job, found.kind);
+                    return this.patience.refusal(job, found);
                 }
                 const later = await this.waitForPlace(job, Math.min(waitMs, lookAgainMs));
                 if (later !== undefined) {
@@ -202,6 +207,7 @@
         const stay = link.begin(job.priority, ownTokensOf(job), tokensOf(job));
         meter.started(key);
         this.ejections.sent(link.id);
+        this.parts.view.availability.sent(link.id);
         job.tried.push(link.id);
         try {
             const outcome = await (this.parts.send ?? attempt)(job, link, {
@@ -217,6 +223,7 @@
                 },
                 onHead: facts => {
                     head = facts;
+                    this.signals.take(job, link, facts);
                 },
                 onAnswer: () => {
                     firstMs = Math.round(ageMs(job));
@@ -308,6 +315,12 @@
             this.refuse(job, res, barred);
             return "done";
         }
+        const next = this.placeNow(job);
+        if (next.kind === "resting" && this.patience.waitMs(job, next) <= 0) {
+            // Without taking a retry that another request could use.
+            this.refuse(job, res, this.patience.refusal(job, next));
+            return "done";
+        }
         if (this.retries.takeAfterDecline(job)) {
             return "again";
         }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -19,4 +19,5 @@
 export * from "./replies.js";
 export * from "./retries.js";
 export * from "./routetables.js";
+export * from "./signals.js";
 export * from "./waitingrooms.js";
--- a/packages/forwarding/src/linktables.ts
+++ b/packages/forwarding/src/linktables.ts
@@ -47,14 +47,16 @@
 
     /** Upstreams of a service that take new requests. */
     public ready(service: string): UpstreamLink[] {
-        return [...this.links.values()].filter(({ description }) =>
+        return [...this.links.values()].filter(({ id, description }) =>
             description.service === service && description.state === UpstreamState.READY
+            && !this.view.availability.isLeaving(id)
         );
     }
 
-    /** Whether an upstream still takes new requests. */
+    /** Whether an upstream still takes new requests; asked right before one is sent. */
     public isReady(link: UpstreamLink): boolean {
-        return this.links.get(link.id) === link && link.description.state === UpstreamState.READY;
+        return this.links.get(link.id) === link && link.description.state === UpstreamState.READY
+            && this.view.availability.sendable(link.id).kind === "open";
     }
 
     public close(): void {
--- a/packages/forwarding/src/patiences.ts
+++ b/packages/forwarding/src/patiences.ts
@@ -1,4 +1,5 @@
 /** How long a request waits at the entry for an upstream, and when it is to come back otherwise. */
+import { steadyNow } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { type FleetView } from "@winchpath/fleet";
 import { type Refusal } from "./admissions.js";
@@ -41,20 +42,41 @@
     return Math.min(silent, Math.max(objectiveMs, patienceLeftMs(job) * silentPatienceShare));
 }
 
+/** Callers that are sent away until the end of a rest come back over this share of its time more, drawn for each. */
+const restSpread = 0.25;
+
 /** Why no upstream was found. */
-export type Obstacle = Exclude<Choice["kind"], "upstream">;
+export type Obstacle = Exclude<Choice, { readonly kind: "upstream"; }>;
 
 export class Patience {
-    public constructor(private readonly view: FleetView<Configuration>, private readonly links: LinkTable) {}
+    /** `random`: draws from 0 to 1. */
+    public constructor(
+        private readonly view: FleetView<Configuration>,
+        private readonly links: LinkTable,
+        private readonly random: () => number,
+    ) {}
 
     /** How long the request may wait from now on, in milliseconds; 0 or less where it is refused. */
     public waitMs(job: Job, why: Obstacle): number {
-        const useful = why === "lacking" ? this.loadWaitMs(job) : earlyMs(job);
-        return Math.min(useful, patienceLeftMs(job) - leastAttemptMs);
+        return Math.min(this.usefulMs(job, why), patienceLeftMs(job) - leastAttemptMs);
+    }
+
+    private usefulMs(job: Job, why: Obstacle): number {
+        switch (why.kind) {
+            case "lacking":
+                return this.loadWaitMs(job);
+            case "resting":
+                // It is known when one may be asked again: a request for which that is too late is refused at once.
+                return why.until - steadyNow() < earlyMs(job) ? earlyMs(job) : 0;
+            default:
+                return earlyMs(job);
+        }
     }
 
     public refusal(job: Job, why: Obstacle): Refusal {
-        switch (why) {
+        switch (why.kind) {
+            case "resting":
+                return { kind: "refused", answer: OwnAnswer.resting, retryAfterMs: this.restMs(why.until) };
             case "lacking":
                 return { kind: "refused", answer: OwnAnswer.lacking, retryAfterMs: this.returnAfterMs(job) };
             case "none":
@@ -64,6 +86,10 @@
         }
     }
 
+    private restMs(until: number): number {
+        return Math.max(busyRetryMs, until - steadyNow()) * (1 + restSpread * this.random());
+    }
+
     private loadWaitMs(job: Job): number {
         const { objectiveMs } = job.route;
         const inTime = objectiveMs * loadWaitShare - ageMs(job);
--- a/packages/forwarding/src/pickers.ts
+++ b/packages/forwarding/src/pickers.ts
@@ -1,4 +1,5 @@
 /** Chooses the upstream for a request. */
+import { type AvailabilityBook, withoutResting } from "@winchpath/availability";
 import { type EngineSpec } from "@winchpath/declarations";
 import { type EjectionBook } from "@winchpath/routing";
 import { createHash } from "node:crypto";
@@ -22,6 +23,8 @@
     | { readonly kind: "upstream"; readonly link: UpstreamLink; }
     /** There are holders, but all are full. */
     | { readonly kind: "full"; }
+    /** There are holders, but all have asked this entry for rest; `until`: steady time of the first end. */
+    | { readonly kind: "resting"; readonly until: number; }
     /** No upstream holds what is asked for. */
     | { readonly kind: "lacking"; }
     /** The service has no upstream that takes requests. */
@@ -30,6 +33,7 @@
 export class Picker {
     public constructor(
         private readonly ejections: EjectionBook,
+        private readonly availability: AvailabilityBook,
         private readonly dataCentre: string,
         private readonly paces: PaceBook,
         /** Draws from 0 to 1. */
@@ -45,7 +49,12 @@
         if (holders.length === 0) {
             return { kind: "lacking" };
         }
-        const admitted = this.ejections.admitted(candidates(job, holders));
+        // Left out before ejections are: those let everything in again where too few are left, a rest holds.
+        const { awake, until } = withoutResting(this.availability, holders, ({ id }) => id);
+        if (awake.length === 0) {
+            return { kind: "resting", until };
+        }
+        const admitted = this.ejections.admitted(candidates(job, awake));
         const open = admitted.filter(link => this.hasRoom(link, job, engine));
         if (open.length === 0) {
             return { kind: "full" };
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -217,6 +217,7 @@
                 }))
             ),
             removed: [],
+            left: [],
             documentVersion: 1n,
             documentText: "{}",
             entries: 1,
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -151,6 +151,7 @@
                 await trip();
                 return find(upstream).report();
             },
+            restMs: () => 0,
         };
     }
 }
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -1,5 +1,6 @@
 /** What a host with a disk does for control on the platform: configuration, upstreams, orders to engines. */
 import { type EntryCounts, LimitBook } from "@winchpath/accounts";
+import { type AvailabilityBook } from "@winchpath/availability";
 import {
     ComposedMachine,
     ConsensusService,
@@ -10,7 +11,15 @@
     ReplicaKeeper,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { type EventLog, listenBacklog, messageOf, type Metrics, steadyNow } from "@winchpath/core";
+import {
+    type EventLog,
+    Failure,
+    FailureCode,
+    listenBacklog,
+    messageOf,
+    type Metrics,
+    steadyNow,
+} from "@winchpath/core";
 import {
     type Configuration,
     type ConfigurationDocument,
@@ -110,6 +119,7 @@
 
     public constructor(
         private readonly settings: LiveSettings,
+        availability: AvailabilityBook,
         private readonly metrics: Metrics,
         private readonly log: EventLog,
     ) {
@@ -122,7 +132,8 @@
         this.limits = new LimitBook(settings.current.limitTolerance, log);
         this.feed = new Feed(this.registry, this, log);
         this.desk = new AnnouncementDesk(this.registry, this.feed, this, this.clients, log);
-        this.engines = new PlatformEngineCalls(log);
+        const noteLeaving = (id: string) => this.registry.noteLeaving(id, host);
+        this.engines = new PlatformEngineCalls(availability, noteLeaving, log);
         this.server = controlServer(this, control!.port, log);
         this.keeper = this.makeKeeper();
     }
@@ -250,6 +261,15 @@
         await this.keeper.require().barrier(callMs);
     }
 
+    public async confirmLeadership(timeoutMs: number): Promise<void> {
+        const { epoch } = this;
+        await this.keeper.require().barrier(timeoutMs);
+        // A host that has been deposed meanwhile passes the barrier by asking the next leader.
+        if (epoch === undefined || this.epoch !== epoch) {
+            throw Failure.of(FailureCode.noLeader, "another leader has followed");
+        }
+    }
+
     public get epoch(): string | undefined {
         const leading = this.replica?.leading;
         // A leader that is cut off finds out within an election time; until then it tells nobody anything new.
@@ -282,6 +302,7 @@
             demanded: (report: DemandRequest) => {
                 report.mismatches.forEach(mismatch => this.leadership?.placement.doubt(mismatch));
                 report.unreachable.forEach(id => this.registry.unreachable(id, report.entry));
+                report.leaving.forEach(id => this.registry.noteLeaving(id, report.entry));
                 this.leadership?.healths.take(report);
                 this.leadership?.placement.notify();
             },
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -1,5 +1,6 @@
 /** An entry on the platform: takes callers' requests and forwards them. */
 import { AccountLimiter, Authenticator } from "@winchpath/accounts";
+import { type AvailabilityBook } from "@winchpath/availability";
 import { type EventLog, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { CrashReporter, DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
@@ -39,19 +40,20 @@
 
     public constructor(
         private readonly settings: LiveSettings,
+        availability: AvailabilityBook,
         private readonly metrics: Metrics,
         private readonly log: EventLog,
     ) {
         const { host, dataCentre, retryBudget } = settings.current;
         const timeline = new Timeline({ process: `entry/${host}`, host, dataCentre });
         this.clients = new RpcClients({ key: undefined, timeline });
-        this.view = new FleetView((text, version) => this.readDocument(text, version), log);
+        this.view = new FleetView((text, version) => this.readDocument(text, version), log, availability);
         this.follower = new FeedFollower(this.view, this.clients, {
             entry: host,
             dataCentre,
             seeds: () => seedsOf(settings.current),
         }, log);
-        this.meter = new DemandMeter(log);
+        this.meter = new DemandMeter(log, availability);
         this.crashes = new CrashReporter(isRefused, log);
         const codec = new PlatformRequestCodec();
         const stopping = () => this.leaving;
--- a/packages/winchpathd/src/platformhosts.ts
+++ b/packages/winchpathd/src/platformhosts.ts
@@ -3,6 +3,7 @@
  * that callers reach does both in one process, since a second one would double
  * what a runtime takes of the host's memory.
  */
+import { AvailabilityBook } from "@winchpath/availability";
 import { type EventLog, Metrics } from "@winchpath/core";
 import { metricsServer } from "@winchpath/platform";
 import { type PlatformEntry } from "./platformentries.js";
@@ -19,6 +20,8 @@
 
 export class PlatformHost {
     private readonly metrics = new Metrics();
+    /** One for the whole process: a rest is asked of a host, whichever of its parts sends. */
+    private readonly availability = new AvailabilityBook();
     private readonly metricsListener = metricsServer(() => this.metrics.toText());
     private entry: PlatformEntry | undefined;
     private control: ControlPart | undefined;
@@ -30,7 +33,7 @@
         const { callers, control, dataFolder, metrics } = this.settings.current;
         if (callers !== undefined) {
             const { PlatformEntry } = await import("./platformentries.js");
-            this.entry = new PlatformEntry(this.settings, this.metrics, this.log);
+            this.entry = new PlatformEntry(this.settings, this.availability, this.metrics, this.log);
             // Callers are let in before the rest is loaded: at a share of a core that takes a while.
             await this.entry.start();
         }
@@ -49,7 +52,7 @@
 
     private async makeControl(): Promise<ControlPart> {
         const { PlatformControl } = await import("./platformcontrols.js");
-        return new PlatformControl(this.settings, this.metrics, this.log);
+        return new PlatformControl(this.settings, this.availability, this.metrics, this.log);
     }
 
     /** Without an entry beside it, a host without a disk knows of no leader and says so. */
