Our own interface: an agent keeps its upstream's rest, hears that it leaves, and entries go by both

The agent took a 503 with a time for an ordinary refusal; entries tried there again, and nothing in an answer could say that its upstream leaves. Change: RunRefused tells the rest; the agent sends nothing in it (reads of the engine's state go on: they are not work, and routing lives by them); entries leave resting ones out, and refuse at once where all rest for longer than the request may wait. A refusal for leaving is final for its incarnation. Before and after: by the tests of upstream, routing and requests; none of them could be written before.

--- a/packages/bench/src/engines.ts
+++ b/packages/bench/src/engines.ts
@@ -8,6 +8,7 @@
     OrderOutcome,
     type OrderRequest,
     Refusal,
+    refusedChunk,
     ReportRequestSchema,
     type RunChunk,
     RunChunkSchema,
@@ -129,13 +130,7 @@
             throw new Error("lost");
         }
         if (this.held.get(model)?.ready !== true) {
-            const value = {
-                $typeName: "winchpath.upstream.v1.RunRefused" as const,
-                refusal: Refusal.NOT_RESIDENT,
-                revision: 0n,
-                message: "",
-            };
-            yield create(RunChunkSchema, { refused: value });
+            yield refusedChunk({ refusal: Refusal.NOT_RESIDENT, message: "" });
             return;
         }
         this.change(1);
--- a/packages/requests/src/attempts.ts
+++ b/packages/requests/src/attempts.ts
@@ -32,6 +32,7 @@
         const { upstream, incarnation } = plan.replica;
         this.router.loads.started(upstream);
         this.router.ejections.sent(upstream);
+        this.router.availability.sent(incarnation);
         const end: { value: AttemptEnd; } = { value: { tag: "lost", message: "the connection ended" } };
         try {
             yield* this.watch.during(upstream, incarnation, lost => this.receive(job, plan, reader, lost, end));
@@ -40,6 +41,7 @@
             this.router.loads.ended(upstream);
             this.cancelIfLeft(job, plan);
         }
+        this.hear(incarnation, end.value);
         this.learn(upstream, end.value);
         return end.value;
     }
@@ -70,7 +72,8 @@
         }
         catch (err) {
             if (err instanceof NotSentError && !plan.attach) {
-                end.value = { tag: "refused", refusal: Refusal.UNREACHABLE, revision: 0, message: err.message };
+                const refusal = Refusal.UNREACHABLE;
+                end.value = { tag: "refused", refusal, revision: 0, message: err.message, restMs: 0 };
                 return;
             }
             end.value = { tag: "lost", message: lost.aborted ? "the agent's lease has run out" : messageOf(err) };
@@ -110,6 +113,20 @@
         }
     }
 
+    /** Takes in what an agent has said of the upstream beside it. */
+    private hear(incarnation: string, end: AttemptEnd): void {
+        const { availability } = this.router;
+        if (end.tag === "whole") {
+            availability.answered(incarnation);
+        }
+        else if (end.tag === "refused" && end.refusal === Refusal.LEAVING) {
+            availability.leaves(incarnation);
+        }
+        else if (end.tag === "refused" && end.restMs > 0) {
+            availability.rest(incarnation, end.restMs);
+        }
+    }
+
     private learn(upstream: string, end: AttemptEnd): void {
         if (end.tag === "whole") {
             this.router.ejections.succeeded(upstream);
--- a/packages/requests/src/executions.ts
+++ b/packages/requests/src/executions.ts
@@ -95,7 +95,7 @@
                 detail: `attempt=${plan.attempt} at ${plan.replica.upstream}: ${end.message}; ${verdict}`,
             });
             if (verdict === "never") {
-                return { tag: "refused", refusal: Refusal.FENCED, revision: 0, message: "it never began" };
+                return { tag: "refused", refusal: Refusal.FENCED, revision: 0, message: "it never began", restMs: 0 };
             }
             if (verdict === "unknown") {
                 return end;
--- a/packages/requests/src/queues.ts
+++ b/packages/requests/src/queues.ts
@@ -1,6 +1,6 @@
 /** Requests that wait for a replica: bounded, by priority, fair between callers, never past their time. */
-import { Deferred } from "@winchpath/core";
-import { type RoutedReplica, type Router, type Tried } from "@winchpath/routing";
+import { Deferred, steadyNow } from "@winchpath/core";
+import { type Route, type RoutedReplica, type Router, type Tried } from "@winchpath/routing";
 import { type Job } from "./jobs.js";
 import { ProblemCode, RequestFailure } from "./problems.js";
 
@@ -10,6 +10,8 @@
 const noReplicaRetryMs = 3000;
 /** When to come back to a model that fits nowhere: operators have to act first. */
 const unplaceableRetryMs = 60_000;
+/** Callers that are sent away until the end of a rest come back over this share of its time more, drawn for each. */
+const restSpread = 0.25;
 /** Weight of the newest service time in the average. */
 const serviceWeight = 0.1;
 
@@ -37,13 +39,12 @@
 
     /** A replica for the job; waits for one within the job's time, and fails with `not-run` as soon as that can't be. */
     public async admit(job: Job, tried: Tried): Promise<RoutedReplica> {
-        if (this.tickets.length === 0) {
-            const route = this.router.route(job.replicas(), tried, job);
-            if (route.tag === "replica") {
-                this.countServed(job.caller);
-                return route.replica;
-            }
+        const route = this.router.route(job.replicas(), tried, job);
+        if (this.tickets.length === 0 && route.tag === "replica") {
+            this.countServed(job.caller);
+            return route.replica;
         }
+        refuseIfResting(job, route);
         this.refuseEarly(job);
         const ticket = { job, tried, admitted: new Deferred<RoutedReplica>(), number: this.issued++ };
         this.tickets.push(ticket);
@@ -85,6 +86,9 @@
                     ),
                 );
             }
+            else if (route.tag === "resting" && restsTooLong(job, route.until)) {
+                this.fail(ticket, resting(route.until));
+            }
             else if (route.tag === "full" && Date.now() >= job.startBy) {
                 this.fail(
                     ticket,
@@ -175,6 +179,22 @@
     }
 }
 
+/** Gives the final answer at once where all replicas rest until it is too late for the request. */
+function refuseIfResting(job: Job, route: Route): void {
+    if (route.tag === "resting" && restsTooLong(job, route.until)) {
+        throw resting(route.until);
+    }
+}
+
+function restsTooLong(job: Job, until: number): boolean {
+    return until - steadyNow() > job.startBy - Date.now();
+}
+
+function resting(until: number): RequestFailure {
+    const restMs = Math.max(0, until - steadyNow()) * (1 + restSpread * Math.random());
+    return overloaded("all replicas have asked for rest", restMs);
+}
+
 function overloaded(detail: string, retryAfterMs: number): RequestFailure {
     return new RequestFailure(ProblemCode.overloaded, "not-run", detail, retryAfterMs);
 }
--- a/packages/requests/src/readers.ts
+++ b/packages/requests/src/readers.ts
@@ -10,7 +10,14 @@
     /** The caller has the whole answer. */
     | { readonly tag: "whole"; }
     /** Not started, and never will be. */
-    | { readonly tag: "refused"; readonly refusal: Refusal; readonly revision: number; readonly message: string; }
+    | {
+        readonly tag: "refused";
+        readonly refusal: Refusal;
+        readonly revision: number;
+        readonly message: string;
+        /** For how long the upstream wants nothing, in milliseconds; 0 where it asks for no rest. */
+        readonly restMs: number;
+    }
     /** The agent has, or had, the request, and this entry lost the way to the answer. */
     | { readonly tag: "lost"; readonly message: string; }
     /** The upstream's answer broke off. */
@@ -54,8 +61,8 @@
             events.push(this.takeBody(body));
         }
         if (refused !== undefined) {
-            const { refusal, revision, message } = refused;
-            this.end = { tag: "refused", refusal, revision: Number(revision), message };
+            const { refusal, revision, message, restMs } = refused;
+            this.end = { tag: "refused", refusal, revision: Number(revision), message, restMs };
         }
         else if (broken !== undefined) {
             const { message, timedOut, upstreamEnd } = broken;
--- a/packages/requests/src/tests/queues.test.ts
+++ b/packages/requests/src/tests/queues.test.ts
@@ -42,6 +42,18 @@
         expect(order).toEqual(["urgent", "modest", "greedy"]);
     });
 
+    it("gives the final answer at once where all replicas rest for too long, and waits for a short rest", async t => {
+        const { router, queues, admit } = setUp(t);
+        router.availability.rest("a-1", 3000);
+        const failure = await admit({ startBy: Date.now() + 500 }).catch((err: unknown) => err as RequestFailure);
+        const { outcome, retryAfterMs } = failure as RequestFailure;
+        expect([outcome, retryAfterMs! >= 3000, retryAfterMs! <= 3750]).toEqual(["not-run", true, true]);
+        const waiting = admit({ startBy: Date.now() + 4000 });
+        t.mock.timers.tick(3000);
+        queues.pump();
+        expect((await waiting).upstream).toEqual("a");
+    });
+
     it("gives the final answer at once when it is full, or the wait would be too long", async t => {
         const { queues, admit, fill } = setUp(t);
         fill();
--- a/packages/routing/src/routers.ts
+++ b/packages/routing/src/routers.ts
@@ -1,4 +1,5 @@
 /** Chooses a replica for each request, and learns from what comes of it. */
+import { AvailabilityBook, withoutResting } from "@winchpath/availability";
 import { EjectionBook } from "./ejections.js";
 import { LoadBook } from "./loads.js";
 import { LoadAwarePicker, type PickContext, type Picker } from "./pickers.js";
@@ -12,6 +13,8 @@
     | { readonly tag: "replica"; readonly replica: RoutedReplica; }
     /** There are replicas, but all have enough to do. */
     | { readonly tag: "full"; }
+    /** There are replicas, but all have asked this entry for rest; `until`: steady time of the first end. */
+    | { readonly tag: "resting"; readonly until: number; }
     /** No replica is ready. */
     | { readonly tag: "none"; };
 
@@ -21,6 +24,8 @@
 export class Router {
     public readonly loads = new LoadBook();
     public readonly ejections = new EjectionBook();
+    /** What agents have said of the upstreams beside them, by incarnation. */
+    public readonly availability = new AvailabilityBook();
     private readonly picker: Picker;
 
     public constructor(picker?: Picker) {
@@ -33,7 +38,15 @@
         if (untried.length === 0) {
             return { tag: "none" };
         }
-        const admitted = this.ejections.admitted(untried);
+        const staying = untried.filter(({ incarnation }) => !this.availability.isLeaving(incarnation));
+        if (staying.length === 0) {
+            return { tag: "none" };
+        }
+        const { awake, until } = withoutResting(this.availability, staying, ({ incarnation }) => incarnation);
+        if (awake.length === 0) {
+            return { tag: "resting", until };
+        }
+        const admitted = this.ejections.admitted(awake);
         const open = admitted.filter(replica => this.loads.estimate(replica) < replica.capacity * fullUse);
         if (open.length === 0) {
             return { tag: "full" };
--- a/packages/routing/src/tests/routing.test.ts
+++ b/packages/routing/src/tests/routing.test.ts
@@ -122,6 +122,20 @@
         expect(router.route([replica("b")], tried, context).tag).toEqual("none");
         expect(router.route([replica("b", { sequence: 2n })], tried, context).tag).toEqual("replica");
     });
+
+    it("leaves out those that rest or leave, however many, by incarnation", t => {
+        mockTime(t);
+        const router = new Router();
+        const [a, b] = ["a", "b"].map(name => replica(name, { incarnation: `${name}-1` }));
+        const route = (...replicas: RoutedReplica[]) => router.route(replicas, new Map(), { prefix: undefined });
+        router.availability.rest("a-1", 3000);
+        Array.from({ length: 5 }, () => expect(route(a, b)).toEqual({ tag: "replica", replica: b }));
+        router.availability.rest("b-1", 2000);
+        expect(route(a, b)).toEqual({ tag: "resting", until: Date.now() + 2000 });
+        router.availability.leaves("b-1");
+        expect([route(b).tag, route(a, b).tag]).toEqual(["none", "resting"]);
+        expect(route(replica("a", { incarnation: "a-2" })).tag).toEqual("replica");
+    });
 });
 
 describe("RoutingTable", () => {
--- a/packages/upstream/src/agents.ts
+++ b/packages/upstream/src/agents.ts
@@ -69,7 +69,12 @@
             checksFence: this.cfg.checksFence,
             orderLifetimeMs: this.cfg.orderLifetime,
         }, parts.timeline);
-        this.runner = new Runner(parts.upstream, req => this.admit(req), parts.timeline);
+        this.runner = new Runner(
+            parts.upstream,
+            req => this.admit(req),
+            parts.timeline,
+            () => this.tellLeaving("the upstream's answer"),
+        );
         this.reporter = new Reporter(parts.clients, this, this.cfg.reportEvery, this.stopping.signal);
     }
 
@@ -82,9 +87,7 @@
 
     /** Tells all that the upstream leaves, and waits until what runs has ended, or `drainMs` is over. */
     public async leave(drainMs: number): Promise<void> {
-        this.leavingSince = Date.now();
-        this.parts.timeline.record("agent.leaving");
-        this.reporter.reportNow();
+        this.tellLeaving("the agent stops");
         const deadline = Date.now() + drainMs;
         await sleep(Math.min(leaveGraceMs, drainMs));
         while (this.runner.table.running > 0 && Date.now() < deadline) {
@@ -93,6 +96,15 @@
         this.parts.timeline.record("agent.left", { detail: `unfinished=${this.runner.table.running}` });
     }
 
+    /** From now on all are told that the upstream leaves; the first word counts. */
+    private tellLeaving(told: string): void {
+        if (this.leavingSince === undefined) {
+            this.leavingSince = Date.now();
+            this.parts.timeline.record("agent.leaving", { detail: `told by ${told}` });
+            this.reporter.reportNow();
+        }
+    }
+
     /** Settles an attempt; see {@link RunTable.fence}. */
     public fence(requestId: string, attempt: number, seenReport: bigint): FenceOutcome {
         return this.runner.table.fence(requestId, attempt, this.reports.ageOf(Number(seenReport)));
--- a/packages/upstream/src/index.ts
+++ b/packages/upstream/src/index.ts
@@ -23,6 +23,7 @@
     RunRequestSchema,
 } from "./gen/winchpath/upstream/v1/upstream_pb.js";
 export * from "./orders.js";
+export { refusedChunk, type RunRefusal } from "./records.js";
 export * from "./registrars.js";
 export * from "./reporters.js";
 export * from "./runners.js";
--- a/packages/upstream/src/records.ts
+++ b/packages/upstream/src/records.ts
@@ -10,6 +10,7 @@
     type RunEnd,
     type RunHead,
     type RunRefused,
+    RunRefusedSchema,
 } from "./gen/winchpath/upstream/v1/upstream_pb.js";
 
 /** Bytes that the upstream may be ahead of the slowest reader. */
@@ -165,15 +166,20 @@
 
 /** Says that the answer is not to be had here any more; it does not say that it never ran. */
 export function answerGone(): RunChunk {
-    return refusedChunk(Refusal.UNKNOWN_REQUEST, "the answer is not kept any more");
+    return refusedChunk({ refusal: Refusal.UNKNOWN_REQUEST, message: "the answer is not kept any more" });
 }
 
-export function refusedChunk(refusal: Refusal, message: string, revision = 0): RunChunk {
-    const value = {
-        $typeName: "winchpath.upstream.v1.RunRefused" as const,
-        refusal,
-        message,
-        revision: BigInt(revision),
-    };
-    return create(RunChunkSchema, { refused: value });
+/** Why a request may not begin here. */
+export interface RunRefusal {
+    readonly refusal: Refusal;
+    readonly message: string;
+    /** Newer revision that is in force, where that is why. */
+    readonly revision?: number;
+    /** For how long the upstream wants nothing, in milliseconds, where that is why. */
+    readonly restMs?: number;
+}
+
+export function refusedChunk({ refusal, message, revision = 0, restMs = 0 }: RunRefusal): RunChunk {
+    const refused = create(RunRefusedSchema, { refusal, message, revision: BigInt(revision), restMs });
+    return create(RunChunkSchema, { refused });
 }
--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -1,6 +1,7 @@
 /** Runs admitted requests at the upstream, and hands their answers to whoever reads them. */
 import { create } from "@bufbuild/protobuf";
-import { messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
+import { RestBook } from "@winchpath/availability";
+import { messageOf, Notifier, retryAfterMs, sleep, steadyNow } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import { NotConnectedError, type Upstream, type UpstreamAnswer } from "./engines.js";
 import {
@@ -14,8 +15,8 @@
     RunHeadSchema,
     type RunRequest,
 } from "./gen/winchpath/upstream/v1/upstream_pb.js";
-import { answerGone, refusedChunk, type RunRecord } from "./records.js";
-import { notStartedHeader } from "./schemas.js";
+import { answerGone, refusedChunk, type RunRecord, type RunRefusal } from "./records.js";
+import { leavingHeader, notStartedHeader } from "./schemas.js";
 import { RunTable } from "./tables.js";
 import { UpstreamEnds } from "./upstreamends.js";
 
@@ -37,18 +38,24 @@
 ]);
 
 /** Decides whether a request may begin here; undefined where it may. */
-export type Admission = (req: RunRequest) => { refusal: Refusal; message: string; revision?: number; } | undefined;
+export type Admission = (req: RunRequest) => RunRefusal | undefined;
+
+/** A runner knows one upstream, so its book of rests has one name. */
+const beside = "the upstream beside the agent";
 
 export class Runner {
     public readonly table = new RunTable();
     /** Notified when a request ends. */
     public readonly ended: Notifier = this.table.ended;
     private readonly ends: UpstreamEnds;
+    private readonly rests = new RestBook();
 
     public constructor(
         private readonly upstream: Upstream,
         private readonly admit: Admission,
         private readonly timeline: Timeline,
+        /** Told when an answer says that the upstream leaves. */
+        private readonly onLeaving: () => void = () => undefined,
     ) {
         this.ends = new UpstreamEnds(upstream);
     }
@@ -61,16 +68,16 @@
                 yield answerGone();
                 return;
             }
-            const refused = this.admit(req);
+            const refused = this.admit(req) ?? this.refusalOfRest();
             if (refused !== undefined) {
-                yield refusedChunk(refused.refusal, refused.message, refused.revision);
+                yield refusedChunk(refused);
                 return;
             }
             record = this.table.begin(req.requestId, req.attempt, req.idempotent);
             void this.pump(record, req);
         }
         else if (record.outcome === FenceOutcome.NEVER) {
-            yield refusedChunk(Refusal.FENCED, "this attempt was fenced off");
+            yield refusedChunk({ refusal: Refusal.FENCED, message: "this attempt was fenced off" });
             return;
         }
         try {
@@ -124,8 +131,10 @@
     }
 
     private async receive(record: RunRecord, answer: UpstreamAnswer): Promise<void> {
+        this.hear(answer);
         if (answer.headers[notStartedHeader] !== undefined) {
-            this.table.refuse(record, refusalOf(answer.status), `the upstream did not start it (${answer.status})`);
+            const message = `the upstream did not start it (${answer.status})`;
+            this.table.refuse(record, this.refusalOfRest() ?? { refusal: refusalOf(answer.status), message });
             await answer.discard();
             return;
         }
@@ -139,6 +148,30 @@
         record.finish(FenceOutcome.FINISHED, { end });
     }
 
+    /** Takes in what an answer says of the upstream itself. */
+    private hear({ status, headers }: UpstreamAnswer): void {
+        if (textOf(headers[leavingHeader]).trim() === "1") {
+            this.onLeaving();
+        }
+        const restMs = status === statusUnavailable
+            ? retryAfterMs(textOf(headers["retry-after"]), textOf(headers.date))
+            : undefined;
+        if (restMs !== undefined) {
+            this.rests.begin(beside, restMs);
+            this.timeline.record("upstream.rests", { detail: `ms=${Math.round(restMs)}` });
+        }
+    }
+
+    /** Undefined where the upstream takes requests. */
+    private refusalOfRest(): RunRefusal | undefined {
+        const until = this.rests.untilOf(beside);
+        if (until === undefined) {
+            return undefined;
+        }
+        const restMs = until - steadyNow();
+        return { refusal: Refusal.RESTING, message: `the upstream rests for ${restMs} ms`, restMs };
+    }
+
     private async recordFailure(
         record: RunRecord,
         req: RunRequest,
@@ -146,7 +179,7 @@
         { startedAt, timedOut }: { readonly startedAt: number; readonly timedOut: boolean; },
     ): Promise<void> {
         if (err instanceof NotConnectedError) {
-            this.table.refuse(record, Refusal.UNREACHABLE, err.message);
+            this.table.refuse(record, { refusal: Refusal.UNREACHABLE, message: err.message });
             return;
         }
         const message = messageOf(err);
@@ -169,7 +202,12 @@
     });
 }
 
+function textOf(value: string | string[] | undefined): string {
+    return (Array.isArray(value) ? value[0] : value) ?? "";
+}
+
 const statusNotFound = 404;
+const statusUnavailable = 503;
 
 function refusalOf(status: number): Refusal {
     return status === statusNotFound ? Refusal.NOT_RESIDENT : Refusal.OVERLOADED;
--- a/packages/upstream/src/schemas.ts
+++ b/packages/upstream/src/schemas.ts
@@ -33,3 +33,5 @@
 
 /** Header of an engine's or service's answer that says that the request was not started. */
 export const notStartedHeader = "winchpath-not-started";
+/** Header of any answer of an engine or service that leaves; its value is 1. */
+export const leavingHeader = "winchpath-leaving";
--- a/packages/upstream/src/tables.ts
+++ b/packages/upstream/src/tables.ts
@@ -1,8 +1,8 @@
 /** All attempts that an agent remembers: running, finished, or fenced off before they came. */
 import { create } from "@bufbuild/protobuf";
 import { Notifier } from "@winchpath/core";
-import { FenceOutcome, type Refusal, RunRefusedSchema } from "./gen/winchpath/upstream/v1/upstream_pb.js";
-import { RunRecord } from "./records.js";
+import { FenceOutcome, RunRefusedSchema } from "./gen/winchpath/upstream/v1/upstream_pb.js";
+import { refusedChunk, RunRecord, type RunRefusal } from "./records.js";
 
 /** A request that was chosen longer ago than this is refused as late. */
 export const lateAfterMs = 10_000;
@@ -60,8 +60,9 @@
     }
 
     /** Ends an attempt that the upstream did not begin; the same attempt is refused later too. */
-    public refuse(record: RunRecord, refusal: Refusal, message: string): void {
-        record.finish(FenceOutcome.NEVER, { refused: create(RunRefusedSchema, { refusal, message }) });
+    public refuse(record: RunRecord, refusal: RunRefusal): void {
+        const { refused } = refusedChunk(refusal);
+        record.finish(FenceOutcome.NEVER, { refused });
     }
 
     /** Cuts off what is still running. */
