--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -135,7 +135,7 @@
                 if (barred !== undefined) {
                     return barred;
                 }
-                const found = this.placeNow(job);
+                const found = this.takePlace(job);
                 if (found.kind === "upstream") {
                     return found;
                 }
@@ -166,11 +166,20 @@
 
     private waitForPlace(job: Job, ms: number): Promise<Place | undefined> {
         return this.room.wait(job.priority, ms, job.gone, () => {
-            const now = this.placeNow(job);
+            const now = this.takePlace(job);
             return now.kind === "upstream" ? now : undefined;
         });
     }
 
+    /** The upstream that the request is about to be sent to; one whose rest is over is taken for others until it answers. */
+    private takePlace(job: Job): Choice {
+        const choice = this.placeNow(job);
+        if (choice.kind === "upstream") {
+            this.parts.view.availability.sent(choice.link.id);
+        }
+        return choice;
+    }
+
     private placeNow(job: Job): Choice {
         return this.picker.pick(job, this.links.ready(job.service), this.engineOf(job.service));
     }
@@ -207,7 +216,6 @@
         const stay = link.begin(job.priority, ownTokensOf(job), tokensOf(job));
         meter.started(key);
         this.ejections.sent(link.id);
-        this.parts.view.availability.sent(link.id);
         job.tried.push(link.id);
         try {
             const outcome = await (this.parts.send ?? attempt)(job, link, {
