--- a/packages/forwarding/src/tests/quarantine.test.ts
+++ b/packages/forwarding/src/tests/quarantine.test.ts
@@ -1,29 +1,25 @@
+import { type Route } from "@winchpath/declarations";
 import { type ListedRequest } from "@winchpath/quarantine";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
-import { type Arrival, RawUpstream, TestEntry, testRoute, wholeAnswer } from "./standins.js";
+import { type Arrival, type RawUpstream, type TestEntry, TestStage, wholeAnswer } from "./standins.js";
 
 const body = "ends what runs it";
 const asked = { method: "POST", body } as const;
 
 describe("an entry, of requests under which upstreams end,", () => {
-    const upstreams: RawUpstream[] = [];
+    let stage: TestStage;
     let entry: TestEntry;
 
-    afterEach(async () => {
-        await entry.stop();
-        upstreams.splice(0).forEach(upstream => upstream.stop());
-    });
+    afterEach(() => stage.stop());
 
     async function start(
-        route: Parameters<typeof testRoute>[0],
+        route: Partial<Route>,
         ...answers: ((arrival: Arrival, count: number) => void)[]
-    ): Promise<RawUpstream[]> {
-        entry = new TestEntry(TestEntry.configuration([testRoute(route)]));
-        await entry.start();
-        upstreams.push(...await Promise.all(answers.map(answer => RawUpstream.start(answer))));
-        entry.learn(...upstreams.map(({ address }, index) => ({ id: `u${index}`, address })));
-        return [...upstreams];
+    ): Promise<readonly RawUpstream[]> {
+        stage = await TestStage.start(route, answers);
+        entry = stage.entry;
+        return stage.upstreams;
     }
 
     const good = ({ id, socket }: Arrival) => socket.write(wholeAnswer(id, "hello"));
--- a/packages/forwarding/src/tests/signals.test.ts
+++ b/packages/forwarding/src/tests/signals.test.ts
@@ -1,26 +1,22 @@
+import { type Route } from "@winchpath/declarations";
 import { UpstreamState } from "@winchpath/fleet";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
-import { type Arrival, RawUpstream, TestEntry, testRoute, wholeAnswer } from "./standins.js";
+import { type Arrival, type RawUpstream, type TestEntry, TestStage, wholeAnswer } from "./standins.js";
 
 describe("an entry, of what upstreams say of themselves,", () => {
-    const upstreams: RawUpstream[] = [];
+    let stage: TestStage;
     let entry: TestEntry;
 
-    afterEach(async () => {
-        await entry.stop();
-        upstreams.splice(0).forEach(upstream => upstream.stop());
-    });
+    afterEach(() => stage.stop());
 
     async function start(
-        route: Parameters<typeof testRoute>[0],
+        route: Partial<Route>,
         ...answers: ((arrival: Arrival, count: number) => void)[]
-    ): Promise<RawUpstream[]> {
-        entry = new TestEntry(TestEntry.configuration([testRoute(route)]));
-        await entry.start();
-        upstreams.push(...await Promise.all(answers.map(answer => RawUpstream.start(answer))));
-        entry.learn(...upstreams.map(({ address }, index) => ({ id: `u${index}`, address })));
-        return [...upstreams];
+    ): Promise<readonly RawUpstream[]> {
+        stage = await TestStage.start(route, answers);
+        entry = stage.entry;
+        return stage.upstreams;
     }
 
     const good = ({ id, socket }: Arrival) => socket.write(wholeAnswer(id, "hello"));
@@ -117,12 +113,9 @@
 
         it("also where the request was chosen for it before and waits for a connection", async () => {
             const held: Arrival[] = [];
-            const only = await RawUpstream.start(arrival => held.push(arrival));
-            upstreams.push(only);
-            const services = [{ name: "s", maxConnections: connections }];
-            entry = new TestEntry({ ...TestEntry.configuration([testRoute({ timeoutMs: 2000 })]), services });
-            await entry.start();
-            entry.learn({ id: "u0", address: only.address });
+            stage = await TestStage.start({ timeoutMs: 2000 }, [arrival => held.push(arrival)], connections);
+            entry = stage.entry;
+            const [only] = stage.upstreams;
             const calls = Array.from({ length: 10 }, (_, index) => entry.call(`q${index}`));
             await entry.untilOpen(calls.length);
             while (held.length < connections) {
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -287,3 +287,30 @@
         this.forwarder.close();
     }
 }
+
+type Answering = (arrival: Arrival, count: number) => void;
+
+/** An entry and the upstreams of its one service, u0, u1 and so on, one for each of `answers`. */
+export class TestStage {
+    private constructor(public readonly entry: TestEntry, public readonly upstreams: readonly RawUpstream[]) {}
+
+    /** `connections`: that an upstream takes; the configuration's usual number, where none is given. */
+    public static async start(
+        route: Partial<Route>,
+        answers: readonly Answering[],
+        connections?: number,
+    ): Promise<TestStage> {
+        const usual = TestEntry.configuration([testRoute(route)]);
+        const services = connections === undefined ? usual.services : [{ name: "s", maxConnections: connections }];
+        const entry = new TestEntry({ ...usual, services });
+        await entry.start();
+        const upstreams = await Promise.all(answers.map(answer => RawUpstream.start(answer)));
+        entry.learn(...upstreams.map(({ address }, index) => ({ id: `u${index}`, address })));
+        return new TestStage(entry, upstreams);
+    }
+
+    public async stop(): Promise<void> {
+        await this.entry.stop();
+        this.upstreams.forEach(upstream => upstream.stop());
+    }
+}
