--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -148,6 +148,11 @@
                     if (!await this.reread()) {
                         return;
                     }
+                    this.log.info("order.again", {
+                        upstream: this.id,
+                        order: describeOrder(order),
+                        expected: this.expected,
+                    });
                     break;
                 case OrderReply.unknown:
                     // Sent again under the same number: whichever copy is taken first makes the other fail.
@@ -185,6 +190,8 @@
             order: describeOrder(order),
             expected: this.expected,
             token: fence.token,
+            held: heldAdapters(upstream).length,
+            underWay: this.transits.size,
             reply,
             tookMs: Math.round(steadyNow() - sentAt),
         });
@@ -274,6 +281,7 @@
     }
 
     private tookEffect(order: EngineOrder): void {
+        this.log.info("order.done", { upstream: this.id, order: describeOrder(order) });
         this.change(models => applyOrder(models, order));
         this.owner.settled();
     }
@@ -320,6 +328,7 @@
             upstream: this.id,
             orders: report.orders,
             models: report.models.map(model => model.name),
+            adapters: heldAdapters(report),
         });
         return true;
     }
@@ -330,6 +339,11 @@
     return reply === OrderReply.fenced || reply === OrderReply.refused || reply === OrderReply.unreachable;
 }
 
+/** Adapters that are held, "model/adapter". */
+function heldAdapters({ models }: { readonly models: readonly HeldModel[]; }): string[] {
+    return models.flatMap(model => model.adapters.map(adapter => `${model.name}/${adapter}`));
+}
+
 function applyOrder(models: HeldModel[], order: EngineOrder): void {
     const held = models.find(model => model.name === order.model);
     if (order.adapter === "") {
