--- /dev/null
+++ b/packages/fleet/src/tests/roomengines.ts
@@ -0,0 +1,247 @@
+/** An engine with a bounded number of places for adapters, and leaders that give it orders. */
+import { create } from "@bufbuild/protobuf";
+import { silentLog, sleep, steadyNow } from "@winchpath/core";
+import { type Configuration } from "@winchpath/declarations";
+import {
+    DemandBook,
+    DemandRequestSchema,
+    type EngineCalls,
+    type EngineOrder,
+    EnginePlacement,
+    type EngineReport,
+    HeldModelSchema,
+    OrderReply,
+    Registry,
+} from "../index.js";
+import { announcement, spec } from "./standins.js";
+
+/** A report tells of so long before, in milliseconds. */
+const reportLagMs = 200;
+/** An adapter that was never there before takes so long, in milliseconds. */
+const transitMs = 14;
+const loadMs = 80;
+/** Adapters that may be on their way at once. */
+const maxTransits = 4;
+/** How often leaders hear of demand, in milliseconds. */
+const demandMs = 400;
+
+interface HeldAdapter {
+    state: "coming" | "held" | "leaving";
+}
+
+interface Shown {
+    readonly at: number;
+    readonly report: EngineReport;
+}
+
+/** Obeys what the platform's page says of orders, places and reports; crashes where it is ordered to hold more than it has room for. */
+export class RoomEngine {
+    /** The order that took it over its room. */
+    public crashedBy: EngineOrder | undefined;
+    public accepted = 0;
+    public readonly orders: EngineOrder[] = [];
+    /** Adapters with requests on them, "model/adapter". */
+    private readonly inUse = new Set<string>();
+    private readonly models = new Map<string, Map<string, HeldAdapter>>();
+    private busy = false;
+    private shown: Shown[] = [];
+
+    public constructor(held: Readonly<Record<string, readonly string[]>>) {
+        for (const [model, adapters] of Object.entries(held)) {
+            this.models.set(model, new Map(adapters.map(name => [name, { state: "held" }])));
+        }
+        this.show();
+    }
+
+    /** Adapters that take a place, "model/adapter". */
+    public get placed(): string[] {
+        return [...this.models].flatMap(([model, adapters]) =>
+            [...adapters.keys()].map(adapter => `${model}/${adapter}`)
+        );
+    }
+
+    public get modelNames(): string[] {
+        return [...this.models.keys()];
+    }
+
+    /** Requests begin on an adapter. */
+    public use(name: string): void {
+        this.inUse.add(name);
+    }
+
+    /** The last request on an adapter has ended. */
+    public release(name: string): void {
+        this.inUse.delete(name);
+        const [model, adapter] = name.split("/");
+        if (this.models.get(model)?.get(adapter)?.state === "leaving") {
+            this.models.get(model)!.delete(adapter);
+            this.show();
+        }
+    }
+
+    public order(order: EngineOrder, expected: number): OrderReply {
+        this.orders.push(order);
+        if (this.crashedBy !== undefined) {
+            return OrderReply.unreachable;
+        }
+        if (this.busy || expected !== this.accepted) {
+            return OrderReply.conflict;
+        }
+        const reply = order.adapter === "" ? this.orderModel(order) : this.orderAdapter(order);
+        if (!this.hasRoom()) {
+            this.crashedBy = order;
+        }
+        this.show();
+        return reply;
+    }
+
+    public report(): EngineReport | undefined {
+        const from = steadyNow() - reportLagMs;
+        return this.crashedBy === undefined
+            ? (this.shown.findLast(({ at }) => at <= from) ?? this.shown[0]).report
+            : undefined;
+    }
+
+    private orderModel({ kind, model }: EngineOrder): OrderReply {
+        if (this.models.has(model) === (kind === "load")) {
+            return OrderReply.holds;
+        }
+        this.accepted += 1;
+        this.busy = true;
+        if (kind === "load") {
+            this.models.set(model, new Map());
+            void this.afterwards(loadMs, () => this.busy = false);
+        }
+        else {
+            void this.afterwards(1, () => {
+                this.models.delete(model);
+                this.busy = false;
+            });
+        }
+        return OrderReply.accepted;
+    }
+
+    private orderAdapter({ kind, model, adapter }: EngineOrder): OrderReply {
+        const adapters = this.models.get(model);
+        if (adapters === undefined) {
+            return OrderReply.refused;
+        }
+        return kind === "load" ? this.loadAdapter(adapters, adapter) : this.unloadAdapter(model, adapters, adapter);
+    }
+
+    private loadAdapter(adapters: Map<string, HeldAdapter>, name: string): OrderReply {
+        const known = adapters.get(name);
+        if (known?.state === "held") {
+            return OrderReply.holds;
+        }
+        if (known !== undefined) {
+            return OrderReply.accepted;
+        }
+        const coming = [...this.models.values()].flatMap(each => [...each.values()])
+            .filter(({ state }) => state === "coming");
+        if (coming.length >= maxTransits) {
+            return OrderReply.conflict;
+        }
+        this.accepted += 1;
+        const held: HeldAdapter = { state: "coming" };
+        adapters.set(name, held);
+        void this.afterwards(transitMs, () => held.state = "held");
+        return OrderReply.accepted;
+    }
+
+    private unloadAdapter(model: string, adapters: Map<string, HeldAdapter>, name: string): OrderReply {
+        const known = adapters.get(name);
+        if (known === undefined) {
+            return OrderReply.holds;
+        }
+        if (known.state === "leaving") {
+            return OrderReply.accepted;
+        }
+        this.accepted += 1;
+        if (this.inUse.has(`${model}/${name}`)) {
+            known.state = "leaving";
+            return OrderReply.accepted;
+        }
+        adapters.delete(name);
+        return OrderReply.holds;
+    }
+
+    private hasRoom(): boolean {
+        const usedMb = this.models.size * spec.models[0].sizeMb + this.placed.length * spec.models[0].adapterMb;
+        return this.placed.length <= spec.adapterPlaces && usedMb <= spec.memoryMb;
+    }
+
+    private async afterwards(ms: number, change: () => void): Promise<void> {
+        await sleep(ms);
+        change();
+        this.show();
+    }
+
+    private show(): void {
+        const models = [...this.models].map(([name, adapters]) =>
+            create(HeldModelSchema, { name, adapters: [...adapters.keys()] })
+        );
+        this.shown.push({ at: steadyNow(), report: { orders: this.accepted, busy: this.busy, models } });
+    }
+}
+
+/** What entries tell a leader of one model or adapter. */
+export interface ToldDemand {
+    readonly model: string;
+    readonly adapter: string;
+    readonly running: number;
+    readonly waiting: number;
+}
+
+/** A leader with nothing but its own registry, demand and orders; it knows one engine, "u". */
+export class RoomLeader {
+    public readonly registry = new Registry(silentLog);
+    private readonly demand = new DemandBook(silentLog);
+    private readonly ended = new AbortController();
+    private readonly placement: EnginePlacement;
+
+    public constructor(
+        private readonly engine: RoomEngine,
+        private readonly needs: () => readonly ToldDemand[],
+        private readonly send: (order: EngineOrder, expected: number) => OrderReply = (order, expected) =>
+            engine.order(order, expected),
+    ) {
+        this.registry.announce(announcement("u", 1));
+        const control = {
+            announceMs: 60_000,
+            fence: () => ({ holder: "h", token: 7 }),
+            gaveOrder: () => undefined,
+            configuration: { services: [{ name: "s", engine: spec }] } as unknown as Configuration,
+        };
+        this.placement = new EnginePlacement(control, this.registry, this.demand, this.calls(), silentLog);
+    }
+
+    public start(): void {
+        void this.placement.run(this.ended.signal);
+        void this.hear();
+    }
+
+    public end(): void {
+        this.ended.abort();
+    }
+
+    private async hear(): Promise<void> {
+        while (!this.ended.signal.aborted) {
+            this.demand.take(create(DemandRequestSchema, {
+                entry: "e",
+                intervalMs: demandMs,
+                items: this.needs().map(need => ({ service: "s", arrived: need.running + need.waiting, ...need })),
+            }));
+            this.placement.notify();
+            await sleep(demandMs);
+        }
+    }
+
+    private calls(): EngineCalls {
+        return {
+            order: async (_upstream, order, expected) => this.send(order, expected),
+            report: async () => this.engine.report(),
+            restMs: () => 0,
+        };
+    }
+}
