A load that meets a conflict is planned anew, on what its engine holds by then

Callers saw an engine's process end with all that ran there. Cause: the number of accepted orders protects a decision against a state that has moved on; after a conflict the order line took the new number over and sent the same load again, with nobody asking whether it still fits. Class: a check for lost updates that is answered by a blind retry. Why this holds: a load goes out only under the number that its room was judged under; unloads take no room and are sent again as before.

Ruled out: that a late copy of the leader's own order needs the retry (what the report shows after it is what the retry would have found).

--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -145,14 +145,12 @@
                     this.expected = undefined;
                     return;
                 case OrderReply.conflict:
-                    if (!await this.reread()) {
+                    // Room was judged by what the engine held before: what it has accepted since may have taken
+                    // that room, so a load is planned anew. An unload takes none.
+                    if (!await this.reread() || order.kind === "load") {
+                        this.log.info("order.outdated", { upstream: this.id, order: describeOrder(order) });
                         return;
                     }
-                    this.log.info("order.again", {
-                        upstream: this.id,
-                        order: describeOrder(order),
-                        expected: this.expected,
-                    });
                     break;
                 case OrderReply.unknown:
                     // Sent again under the same number: whichever copy is taken first makes the other fail.
@@ -295,7 +293,7 @@
         }
     }
 
-    /** After a conflict: whether the engine could be read, so that the order can be tried again. */
+    /** After a conflict: whether the engine could be read. */
     private async reread(): Promise<boolean> {
         const { upstream } = this;
         this.expected = undefined;
