Tests that fail: an adapter that is given up while requests run on it still takes its place, and the next load goes over it

The engine of these tests keeps the place until the last request has ended, as the platform's page says ("an unload waits for its runs"); the one used until now freed it at once, so no test could see it.

--- a/packages/fleet/src/tests/roomengines.ts
+++ b/packages/fleet/src/tests/roomengines.ts
@@ -20,6 +20,8 @@
 /** An adapter that was never there before takes so long, in milliseconds. */
 const transitMs = 14;
 const loadMs = 80;
+/** How often the engine looks whether the runs on a model have ended, in milliseconds. */
+const runCheckMs = 5;
 /** Adapters that may be on their way at once. */
 const maxTransits = 4;
 /** How often leaders hear of demand, in milliseconds. */
@@ -113,14 +115,21 @@
             void this.afterwards(loadMs, () => this.busy = false);
         }
         else {
-            void this.afterwards(1, () => {
-                this.models.delete(model);
-                this.busy = false;
-            });
+            void this.dropModel(model);
         }
         return OrderReply.accepted;
     }
 
+    /** An unload waits for its runs, and then drops the model with its adapters. */
+    private async dropModel(model: string): Promise<void> {
+        while ([...this.inUse].some(name => name.startsWith(`${model}/`))) {
+            await sleep(runCheckMs);
+        }
+        this.models.delete(model);
+        this.busy = false;
+        this.show();
+    }
+
     private orderAdapter({ kind, model, adapter }: EngineOrder): OrderReply {
         const adapters = this.models.get(model);
         if (adapters === undefined) {
--- a/packages/fleet/src/tests/rooms.test.ts
+++ b/packages/fleet/src/tests/rooms.test.ts
@@ -13,9 +13,8 @@
 import { afterEach, beforeEach, describe, it, mock } from "node:test";
 import { type EngineOrder, type OrderReply } from "../index.js";
 import { RoomEngine, RoomLeader, type ToldDemand } from "./roomengines.js";
+import { pass } from "./times.js";
 
-/** Time moves in steps of so many milliseconds. */
-const stepMs = 5;
 /** Reads, plans, conflicts and transits are over by then, in milliseconds. */
 const settledMs = 6000;
 
@@ -31,13 +30,6 @@
     return { model, adapter, running: 0, waiting: 3 };
 }
 
-async function pass(ms: number): Promise<void> {
-    for (let passed = 0; passed < ms; passed += stepMs) {
-        mock.timers.tick(stepMs);
-        await new Promise(resolve => setImmediate(resolve));
-    }
-}
-
 describe("room at an engine", () => {
     const leaders: RoomLeader[] = [];
 
