An adapter that is given up takes its place until the engine has let it go

Callers saw an engine's process end with all that ran there. Cause: an unload of an adapter in use is only accepted, and waits for its runs; the order line took that for the end, and the next load went over the places. Class: what was asked for is taken for what is so. Why this holds: the place counts as taken until the engine answers that there is nothing to unload, or the model is gone; entries send nothing there meanwhile, and no further adapter is given up at that engine, since the one on its way out makes the room.

Ruled out: that reports hide such an adapter from the next leader.

--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -41,13 +41,14 @@
         const { model, adapter } = need.key;
         const { state } = this;
         const holders = state.holders(model).filter(engine => engine.models.get(model)!.ready);
-        const having = holders.filter(engine => engine.models.get(model)!.adapters.has(adapter));
+        const stageAt = (engine: PlannedEngine) => engine.models.get(model)!.adapters.get(adapter);
+        const having = holders.filter(engine => stageAt(engine) === "coming" || stageAt(engine) === "held");
         const enough = having.length >= 1 + Math.floor(need.running / (state.input.spec.slots * adapterFullShare));
         if (enough && having.length > 0) {
             return undefined;
         }
         const candidates = holders
-            .filter(engine => !having.includes(engine) && engine.freeTransits > 0 && !state.taken.has(engine.id))
+            .filter(engine => stageAt(engine) === undefined && engine.freeTransits > 0 && !state.taken.has(engine.id))
             .sort((a, b) => this.pressure(a) - this.pressure(b));
         for (const engine of candidates) {
             const order = this.place(engine, need);
@@ -81,10 +82,13 @@
         };
     }
 
-    /** The adapter that was not asked for the longest. */
+    /** The adapter that was not asked for the longest; none while a place is being freed, however long that takes. */
     private idleAdapter(engine: PlannedEngine): { model: string; adapter: string; } | undefined {
+        if (hasLeavingAdapter(engine)) {
+            return undefined;
+        }
         const idle = [...engine.models].flatMap(([model, held]) =>
-            [...held.adapters].filter(([, ready]) => ready).map(([adapter]) => {
+            [...held.adapters].filter(([, stage]) => stage === "held").map(([adapter]) => {
                 const need = this.state.adapterNeed(model, adapter);
                 return {
                     model,
@@ -100,7 +104,7 @@
     }
 
     private isAnywhere(model: string, adapter: string): boolean {
-        return this.state.holders(model).some(engine => engine.models.get(model)!.adapters.get(adapter) === true);
+        return this.state.holders(model).some(engine => engine.models.get(model)!.adapters.get(adapter) === "held");
     }
 
     /** Demand for the adapters that an engine holds. */
@@ -118,3 +122,7 @@
 function adapterCount(engine: PlannedEngine): number {
     return [...engine.models.values()].reduce((count, held) => count + held.adapters.size, 0);
 }
+
+function hasLeavingAdapter(engine: PlannedEngine): boolean {
+    return [...engine.models.values()].some(held => [...held.adapters.values()].includes("leaving"));
+}
--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -21,6 +21,10 @@
 const modelCheckGrowth = 1.5;
 /** A load that takes this many times as long as it should has failed, or the store is overloaded. */
 const modelPatience = 5;
+/** Adapters whose unload waits for their runs are looked after this long after it; each further look takes longer, up to a bound. */
+const firstDepartureCheckMs = 60;
+const lastDepartureCheckMs = 500;
+const departureCheckGrowth = 1.5;
 /** Adapters that may be under way to one engine at the same time. */
 const maxTransits = 4;
 
@@ -42,6 +46,8 @@
     /** Models, with those that are being loaded; undefined until the engine was read. */
     private readonly loading = new Set<string>();
     private readonly transits = new Set<string>();
+    /** Adapters whose unload waits for the requests that run on them. */
+    private readonly departures = new Set<string>();
     private expected: number | undefined;
     private occupied = false;
     private seen = false;
@@ -76,6 +82,11 @@
         return this.transits;
     }
 
+    /** Adapters on their way out, "model/adapter": they take their places until their last request has ended. */
+    public get adaptersLeaving(): ReadonlySet<string> {
+        return this.departures;
+    }
+
     public get freeTransits(): number {
         return this.free ? maxTransits - this.transits.size : 0;
     }
@@ -190,6 +201,7 @@
             token: fence.token,
             held: heldAdapters(upstream).length,
             underWay: this.transits.size,
+            leaving: this.departures.size,
             reply,
             tookMs: Math.round(steadyNow() - sentAt),
         });
@@ -211,7 +223,8 @@
             void this.followAdapter(order);
         }
         else {
-            this.tookEffect(order);
+            // The engine takes other orders meanwhile, and has a place less than it seems to have.
+            void this.followDeparture(order);
         }
     }
 
@@ -241,7 +254,7 @@
     }
 
     private async followAdapter(order: EngineOrder): Promise<void> {
-        const name = `${order.model}/${order.adapter}`;
+        const name = adapterName(order);
         this.transits.add(name);
         this.owner.settled();
         if (await this.arrives(order)) {
@@ -274,6 +287,47 @@
         return false;
     }
 
+    /** The place of an adapter that is only accepted to be unloaded is free once the engine has nothing to unload any more. */
+    private async followDeparture(order: EngineOrder): Promise<void> {
+        const name = adapterName(order);
+        this.log.info("adapter.leaving", { upstream: this.id, adapter: name });
+        this.departures.add(name);
+        this.change(models => applyOrder(models, order));
+        this.owner.settled();
+        await this.untilDeparted(order);
+        this.departures.delete(name);
+        this.log.info("adapter.left", { upstream: this.id, adapter: name });
+        this.owner.settled();
+    }
+
+    /** Returns once the adapter is gone, alone or with its model, or this line has ended. */
+    private async untilDeparted(order: EngineOrder): Promise<void> {
+        let checkMs = firstDepartureCheckMs;
+        while (this.upstream !== undefined) {
+            await sleep(checkMs);
+            checkMs = Math.min(lastDepartureCheckMs, checkMs * departureCheckGrowth);
+            if (!this.holdsModel(order.model)) {
+                return;
+            }
+            if (this.free && await this.isUnloaded(order)) {
+                return;
+            }
+        }
+    }
+
+    private async isUnloaded(order: EngineOrder): Promise<boolean> {
+        const reply = await this.send(order);
+        if (reply === OrderReply.conflict && !this.occupied) {
+            // Others have given it orders: it is read before the next one.
+            this.expected = undefined;
+        }
+        return reply === OrderReply.holds;
+    }
+
+    private holdsModel(model: string): boolean {
+        return this.upstream?.models.some(({ name }) => name === model) === true;
+    }
+
     private markLeaving(model: string): void {
         this.change(models => models.filter(held => held.name === model).forEach(held => held.leaving = true));
     }
@@ -319,6 +373,7 @@
         const models = report.models.map(model => {
             const copy = clone(HeldModelSchema, model);
             copy.leaving = leaving.has(model.name);
+            copy.adapters = copy.adapters.filter(adapter => !this.departures.has(`${model.name}/${adapter}`));
             return copy;
         });
         this.registry.setModels(this.id, models);
@@ -337,6 +392,11 @@
     return reply === OrderReply.fenced || reply === OrderReply.refused || reply === OrderReply.unreachable;
 }
 
+/** "model/adapter". */
+function adapterName({ model, adapter }: EngineOrder): string {
+    return `${model}/${adapter}`;
+}
+
 /** Adapters that are held, "model/adapter". */
 function heldAdapters({ models }: { readonly models: readonly HeldModel[]; }): string[] {
     return models.flatMap(model => model.adapters.map(adapter => `${model.name}/${adapter}`));
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -2,10 +2,17 @@
 import { type EventLog, messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration, type EngineSpec } from "@winchpath/declarations";
 import { type DemandBook } from "./demands.js";
-import { type Mismatch, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type HeldModel, type Mismatch, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { OrderLine, type OrderLineOwner } from "./orderlines.js";
 import { describeOrder, type EngineCalls, type Fence } from "./orders.js";
-import { type PlannedEngine, type PlannedModel, type PlannedOrder, planOrders, type UnmetNeed } from "./plans.js";
+import {
+    type AdapterStage,
+    type PlannedEngine,
+    type PlannedModel,
+    type PlannedOrder,
+    planOrders,
+    type UnmetNeed,
+} from "./plans.js";
 import { type RegisteredUpstream, type Registry } from "./registries.js";
 import { StorePace } from "./storepaces.js";
 
@@ -269,13 +276,12 @@
         const { upstream, inMemory, onDisk } = known;
         const line = this.lines.get(upstream.id);
         const models = new Map<string, PlannedModel>();
-        const underWay = [...line?.adaptersUnderWay ?? []];
         for (const held of upstream.models) {
-            const adapters = new Map(held.adapters.map(adapter => [adapter, true]));
-            underWay.filter(name => name.startsWith(`${held.name}/`)).forEach(name =>
-                adapters.set(name.slice(held.name.length + 1), false)
-            );
-            models.set(held.name, { ready: held.readyInMs === 0, leaving: held.leaving, adapters });
+            models.set(held.name, {
+                ready: held.readyInMs === 0,
+                leaving: held.leaving,
+                adapters: adapterStages(held, line),
+            });
         }
         for (const name of line?.loadingModels ?? []) {
             if (!models.has(name)) {
@@ -297,3 +303,17 @@
         };
     }
 }
+
+/** All adapters of a model that take places at an engine: those that are held, and those that come or go. */
+function adapterStages(model: HeldModel, line: OrderLine | undefined): Map<string, AdapterStage> {
+    const stages = new Map(model.adapters.map((adapter): [string, AdapterStage] => [adapter, "held"]));
+    const add = (names: Iterable<string>, stage: AdapterStage) => {
+        const prefix = `${model.name}/`;
+        [...names].filter(name => name.startsWith(prefix)).forEach(name =>
+            stages.set(name.slice(prefix.length), stage)
+        );
+    };
+    add(line?.adaptersUnderWay ?? [], "coming");
+    add(line?.adaptersLeaving ?? [], "leaving");
+    return stages;
+}
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -30,10 +30,13 @@
 export interface PlannedModel {
     readonly ready: boolean;
     readonly leaving: boolean;
-    /** Adapters by name; false while one is under way. */
-    readonly adapters: ReadonlyMap<string, boolean>;
+    /** Adapters by name; each takes a place, whatever its stage. */
+    readonly adapters: ReadonlyMap<string, AdapterStage>;
 }
 
+/** An adapter on its way out waits for the requests that run on it, and takes no others. */
+export type AdapterStage = "coming" | "held" | "leaving";
+
 /** What a plan is made for: one service with its engines and its demand. */
 export interface PlanInput {
     readonly service: string;
--- a/packages/fleet/src/tests/plans.test.ts
+++ b/packages/fleet/src/tests/plans.test.ts
@@ -160,7 +160,7 @@
             models: new Map([["m1", {
                 ready: true,
                 leaving: false,
-                adapters: new Map(adapters.map(name => [name, true])),
+                adapters: new Map(adapters.map(name => [name, "held"])),
             }]]),
         });
 
@@ -222,7 +222,7 @@
                         models: new Map(
                             Object.entries(one.models).map(([name, model]) => [
                                 name,
-                                { ...model, adapters: new Map(model.adapters.map(adapter => [adapter, true])) },
+                                { ...model, adapters: new Map(model.adapters.map(adapter => [adapter, "held"])) },
                             ]),
                         ),
                     })
--- a/packages/fleet/src/tests/roomengines.ts
+++ b/packages/fleet/src/tests/roomengines.ts
@@ -66,6 +66,12 @@
         return [...this.models.keys()];
     }
 
+    /** Whether requests can begin on an adapter. */
+    public holds(name: string): boolean {
+        const [model, adapter] = name.split("/");
+        return this.models.get(model)?.get(adapter)?.state === "held";
+    }
+
     /** Requests begin on an adapter. */
     public use(name: string): void {
         this.inUse.add(name);
@@ -202,6 +208,9 @@
     readonly waiting: number;
 }
 
+/** How an order reaches the engine, and what its sender hears of it. */
+export type SendOrder = (order: EngineOrder, expected: number) => Promise<OrderReply>;
+
 /** A leader with nothing but its own registry, demand and orders; it knows one engine, "u". */
 export class RoomLeader {
     public readonly registry = new Registry(silentLog);
@@ -212,8 +221,7 @@
     public constructor(
         private readonly engine: RoomEngine,
         private readonly needs: () => readonly ToldDemand[],
-        private readonly send: (order: EngineOrder, expected: number) => OrderReply = (order, expected) =>
-            engine.order(order, expected),
+        private readonly send: SendOrder = async (order, expected) => engine.order(order, expected),
     ) {
         this.registry.announce(announcement("u", 1));
         const control = {
@@ -248,7 +256,7 @@
 
     private calls(): EngineCalls {
         return {
-            order: async (_upstream, order, expected) => this.send(order, expected),
+            order: (_upstream, order, expected) => this.send(order, expected),
             report: async () => this.engine.report(),
             restMs: () => 0,
         };
--- a/packages/fleet/src/tests/rooms.test.ts
+++ b/packages/fleet/src/tests/rooms.test.ts
@@ -11,8 +11,8 @@
  */
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it, mock } from "node:test";
-import { type EngineOrder, type OrderReply } from "../index.js";
-import { RoomEngine, RoomLeader, type ToldDemand } from "./roomengines.js";
+import { type EngineOrder } from "../index.js";
+import { RoomEngine, RoomLeader, type SendOrder, type ToldDemand } from "./roomengines.js";
 import { pass } from "./times.js";
 
 /** Reads, plans, conflicts and transits are over by then, in milliseconds. */
@@ -43,7 +43,7 @@
     /** A leader whose first order finds that the engine has just accepted another. */
     function leadAfter(engine: RoomEngine, other: EngineOrder, needs: readonly ToldDemand[]): void {
         let isFirst = true;
-        const send = (order: EngineOrder, expected: number): OrderReply => {
+        const send: SendOrder = async (order, expected) => {
             if (isFirst) {
                 isFirst = false;
                 engine.order(other, engine.accepted);
