--- a/packages/fleet/src/tests/roomengines.ts
+++ b/packages/fleet/src/tests/roomengines.ts
@@ -36,19 +36,27 @@
     readonly report: EngineReport;
 }
 
+/** The page leaves open what an engine looks at first: the number of an order, or whether what it asks for is so already. */
+export type FirstCheck = "number" | "content";
+
 /** Obeys what the platform's page says of orders, places and reports; crashes where it is ordered to hold more than it has room for. */
 export class RoomEngine {
     /** The order that took it over its room. */
     public crashedBy: EngineOrder | undefined;
     public accepted = 0;
     public readonly orders: EngineOrder[] = [];
+    /** Orders with a number that the engine had not reached: they could be carried out on a state that nobody has seen. */
+    public readonly ahead: EngineOrder[] = [];
     /** Adapters with requests on them, "model/adapter". */
     private readonly inUse = new Set<string>();
     private readonly models = new Map<string, Map<string, HeldAdapter>>();
     private busy = false;
     private shown: Shown[] = [];
 
-    public constructor(held: Readonly<Record<string, readonly string[]>>) {
+    public constructor(
+        held: Readonly<Record<string, readonly string[]>>,
+        private readonly firstCheck: FirstCheck = "number",
+    ) {
         for (const [model, adapters] of Object.entries(held)) {
             this.models.set(model, new Map(adapters.map(name => [name, { state: "held" }])));
         }
@@ -92,7 +100,17 @@
         if (this.crashedBy !== undefined) {
             return OrderReply.unreachable;
         }
-        if (this.busy || expected !== this.accepted) {
+        if (expected > this.accepted) {
+            this.ahead.push(order);
+        }
+        if (this.busy || (this.firstCheck === "number" && expected !== this.accepted)) {
+            return OrderReply.conflict;
+        }
+        const isSo = this.replyIfSo(order);
+        if (isSo !== undefined) {
+            return isSo;
+        }
+        if (expected !== this.accepted) {
             return OrderReply.conflict;
         }
         const reply = order.adapter === "" ? this.orderModel(order) : this.orderAdapter(order);
@@ -110,10 +128,24 @@
             : undefined;
     }
 
-    private orderModel({ kind, model }: EngineOrder): OrderReply {
-        if (this.models.has(model) === (kind === "load")) {
-            return OrderReply.holds;
+    /** The answer to an order that changes nothing. */
+    private replyIfSo({ kind, model, adapter }: EngineOrder): OrderReply | undefined {
+        const adapters = this.models.get(model);
+        if (adapter === "") {
+            return (adapters !== undefined) === (kind === "load") ? OrderReply.holds : undefined;
         }
+        const stage = adapters?.get(adapter)?.state;
+        if (stage === undefined) {
+            return kind === "unload" && adapters !== undefined ? OrderReply.holds : undefined;
+        }
+        if (kind === "load") {
+            return stage === "held" ? OrderReply.holds : OrderReply.accepted;
+        }
+        return stage === "leaving" ? OrderReply.accepted : undefined;
+    }
+
+    /** Carries out what is not so yet. */
+    private orderModel({ kind, model }: EngineOrder): OrderReply {
         this.accepted += 1;
         this.busy = true;
         if (kind === "load") {
@@ -145,13 +177,6 @@
     }
 
     private loadAdapter(adapters: Map<string, HeldAdapter>, name: string): OrderReply {
-        const known = adapters.get(name);
-        if (known?.state === "held") {
-            return OrderReply.holds;
-        }
-        if (known !== undefined) {
-            return OrderReply.accepted;
-        }
         const coming = [...this.models.values()].flatMap(each => [...each.values()])
             .filter(({ state }) => state === "coming");
         if (coming.length >= maxTransits) {
@@ -165,16 +190,9 @@
     }
 
     private unloadAdapter(model: string, adapters: Map<string, HeldAdapter>, name: string): OrderReply {
-        const known = adapters.get(name);
-        if (known === undefined) {
-            return OrderReply.holds;
-        }
-        if (known.state === "leaving") {
-            return OrderReply.accepted;
-        }
         this.accepted += 1;
         if (this.inUse.has(`${model}/${name}`)) {
-            known.state = "leaving";
+            adapters.get(name)!.state = "leaving";
             return OrderReply.accepted;
         }
         adapters.delete(name);
