An order's number is never ahead of its engine's: whatever meets a conflict is planned anew, and only unloads that surely count are counted

Callers saw an engine's process end with all that ran there. Cause: an unload that finds nothing to unload, or meets one that waits for its runs, isn't counted by the engine and was counted by the leader; an order with such a number, carried out seconds late, has the right number for a state that nobody judged. Why this holds: a number is taken from a report, and raised only by orders that can't have been answered without being counted; unloads after a conflict are planned anew like loads, and what a report shows replaces the mark of a model that was to go.

The test of the order line that expected the next order right after the unload of an adapter that others had loaded now has the line load it first; a second one says what holds for the others (the engine is read in between).

--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -48,6 +48,9 @@
     private readonly transits = new Set<string>();
     /** Adapters whose unload waits for the requests that run on them. */
     private readonly departures = new Set<string>();
+    /** Adapters that were seen to arrive by an order of this line, and were not given up since. */
+    private readonly loaded = new Set<string>();
+    /** Number of orders that the engine has accepted, or fewer; undefined until it was read. */
     private expected: number | undefined;
     private occupied = false;
     private seen = false;
@@ -140,13 +143,13 @@
         for (let tries = 0; tries < maxTries; tries++) {
             switch (await this.send(order)) {
                 case OrderReply.accepted:
-                    this.expected! += 1;
+                    this.count(order);
                     await this.follow(order, expectedMs);
                     return;
                 case OrderReply.holds:
-                    if (order.kind === "unload" && order.adapter !== "") {
-                        // An adapter goes at once, and that counts as an order.
-                        this.expected! += 1;
+                    if (isAdapterUnload(order)) {
+                        // An adapter that nothing runs on goes at once, and that counts as an order.
+                        this.count(order);
                     }
                     this.tookEffect(order);
                     return;
@@ -156,13 +159,11 @@
                     this.expected = undefined;
                     return;
                 case OrderReply.conflict:
-                    // Room was judged by what the engine held before: what it has accepted since may have taken
-                    // that room, so a load is planned anew. An unload takes none.
-                    if (!await this.reread() || order.kind === "load") {
-                        this.log.info("order.outdated", { upstream: this.id, order: describeOrder(order) });
-                        return;
-                    }
-                    break;
+                    // It was judged by what the engine held before, which has accepted other orders since: they may
+                    // have taken the room of a load, or what is to be unloaded. It is planned anew.
+                    this.log.info("order.outdated", { upstream: this.id, order: describeOrder(order) });
+                    await this.reread();
+                    return;
                 case OrderReply.unknown:
                     // Sent again under the same number: whichever copy is taken first makes the other fail.
                     await sleep(resendMs);
@@ -172,6 +173,19 @@
         this.expected = undefined;
     }
 
+    /**
+     * The engine counts an order that it has accepted. An unload of what goes already, or has gone, isn't counted, and
+     * is answered alike: only of an adapter that this line has loaded is known that it was neither. A number that is
+     * behind is refused; one that is ahead would be right later, for a state that nobody has judged.
+     */
+    private count(order: EngineOrder): void {
+        if (isAdapterUnload(order) && !this.loaded.delete(adapterName(order))) {
+            this.expected = undefined;
+            return;
+        }
+        this.expected! += 1;
+    }
+
     /** Waits while the engine wants nothing from this host, which may send it callers' requests too. */
     private async untilRested(): Promise<void> {
         for (let upstream = this.upstream; upstream !== undefined; upstream = this.upstream) {
@@ -258,6 +272,7 @@
         this.transits.add(name);
         this.owner.settled();
         if (await this.arrives(order)) {
+            this.loaded.add(name);
             this.tookEffect(order);
         }
         else {
@@ -347,43 +362,45 @@
         }
     }
 
-    /** After a conflict: whether the engine could be read. */
-    private async reread(): Promise<boolean> {
+    private async reread(): Promise<void> {
         const { upstream } = this;
         this.expected = undefined;
-        return upstream !== undefined && this.read(upstream);
+        if (upstream !== undefined) {
+            await this.read(upstream);
+        }
     }
 
-    private async read(upstream: Upstream): Promise<boolean> {
+    /** Takes in what the engine holds, unless a model comes or goes there. */
+    private async read(upstream: Upstream): Promise<void> {
         // A report from before the last order took effect would tell of room that is taken.
         await sleep(Math.max(0, this.lastOrderAt + reportLagMs - steadyNow()));
         await this.untilRested();
         const report = await this.calls.report(upstream);
         if (report === undefined) {
-            return false;
+            return;
         }
         if (report.busy) {
             // What is on its way there is not told, so there may be less room than it seems.
             this.log.info("engine.busy", { upstream: this.id, orders: report.orders });
-            return false;
+            return;
         }
         this.seen = true;
         this.expected = report.orders;
-        const leaving = new Set(upstream.models.filter(model => model.leaving).map(model => model.name));
-        const models = report.models.map(model => {
-            const copy = clone(HeldModelSchema, model);
-            copy.leaving = leaving.has(model.name);
-            copy.adapters = copy.adapters.filter(adapter => !this.departures.has(`${model.name}/${adapter}`));
-            return copy;
-        });
-        this.registry.setModels(this.id, models);
+        this.loaded.clear();
+        this.registry.setModels(this.id, report.models.map(model => this.withoutDepartures(model)));
         this.log.info("engine.read", {
             upstream: this.id,
             orders: report.orders,
             models: report.models.map(model => model.name),
             adapters: heldAdapters(report),
         });
-        return true;
+    }
+
+    /** A report lists an adapter until its last request has ended; it takes no others. */
+    private withoutDepartures(model: HeldModel): HeldModel {
+        const copy = clone(HeldModelSchema, model);
+        copy.adapters = copy.adapters.filter(adapter => !this.departures.has(`${model.name}/${adapter}`));
+        return copy;
     }
 }
 
@@ -392,6 +409,10 @@
     return reply === OrderReply.fenced || reply === OrderReply.refused || reply === OrderReply.unreachable;
 }
 
+function isAdapterUnload({ kind, adapter }: EngineOrder): boolean {
+    return kind === "unload" && adapter !== "";
+}
+
 /** "model/adapter". */
 function adapterName({ model, adapter }: EngineOrder): string {
     return `${model}/${adapter}`;
--- a/packages/fleet/src/tests/orderlines.test.ts
+++ b/packages/fleet/src/tests/orderlines.test.ts
@@ -71,10 +71,25 @@
     });
 
     it("counts an adapter's unload, so that the next order is taken", async () => {
+        const engine = new ScriptedEngine();
+        engine.models.set("m1", new Set());
+        const { line, registry, settled } = await lineFor(engine);
+        await line.give(order("load", "m1", "a1"), 1);
+        await until(() => line.adaptersUnderWay.size === 0, settled, 1000, "the adapter to arrive");
+        const before = engine.orders.length;
+        await line.give(order("unload", "m1", "a1"), 1);
+        await line.give(order("load", "m2"), 1);
+        expect(engine.orders.slice(before).map(({ expected }) => expected)).toEqual([1, 2, 3]);
+        expect(held(registry)).toEqual(["m1", "m2"]);
+    });
+
+    it("reads the engine before anything else after the unload of an adapter that others have loaded", async () => {
         const engine = new ScriptedEngine();
         engine.models.set("m1", new Set(["a1"]));
         const { line, registry } = await lineFor(engine);
         await line.give(order("unload", "m1", "a1"), 1);
+        expect([line.free, held(registry)]).toEqual([false, ["m1"]]);
+        await line.sync();
         await line.give(order("load", "m2"), 1);
         expect(engine.orders.map(({ expected }) => expected)).toEqual([0, 1, 2]);
         expect(held(registry)).toEqual(["m1", "m2"]);
--- a/packages/fleet/src/tests/roomengines.ts
+++ b/packages/fleet/src/tests/roomengines.ts
@@ -2,6 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import { silentLog, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
+import { MismatchSchema } from "../gen/winchpath/fleet/v1/fleet_pb.js";
 import {
     DemandBook,
     DemandRequestSchema,
@@ -267,11 +268,23 @@
                 intervalMs: demandMs,
                 items: this.needs().map(need => ({ service: "s", arrived: need.running + need.waiting, ...need })),
             }));
+            this.doubtMissing();
             this.placement.notify();
             await sleep(demandMs);
         }
     }
 
+    /** Requests for an adapter that is believed to be held are told by the engine that it isn't, and so is the leader. */
+    private doubtMissing(): void {
+        const held = this.registry.get("u")!.upstream.models;
+        for (const { model, adapter, running, waiting } of this.needs()) {
+            const isBelieved = held.some(({ name, adapters }) => name === model && adapters.includes(adapter));
+            if (isBelieved && running + waiting > 0 && !this.engine.holds(`${model}/${adapter}`)) {
+                this.placement.doubt(create(MismatchSchema, { upstream: "u", model, adapter }));
+            }
+        }
+    }
+
     private calls(): EngineCalls {
         return {
             order: (_upstream, order, expected) => this.send(order, expected),
