A test that fails: an order goes out without a number once an adapter has failed to show while another order was on its way

The number is given up in that moment and then raised: what isn't a number becomes null on the wire, which an engine may take for an order that is to be carried out whatever it has accepted.

--- a/packages/fleet/src/tests/orderlines.test.ts
+++ b/packages/fleet/src/tests/orderlines.test.ts
@@ -1,4 +1,4 @@
-import { Notifier, silentLog, steadyNow, until } from "@winchpath/core";
+import { Notifier, silentLog, sleep, steadyNow, until } from "@winchpath/core";
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { type EngineOrder, type Fence, OrderLine, OrderReply, type Registry } from "../index.js";
@@ -136,6 +136,22 @@
         expect(line.free).toEqual(false);
     });
 
+    it("sends no order without a number, also where an adapter fails to show while another order is on its way", async () => {
+        const engine = new ScriptedEngine();
+        engine.models.set("m1", new Set());
+        const { line, settled } = await lineFor(engine);
+        engine.scripts.push(() => OrderReply.accepted, () => OrderReply.refused, () => OrderReply.accepted);
+        engine.answerAfterMs = 100;
+        await line.give(order("load", "m1", "a1"), 1);
+        // The second order goes out while the first adapter is asked after, which is answered before it.
+        await sleep(50);
+        await line.give(order("load", "m1", "a2"), 1);
+        await until(() => line.adaptersUnderWay.size === 0, settled, 10_000, "the checks to end");
+        expect(line.free).toEqual(false);
+        await line.give(order("load", "m1", "a3"), 1);
+        expect(engine.orders.filter(({ expected }) => !Number.isInteger(expected))).toEqual([]);
+    });
+
     it("stops where somebody with a higher token gives orders", async () => {
         const engine = new ScriptedEngine();
         const { line, fenced } = await lineFor(engine);
--- a/packages/fleet/src/tests/standins.ts
+++ b/packages/fleet/src/tests/standins.ts
@@ -1,6 +1,6 @@
 /** Engines, upstreams and demand for the tests of this slice. */
 import { create } from "@bufbuild/protobuf";
-import { silentLog, steadyNow } from "@winchpath/core";
+import { silentLog, sleep, steadyNow } from "@winchpath/core";
 import { type EngineSpec } from "@winchpath/declarations";
 import {
     type Announcement,
@@ -99,11 +99,13 @@
     public crashed = false;
     /** Steady time until which it wants nothing. */
     public restsUntil = 0;
+    public answerAfterMs = 0;
     /** Answers in place of the engine's own, while there are any. */
     public readonly scripts: Script[] = [];
 
     public async order(_upstream: Upstream, order: EngineOrder, expected: number, fence: Fence): Promise<OrderReply> {
         this.orders.push({ order, expected, fence });
+        await sleep(this.answerAfterMs);
         return this.scripts.shift()?.(order, expected) ?? this.carryOut(order, expected);
     }
 
