An order that is on its way while the number of its engine is given up doesn't bring it back

Callers saw nothing of this by itself; it takes the one check away that keeps an order from a state nobody has judged. Cause: the number was raised after an answer without a look at whether it was still known. Why this holds: a number is raised where it is known, and nowhere else; the line reads its engine before the next order.

--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -179,11 +179,9 @@
      * behind is refused; one that is ahead would be right later, for a state that nobody has judged.
      */
     private count(order: EngineOrder): void {
-        if (isAdapterUnload(order) && !this.loaded.delete(adapterName(order))) {
-            this.expected = undefined;
-            return;
-        }
-        this.expected! += 1;
+        const isKnownToCount = !isAdapterUnload(order) || this.loaded.delete(adapterName(order));
+        // An adapter that failed to show may have taken the number back while this order was on its way.
+        this.expected = isKnownToCount && this.expected !== undefined ? this.expected + 1 : undefined;
     }
 
     /** Waits while the engine wants nothing from this host, which may send it callers' requests too. */
