A host that leads again gives no order within its own lease where another may have led in between

What was seen: orders of two holders by turns within a lease, on engines that don't check tokens. Cause: an earlier holder that doesn't answer was taken for one that hasn't given orders since; a leader that is being stopped answers nobody, though it has just given some. Why this holds: orders go from a host to another and back only if the first waits out its lease after its own last order, or after the beginning of its process, which can't know what the one before it gave. It waits only where somebody doesn't answer.

Ruled out: waiting for everybody that doesn't answer (a lease without orders after each lost leader).

--- a/packages/fleet/src/orderleases.ts
+++ b/packages/fleet/src/orderleases.ts
@@ -7,7 +7,7 @@
 import { type RpcClients } from "@winchpath/rpc";
 import { FleetService, type YieldResponse } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 
-/** An earlier holder that has not answered by then is cut off or stopped, and gives no orders without a majority. */
+/** An earlier holder that has not answered by then is cut off or being stopped, and gives no orders without a majority. */
 const yieldTimeoutMs = 300;
 /** Beyond the lease, for the last order of the earlier holder that is still on its way, in milliseconds. */
 const marginMs = 200;
@@ -17,6 +17,8 @@
     /** Notified when another leader has asked. */
     public readonly yielded = new Notifier();
     private gaveAt: number | undefined;
+    /** What this host's earlier process gave isn't known; it gave nothing later. */
+    private readonly begunAt = steadyNow();
     private highestToken = 0;
     private openToken: number | undefined;
 
@@ -50,10 +52,7 @@
     ): Promise<void> {
         const startedAt = steadyNow();
         const answers = await Promise.all(urls.map(url => this.ask(token, url, clients)));
-        const remaining = answers.map(answer =>
-            answer?.gave === true ? this.leaseMs() + marginMs - answer.lastOrderAgeMs : 0
-        );
-        const waitMs = Math.max(0, ...remaining);
+        const waitMs = Math.max(0, ...answers.map(answer => this.remainingMs(answer)));
         this.log.info("orders.lease", {
             token,
             waitMs: Math.round(waitMs),
@@ -67,6 +66,18 @@
         }
     }
 
+    /**
+     * What is left of a lease. Another host that doesn't answer gives no more orders, but may have given some in between: then
+     * this one waits out its own lease, so that orders never go from it to another and back within one.
+     */
+    private remainingMs(answer: YieldResponse | undefined): number {
+        const wholeMs = this.leaseMs() + marginMs;
+        if (answer === undefined) {
+            return wholeMs - (steadyNow() - (this.gaveAt ?? this.begunAt));
+        }
+        return answer.gave ? wholeMs - answer.lastOrderAgeMs : 0;
+    }
+
     private async ask(token: number, url: string, clients: RpcClients): Promise<YieldResponse | undefined> {
         try {
             const req = { token: BigInt(token) };
