--- a/packages/quarantine/src/suspicions.ts
+++ b/packages/quarantine/src/suspicions.ts
@@ -26,7 +26,7 @@
 /**
  * Ends within this time of each other may have one cause outside, such as the power of a rack, in milliseconds: its
  * upstreams end within some ten, and two reports may be off by {@link reportSlackMs} each. Each then counts as one of
- * so many. Without it 1 to 1,720 of 100,000 innocent requests were refused where half of the upstreams went dark three times.
+ * so many: innocent requests aren't held back because half of the upstreams went dark three times.
  */
 const togetherMs = 75;
 /** Ends are ordered and summed as fractions; sums may be off by less than this. */
