--- a/packages/fleet/src/orderlines.ts
+++ b/packages/fleet/src/orderlines.ts
@@ -2,6 +2,7 @@
 import { clone } from "@bufbuild/protobuf";
 import { type EventLog, sleep, steadyNow } from "@winchpath/core";
 import { type HeldModel, HeldModelSchema, type Upstream } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { adapterName, applyOrder, heldAdapters, isAdapterUnload, remove } from "./heldmodels.js";
 import { describeOrder, type EngineCalls, type EngineOrder, type Fence, OrderReply } from "./orders.js";
 import { heldModel, type Registry } from "./registries.js";
 
@@ -406,46 +407,3 @@
 function isFinal(reply: OrderReply): boolean {
     return reply === OrderReply.fenced || reply === OrderReply.refused || reply === OrderReply.unreachable;
 }
-
-function isAdapterUnload({ kind, adapter }: EngineOrder): boolean {
-    return kind === "unload" && adapter !== "";
-}
-
-/** "model/adapter". */
-function adapterName({ model, adapter }: EngineOrder): string {
-    return `${model}/${adapter}`;
-}
-
-/** Adapters that are held, "model/adapter". */
-function heldAdapters({ models }: { readonly models: readonly HeldModel[]; }): string[] {
-    return models.flatMap(model => model.adapters.map(adapter => `${model.name}/${adapter}`));
-}
-
-function applyOrder(models: HeldModel[], order: EngineOrder): void {
-    const held = models.find(model => model.name === order.model);
-    if (order.adapter === "") {
-        if (order.kind === "unload") {
-            remove(models, order.model, () => true);
-        }
-        else if (held === undefined) {
-            models.push(heldModel(order.model, 0));
-        }
-        else {
-            held.readyInMs = 0;
-        }
-        return;
-    }
-    if (held !== undefined) {
-        held.adapters = held.adapters.filter(adapter => adapter !== order.adapter);
-        if (order.kind === "load") {
-            held.adapters.push(order.adapter);
-        }
-    }
-}
-
-function remove(models: HeldModel[], name: string, condition: (held: HeldModel) => boolean): void {
-    const index = models.findIndex(model => model.name === name && condition(model));
-    if (index !== -1) {
-        models.splice(index, 1);
-    }
-}
