--- a/packages/fleet/src/tests/roomengines.ts
+++ b/packages/fleet/src/tests/roomengines.ts
@@ -73,6 +73,15 @@
         );
     }
 
+    /** What tells one state of it from another. */
+    public get state(): unknown {
+        return {
+            accepted: this.accepted,
+            busy: this.busy,
+            models: [...this.models].map(([name, held]) => [name, ...held]),
+        };
+    }
+
     public get modelNames(): string[] {
         return [...this.models.keys()];
     }
@@ -263,6 +272,16 @@
         this.ended.abort();
     }
 
+    /** What it believes of the engine, and what it is doing there. */
+    public get state(): unknown {
+        const line = (Reflect.get(this.placement, "lines") as Map<string, object>).get("u") ?? {};
+        const fields = ["expected", "occupied", "loading", "transits", "departures", "loaded"];
+        const told = this.registry.get("u")!.upstream.models.map((
+            { name, adapters, leaving },
+        ) => [name, adapters, leaving]);
+        return [told, ...fields.map(field => plain(Reflect.get(line, field)))];
+    }
+
     private async hear(): Promise<void> {
         while (!this.ended.signal.aborted) {
             this.demand.take(create(DemandRequestSchema, {
@@ -295,3 +314,7 @@
         };
     }
 }
+
+function plain(value: unknown): unknown {
+    return value instanceof Set ? [...value] : value;
+}
