Sight: entries log the rate that an upstream names, on each attempt and as it begins, changes and ends

Hypotheses of the incident can't be told apart without it: no line or counter said that a rate was named, so neither that nobody acts on it nor what goes there all the same could be seen. Lines upstream.limited and upstream.unlimited, limitPerSecond on request.attempt, counter upstream_limits_total by service. What is sent where is as before.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./listening.js";
 export * from "./logs.js";
 export * from "./names.js";
+export * from "./ratevalues.js";
 export * from "./results.js";
 export * from "./retryafters.js";
 export * from "./schemas.js";
--- a/packages/forwarding/src/codecs.ts
+++ b/packages/forwarding/src/codecs.ts
@@ -71,6 +71,8 @@
     readonly leaving: boolean;
     /** For how long it wants no requests from this process, in milliseconds; undefined where it asks for no rest. */
     readonly restMs: number | undefined;
+    /** Requests a second that it takes from all processes together; undefined where it names no rate. */
+    readonly limitPerSecond: number | undefined;
 }
 
 export interface RequestCodec {
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -261,6 +261,7 @@
                 // What the upstream said of itself in this answer.
                 leaving: head?.leaving || undefined,
                 restMs: head?.restMs,
+                limitPerSecond: head?.limitPerSecond,
                 tookMs: Math.round(steadyNow() - startedAt),
             });
             return outcome;
--- a/packages/forwarding/src/signals.ts
+++ b/packages/forwarding/src/signals.ts
@@ -18,12 +18,16 @@
  * connection to that upstream. An entry that is cut off from the control group has no other source.
  */
 export class UpstreamSignals {
+    /** Rates that upstreams have named last. */
+    private readonly named = new Map<string, number>();
+
     public constructor(private readonly parts: SignalParts) {}
 
     public take(job: Job, link: UpstreamLink, facts: AnswerFacts): void {
         if (facts.leaving) {
             this.takeLeaving(job, link);
         }
+        this.takeLimit(job, link, facts.limitPerSecond);
         if (facts.restMs !== undefined) {
             this.takeRest(job, link, facts.restMs);
         }
@@ -43,6 +47,21 @@
         link.renewConnections();
     }
 
+    private takeLimit(job: Job, link: UpstreamLink, perSecond: number | undefined): void {
+        const before = this.named.get(link.id);
+        if (perSecond === before) {
+            return;
+        }
+        if (perSecond === undefined) {
+            this.named.delete(link.id);
+            this.parts.log.info("upstream.unlimited", { upstream: link.id, before, request: job.id });
+            return;
+        }
+        this.named.set(link.id, perSecond);
+        this.parts.log.warn("upstream.limited", { upstream: link.id, perSecond, before, request: job.id });
+        this.parts.metrics.count("upstream_limits_total", { service: job.service });
+    }
+
     private takeRest(job: Job, link: UpstreamLink, restMs: number): void {
         this.parts.availability.rest(link.id, restMs);
         this.parts.log.warn("upstream.rests", { upstream: link.id, restMs, request: job.id });
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -1,13 +1,21 @@
 /** An upstream that answers as a test says, byte by byte, and an entry in one process. */
 import { create } from "@bufbuild/protobuf";
 import { AccountLimiter, Authenticator, type RevocationOptions } from "@winchpath/accounts";
-import { Metrics, retryAfterMs, silentLog, steadyNow } from "@winchpath/core";
+import { Metrics, ratePerSecond, retryAfterMs, silentLog, steadyNow } from "@winchpath/core";
 import { type Configuration, type EngineSpec, type Route } from "@winchpath/declarations";
 import { DemandMeter, encodeUpstream, FleetView, type Upstream, UpstreamSchema, UpstreamState } from "@winchpath/fleet";
 import { once } from "node:events";
 import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import { Admissions, CallerDoor, Forwarder, headerOf, type RequestCodec, withoutConnectionHeaders } from "../index.js";
+import {
+    Admissions,
+    CallerDoor,
+    Forwarder,
+    headerOf,
+    type RequestCodec,
+    valuesOf,
+    withoutConnectionHeaders,
+} from "../index.js";
 
 /** Header names of these tests. */
 export const testCodec: RequestCodec = {
@@ -43,6 +51,7 @@
         load: undefined,
         leaving: headerOf(headers, "x-leaving") === "1",
         restMs: status === 503 ? retryAfterMs(headerOf(headers, "retry-after")) : undefined,
+        limitPerSecond: ratePerSecond(valuesOf(headers, "x-limit")),
     }),
 };
 
