A rate that an upstream names is held by all entries together: each request there needs a permit of the leader

What callers saw: nothing at first; upstreams in need that had named a rate of about one request a second got up to five times that, from all entries together, and more than before they had named it, since they looked idle. Ruled out: that the requests could go nowhere else (four other holders took 53 of 96), retries (all were first tries). The mend: an entry believes a rate from the first answer that names it, sends nothing there without a permit and tells the leader at once; the leader tells the other entries in the feed and grants permits out of one bucket for each upstream. Permits lapse, so that all entries together can't use saved ones in one moment; without a leader nothing goes there; a new leader begins with empty buckets. It ends with the first answer without a rate to a request that was sent after the newest word. Others are chosen meanwhile; where all that could serve take a rate, callers are refused at once with the time of the next permit (503, limited).

--- a/packages/accounts/src/index.ts
+++ b/packages/accounts/src/index.ts
@@ -1,5 +1,4 @@
 export * from "./authenticators.js";
-export * from "./buckets.js";
 export * from "./counts.js";
 export * from "./keyrings.js";
 export * from "./limitbooks.js";
--- a/packages/accounts/src/limitbooks.ts
+++ b/packages/accounts/src/limitbooks.ts
@@ -4,9 +4,8 @@
  * granted them, and grants never exceed what the bucket holds. Entries that share one limit by their
  * demand: B. Raghavan et al., "Cloud control with distributed rate limiting", SIGCOMM 2007.
  */
-import { type EventLog, steadyNow } from "@winchpath/core";
+import { type EventLog, steadyNow, TokenBucket } from "@winchpath/core";
 import { type AccountLimit, type ClientAccount } from "@winchpath/declarations";
-import { TokenBucket } from "./buckets.js";
 import { type AccountCounts, type Allowance, creditLifeMs, type LimitTolerance, untoldUnits } from "./counts.js";
 
 /** When an account is held to grants, in shares of what its bucket can hold. */
--- a/packages/availability/src/availabilities.ts
+++ b/packages/availability/src/availabilities.ts
@@ -1,5 +1,6 @@
 /** Whether a request may go to an upstream now, by what that upstream has said of itself. */
 import { LeaverBook } from "./leavers.js";
+import { RateLimits } from "./ratelimits.js";
 import { RestBook } from "./rests.js";
 
 /** What an upstream has said of itself. */
@@ -8,7 +9,9 @@
     /** `since`: steady time of the first word. */
     | { readonly kind: "leaving"; readonly since: number; }
     /** `until`: steady time. */
-    | { readonly kind: "resting"; readonly until: number; };
+    | { readonly kind: "resting"; readonly until: number; }
+    /** It takes a rate, and this process has no permit; `until`: steady time at which there may be one. */
+    | { readonly kind: "limited"; readonly until: number; };
 
 const open: Availability = { kind: "open" };
 
@@ -17,6 +20,7 @@
  * again right before sending; so does whoever else sends to upstreams.
  */
 export class AvailabilityBook {
+    public readonly rates = new RateLimits();
     private readonly leavers = new LeaverBook();
     private readonly rests = new RestBook();
 
@@ -51,10 +55,12 @@
 
     /** Whether an upstream is to be chosen for a request. */
     public choosable(upstream: string): Availability {
-        return this.judge(upstream, this.rests.choosableFrom(upstream));
+        const stand = this.judge(upstream, this.rests.choosableFrom(upstream));
+        const until = this.rates.heldUntil(upstream);
+        return stand.kind === "open" && until !== undefined ? { kind: "limited", until } : stand;
     }
 
-    /** Whether what was chosen, or can't go elsewhere, may still be sent. */
+    /** Whether what was chosen, or can't go elsewhere, may still be sent; rates are apart, see {@link RateLimits.take}. */
     public sendable(upstream: string): Availability {
         return this.judge(upstream, this.rests.untilOf(upstream));
     }
--- a/packages/availability/src/index.ts
+++ b/packages/availability/src/index.ts
@@ -1,3 +1,5 @@
 export * from "./availabilities.js";
 export * from "./leavers.js";
+export * from "./rateledgers.js";
+export * from "./ratelimits.js";
 export * from "./rests.js";
--- a/packages/accounts/src/buckets.ts
+++ b/packages/core/src/buckets.ts
@@ -1,5 +1,5 @@
 /** A bucket that fills at a rate up to its size, and may be overdrawn by what was let through elsewhere. */
-import { steadyNow } from "@winchpath/core";
+import { steadyNow } from "./clocks.js";
 
 export class TokenBucket {
     private filledAt = steadyNow();
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./buckets.js";
 export * from "./clocks.js";
 export * from "./errors.js";
 export * from "./eventlogs.js";
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -15,6 +15,7 @@
 import { type ItemKey, itemName, modelName } from "./items.js";
 import { ToldLeavers } from "./leavers.js";
 import { PastDemands } from "./pastdemands.js";
+import { encodeRate } from "./upstreamrates.js";
 
 /** How often demand is told, in milliseconds; a model's load takes a second and more. */
 const reportMs = 500;
@@ -72,8 +73,8 @@
     private accounts: AccountMeter | undefined;
     private pressed: NodeJS.Timeout | undefined;
 
-    /** `availability`: what upstreams have said of themselves; leaders are told which leave. */
-    public constructor(private readonly log: EventLog, availability = new AvailabilityBook()) {
+    /** `availability`: what upstreams have said of themselves; leaders are told which leave, and of rates. */
+    public constructor(private readonly log: EventLog, private readonly availability = new AvailabilityBook()) {
         this.leavers = new ToldLeavers(availability);
     }
 
@@ -83,7 +84,7 @@
     }
 
     /**
-     * What accounts have used is to be told soon. `entries`: how many tell; many of them do so less often
+     * What accounts have used, or is wanted of limited upstreams, is to be told soon. `entries`: how many tell; many of them do so less often
      * each, since a report takes the leader as long as an answer of the feed.
      */
     public press(entries: number): void {
@@ -174,7 +175,7 @@
             await this.urgent.wait(reportMs);
             await sleep(Math.max(urgentMs, this.reportedAt + reportPauseMs - steadyNow()), signal);
             const { url, epoch } = leader();
-            if (url === "" || epoch === "" || signal.aborted || !this.hasNews) {
+            if (url === "" || epoch === "" || signal.aborted || !this.hasNews(epoch)) {
                 continue;
             }
             await this.report(entry, clients, url, epoch);
@@ -191,8 +192,10 @@
         const unreachable = [...this.unreachable];
         const outcomes = [...this.outcomes.values()];
         const leaving = this.leavers.toTell(epoch);
+        const rates = this.availability.rates.reports(epoch);
         this.settle();
-        this.reportedAt = steadyNow();
+        const askedAt = steadyNow();
+        this.reportedAt = askedAt;
         clearTimeout(this.pressed);
         this.pressed = undefined;
         const counts = this.accounts?.counts() ?? [];
@@ -211,12 +214,14 @@
                 outcomes,
                 leaving,
                 accounts: counts.map(encodeCounts),
+                rates: rates.map(encodeRate),
                 process: BigInt(this.process),
             };
             const res = await clients.client(FleetService, url).reportDemand(req, { timeoutMs: reportTimeoutMs });
             this.toldTo = epoch;
             this.leavers.told(leaving, epoch);
             this.accounts?.take(counts, res.allowances.map(decodeAllowance));
+            this.availability.rates.answered(rates, res.permits, { epoch, askedAt });
         }
         catch (err) {
             // The next report tells what runs and waits; arrivals of one interval are not missed much.
@@ -237,8 +242,9 @@
         });
     }
 
-    private get hasNews(): boolean {
-        return this.items.size > 0 || this.mismatches.length > 0 || this.unreachable.size > 0
+    private hasNews(epoch: string): boolean {
+        return this.availability.rates.hasNews(epoch) || this.items.size > 0 || this.mismatches.length > 0
+            || this.unreachable.size > 0
             || this.outcomes.size > 0 || this.leavers.hasNews || (this.accounts?.counts().length ?? 0) > 0;
     }
 
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -229,6 +229,16 @@
         }
     }
 
+    /** Sets whether an upstream has named a rate that it takes. */
+    public setLimited(id: string, limited: boolean): void {
+        const entry = this.upstreams.get(id);
+        if (entry !== undefined && entry.upstream.limited !== limited) {
+            const next = clone(UpstreamSchema, entry.upstream);
+            next.limited = limited;
+            this.touch(entry, next);
+        }
+    }
+
     /** A process could not reach an upstream. */
     public unreachable(id: string, from: string): void {
         const entry = this.upstreams.get(id);
@@ -336,6 +346,7 @@
                 next.models = entry.upstream.models;
             }
             next.failingPercent = entry.upstream.failingPercent;
+            next.limited = entry.upstream.limited;
         }
         if (isNew) {
             this.log.info("upstream.learnt", {
@@ -457,9 +468,9 @@
     }
 }
 
-/** Whether an upstream takes no requests any more, none for a model that it is about to give up, or fails them. */
+/** Whether an upstream takes no or fewer requests, none for a model that it is about to give up, or fails them. */
 function stopsTaking(before: Upstream, now: Upstream): boolean {
-    if (now.failingPercent > before.failingPercent) {
+    if (now.failingPercent > before.failingPercent || (now.limited && !before.limited)) {
         return true;
     }
     const drains = before.state !== now.state && now.state === UpstreamState.DRAINING;
--- a/packages/fleet/src/services.ts
+++ b/packages/fleet/src/services.ts
@@ -1,12 +1,14 @@
 /** The RPCs of the leader that entries and other control hosts call. */
 import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
 import { type Allowance, type LimitBook } from "@winchpath/accounts";
+import { type RateLedger } from "@winchpath/availability";
 import { type CrashWatch } from "@winchpath/quarantine";
 import { type AnnouncementDesk } from "./announcements.js";
 import { type DemandBook } from "./demands.js";
 import { type Feed } from "./feeds.js";
 import { type DemandRequest, type FleetService } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type OrderLease } from "./orderleases.js";
+import { decodeRate } from "./upstreamrates.js";
 
 export interface FleetServiceParts {
     readonly feed: Pick<Feed, "poll" | "liveEntries">;
@@ -18,6 +20,8 @@
     readonly demanded: (report: DemandRequest) => void;
     /** Takes in what an entry has counted of accounts. */
     readonly limits: Pick<LimitBook, "take">;
+    /** Takes in what an entry knows of upstreams' rates. */
+    readonly rates: Pick<RateLedger, "take">;
     /** Of the present leadership. */
     readonly crashes: () => Pick<CrashWatch, "take"> | undefined;
 }
@@ -51,7 +55,7 @@
             checkLeads();
             parts.demand.take(req);
             parts.demanded(req);
-            return { allowances: allowancesOf(parts, req) };
+            return { allowances: allowancesOf(parts, req), permits: permitsOf(parts, req) };
         },
         reportCrashes: req => {
             const crashes = parts.crashes();
@@ -68,6 +72,14 @@
     };
 }
 
+function permitsOf({ rates }: FleetServiceParts, req: DemandRequest) {
+    return rates.take(req.entry, req.rates.map(decodeRate)).map(grant => ({
+        ...grant,
+        lifeMs: Math.round(grant.lifeMs),
+        dryMs: Math.ceil(grant.dryMs),
+    }));
+}
+
 function allowancesOf(parts: FleetServiceParts, { entry, process, accounts }: DemandRequest) {
     const counts = accounts.map(({ account, used, asked, credit, waiting, held }) => ({
         account,
--- a/packages/fleet/src/views.ts
+++ b/packages/fleet/src/views.ts
@@ -114,6 +114,9 @@
             // A leader may not have heard yet what this process knows, or may have forgotten the upstream meanwhile.
             upstream.state = UpstreamState.DRAINING;
         }
+        if (upstream.limited) {
+            this.availability.rates.told(upstream.id);
+        }
         if (before?.upstream.state !== upstream.state) {
             this.log.info("upstream.known", {
                 upstream: upstream.id,
--- a/packages/forwarding/src/answers.ts
+++ b/packages/forwarding/src/answers.ts
@@ -21,6 +21,8 @@
     overloaded: { status: 503, reason: "overloaded" },
     /** All upstreams that hold what it asks for have asked this entry for rest; not run. */
     resting: { status: 503, reason: "resting" },
+    /** All upstreams that hold what it asks for take a rate, which others use up; not run. */
+    limited: { status: 503, reason: "limited" },
     /** What it asks for is not loaded anywhere; not run. */
     lacking: { status: 503, reason: "lacking" },
     /** The service has no upstream that takes requests; not run. */
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -1,4 +1,5 @@
 /** What happens to a request between its headers and its final answer. */
+import { type RateVerdict } from "@winchpath/availability";
 import { type EventLog, Metrics, steadyNow } from "@winchpath/core";
 import { type Configuration, type EngineSpec } from "@winchpath/declarations";
 import { type CrashReporter, type DemandMeter, type FleetView, type ItemKey } from "@winchpath/fleet";
@@ -14,7 +15,7 @@
 import { type UpstreamLink } from "./links.js";
 import { LinkTable } from "./linktables.js";
 import { PaceBook } from "./paces.js";
-import { busyRetryMs, Patience, silenceMs } from "./patiences.js";
+import { busyRetryMs, type Obstacle, Patience, silenceMs } from "./patiences.js";
 import { type Choice, Picker } from "./pickers.js";
 import { isLost, Quarantine } from "./quarantines.js";
 import { Replies } from "./replies.js";
@@ -45,7 +46,14 @@
     readonly random?: () => number;
 }
 
-type Place = { readonly kind: "upstream"; readonly link: UpstreamLink; } | Refusal;
+type Place =
+    | {
+        readonly kind: "upstream";
+        readonly link: UpstreamLink;
+        /** Whether the upstream has named no rate, as far as was known then, or a permit was taken. */
+        readonly verdict: RateVerdict;
+    }
+    | Refusal;
 
 /** Whether the flow goes on with another try. */
 type Verdict = "again" | "done";
@@ -110,7 +118,7 @@
                 this.settleCharge(job);
                 return;
             }
-            const outcome = await this.tryAt(job, place.link, res, key, tries);
+            const outcome = await this.tryAt(job, place, res, key, tries);
             if (this.conclude(job, place.link, outcome, res) === "done") {
                 this.settleCharge(job);
                 return;
@@ -172,12 +180,14 @@
     }
 
     /** The upstream that the request is about to be sent to; one whose rest is over is taken for others until it answers. */
-    private takePlace(job: Job): Choice {
+    private takePlace(job: Job): Extract<Place, { readonly kind: "upstream"; }> | Obstacle {
         const choice = this.placeNow(job);
-        if (choice.kind === "upstream") {
-            this.parts.view.availability.sent(choice.link.id);
+        if (choice.kind !== "upstream") {
+            return choice;
         }
-        return choice;
+        const { availability } = this.parts.view;
+        availability.sent(choice.link.id);
+        return { ...choice, verdict: availability.rates.take(choice.link.id) };
     }
 
     private placeNow(job: Job): Choice {
@@ -203,7 +213,7 @@
 
     private async tryAt(
         job: Job,
-        link: UpstreamLink,
+        { link, verdict }: Extract<Place, { readonly kind: "upstream"; }>,
         res: ServerResponse,
         key: ItemKey,
         tries: number,
@@ -224,14 +234,14 @@
                 urgency: this.engineOf(job.service) === undefined ? undefined : Math.min(9, job.priority),
                 keysAreOurs: this.parts.view.configuration?.accounts !== undefined,
                 closing: stopping,
-                maySend: () => this.links.isReady(link) && this.barred(job) === undefined,
+                maySend: () => this.maySend(job, link, verdict),
                 silentAfterMs: this.silentAfterMs(job, stay.tokensAhead),
                 onPause: ms => {
                     pauseMs = Math.max(pauseMs, ms);
                 },
                 onHead: facts => {
                     head = facts;
-                    this.signals.take(job, link, facts);
+                    this.signals.take(job, link, facts, startedAt);
                 },
                 onAnswer: () => {
                     firstMs = Math.round(ageMs(job));
@@ -273,6 +283,12 @@
         }
     }
 
+    /** What waited for a connection while the upstream named a rate needs a permit now. */
+    private maySend(job: Job, link: UpstreamLink, verdict: RateVerdict): boolean {
+        return this.links.isReady(link) && this.barred(job) === undefined
+            && (verdict === "permitted" || this.parts.view.availability.rates.take(link.id) !== "refused");
+    }
+
     /** Undefined where the request may not be repeated, or has been sent as often as it may be. */
     private silentAfterMs(job: Job, tokensAhead: number): number | undefined {
         if (!isRepeatable(job) || job.tried.length >= job.route.maxAttempts) {
@@ -325,7 +341,7 @@
             return "done";
         }
         const next = this.placeNow(job);
-        if (next.kind === "resting" && this.patience.waitMs(job, next) <= 0) {
+        if ((next.kind === "resting" || next.kind === "limited") && this.patience.waitMs(job, next) <= 0) {
             // Without taking a retry that another request could use.
             this.refuse(job, res, this.patience.refusal(job, next));
             return "done";
--- a/packages/forwarding/src/patiences.ts
+++ b/packages/forwarding/src/patiences.ts
@@ -42,7 +42,7 @@
     return Math.min(silent, Math.max(objectiveMs, patienceLeftMs(job) * silentPatienceShare));
 }
 
-/** Callers that are sent away until the end of a rest come back over this share of its time more, drawn for each. */
+/** Callers that are sent away until the end of a rest, or the next permit, come back over this share of its time more, drawn for each. */
 const restSpread = 0.25;
 
 /** Why no upstream was found. */
@@ -66,6 +66,7 @@
             case "lacking":
                 return this.loadWaitMs(job);
             case "resting":
+            case "limited":
                 // It is known when one may be asked again: a request for which that is too late is refused at once.
                 return why.until - steadyNow() < earlyMs(job) ? earlyMs(job) : 0;
             default:
@@ -77,6 +78,8 @@
         switch (why.kind) {
             case "resting":
                 return { kind: "refused", answer: OwnAnswer.resting, retryAfterMs: this.restMs(why.until) };
+            case "limited":
+                return { kind: "refused", answer: OwnAnswer.limited, retryAfterMs: this.restMs(why.until) };
             case "lacking":
                 return { kind: "refused", answer: OwnAnswer.lacking, retryAfterMs: this.returnAfterMs(job) };
             case "none":
--- a/packages/forwarding/src/pickers.ts
+++ b/packages/forwarding/src/pickers.ts
@@ -25,6 +25,8 @@
     | { readonly kind: "full"; }
     /** There are holders, but all have asked this entry for rest; `until`: steady time of the first end. */
     | { readonly kind: "resting"; readonly until: number; }
+    /** All that could take it take a rate, and there is no permit; `until`: steady time at which there may be one. */
+    | { readonly kind: "limited"; readonly until: number; }
     /** No upstream holds what is asked for. */
     | { readonly kind: "lacking"; }
     /** The service has no upstream that takes requests. */
@@ -59,12 +61,40 @@
         if (open.length === 0) {
             return { kind: "full" };
         }
-        const sound = open.filter(({ description }) => description.failingPercent === 0);
-        return { kind: "upstream", link: this.choose(job, sound.length > 0 ? sound : open, engine) };
+        const best = this.choose(job, open, engine);
+        if (this.limitedUntil(best) === undefined) {
+            return { kind: "upstream", link: best };
+        }
+        this.availability.rates.want(best.id, job.id);
+        return this.pickUnlimited(job, open, awake, engine);
+    }
+
+    /** The choice where the best one takes a rate, and there is no permit for it. */
+    private pickUnlimited(
+        job: Job,
+        open: readonly UpstreamLink[],
+        awake: readonly UpstreamLink[],
+        engine: EngineSpec | undefined,
+    ): Choice {
+        const free = open.filter(link => this.limitedUntil(link) === undefined);
+        if (free.length > 0) {
+            return { kind: "upstream", link: this.choose(job, free, engine) };
+        }
+        const untils = awake.map(link => this.limitedUntil(link));
+        const all = untils.filter(until => until !== undefined);
+        return all.length < untils.length ? { kind: "full" } : { kind: "limited", until: Math.min(...all) };
+    }
+
+    /** Steady time at which there may be a permit; undefined where none is needed. */
+    private limitedUntil(link: UpstreamLink): number | undefined {
+        const stand = this.availability.choosable(link.id);
+        return stand.kind === "limited" ? stand.until : undefined;
     }
 
-    /** The one with the least before the request, less what it has read already. */
-    private choose(job: Job, open: readonly UpstreamLink[], engine: EngineSpec | undefined): UpstreamLink {
+    /** Of those that are sound, the one with the least before the request, less what it has read already. */
+    private choose(job: Job, all: readonly UpstreamLink[], engine: EngineSpec | undefined): UpstreamLink {
+        const sound = all.filter(({ description }) => description.failingPercent === 0);
+        const open = sound.length > 0 ? sound : all;
         const home = job.route.sticky ? this.homeOf(job, open) : undefined;
         const sharedTokens = job.facts.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
         const ranked = open.map(link => ({
--- a/packages/forwarding/src/signals.ts
+++ b/packages/forwarding/src/signals.ts
@@ -18,16 +18,21 @@
  * connection to that upstream. An entry that is cut off from the control group has no other source.
  */
 export class UpstreamSignals {
-    /** Rates that upstreams have named last. */
-    private readonly named = new Map<string, number>();
-
     public constructor(private readonly parts: SignalParts) {}
 
-    public take(job: Job, link: UpstreamLink, facts: AnswerFacts): void {
+    /** `sentAt`: steady time at which the request was sent. */
+    public take(job: Job, link: UpstreamLink, facts: AnswerFacts, sentAt: number): void {
         if (facts.leaving) {
             this.takeLeaving(job, link);
         }
-        this.takeLimit(job, link, facts.limitPerSecond);
+        if (facts.limitPerSecond !== undefined) {
+            this.takeLimit(job, link, facts.limitPerSecond, sentAt);
+        }
+        else if (
+            facts.sealed && facts.id === job.id && this.parts.availability.rates.answeredWithout(link.id, sentAt)
+        ) {
+            this.parts.log.info("upstream.unlimited", { upstream: link.id, request: job.id });
+        }
         if (facts.restMs !== undefined) {
             this.takeRest(job, link, facts.restMs);
         }
@@ -47,17 +52,11 @@
         link.renewConnections();
     }
 
-    private takeLimit(job: Job, link: UpstreamLink, perSecond: number | undefined): void {
-        const before = this.named.get(link.id);
-        if (perSecond === before) {
-            return;
-        }
-        if (perSecond === undefined) {
-            this.named.delete(link.id);
-            this.parts.log.info("upstream.unlimited", { upstream: link.id, before, request: job.id });
+    private takeLimit(job: Job, link: UpstreamLink, perSecond: number, sentAt: number): void {
+        const before = this.parts.availability.rates.name(link.id, perSecond, sentAt);
+        if (before === perSecond) {
             return;
         }
-        this.named.set(link.id, perSecond);
         this.parts.log.warn("upstream.limited", { upstream: link.id, perSecond, before, request: job.id });
         this.parts.metrics.count("upstream_limits_total", { service: job.service });
     }
--- a/packages/forwarding/src/tests/signals.test.ts
+++ b/packages/forwarding/src/tests/signals.test.ts
@@ -1,3 +1,4 @@
+import { steadyNow } from "@winchpath/core";
 import { type Route } from "@winchpath/declarations";
 import { UpstreamState } from "@winchpath/fleet";
 import { expect } from "earl";
@@ -132,6 +133,76 @@
         socket.write(wholeAnswer(id, "bye", leaving));
     }
 
+    describe("sends nothing without a permit to one that names a rate", () => {
+        const limited = ({ id, socket }: Arrival) => socket.write(wholeAnswer(id, "hello", "X-Limit: 1\r\n"));
+
+        /** Grants permits, as the leader would. */
+        function grant(upstream: string, permits: number): void {
+            const grants = [{ upstream, permits, lifted: false, lifeMs: 10_000, dryMs: 0 }];
+            entry.view.availability.rates.answered([], grants, { epoch: "1", askedAt: steadyNow() });
+        }
+
+        it("and the other serves", async () => {
+            const [a, b] = await start({}, limited, good);
+            await call(1);
+            while (a.arrivals.length === 0) {
+                await call(1);
+            }
+            const before = b.arrivals.length;
+            expect(await call(5)).toEqual([200, 200, 200, 200, 200]);
+            expect([a.arrivals.length, b.arrivals.length]).toEqual([1, before + 5]);
+        });
+
+        it("but refuses at once where all do, and says when to return; a permit lets one go", async () => {
+            const [a, b] = await start({ objectiveMs: 100 }, limited, limited);
+            expect(await call(2)).toEqual([200, 200]);
+            const refused = await entry.call("q");
+            expect([refused.status, refused.body.includes("limited")]).toEqual([503, true]);
+            expect(Number(refused.headers["retry-after"])).toBeGreaterThan(0);
+            grant("u0", 1);
+            expect(await call(2)).toEqual([200, 503]);
+            expect([a.arrivals.length, b.arrivals.length]).toEqual([2, 1]);
+        });
+
+        it("also where the request was chosen for it before and waits for a connection", async () => {
+            const held: Arrival[] = [];
+            stage = await TestStage.start({ timeoutMs: 2000 }, [arrival => held.push(arrival)], connections);
+            entry = stage.entry;
+            const [only] = stage.upstreams;
+            const calls = Array.from({ length: 10 }, (_, index) => entry.call(`q${index}`));
+            await entry.untilOpen(calls.length);
+            while (held.length < connections) {
+                await new Promise(resolve => setImmediate(resolve));
+            }
+            held.forEach(limited);
+            const statuses = (await Promise.all(calls)).map(({ status }) => status).sort();
+            expect(only.arrivals.length).toEqual(connections);
+            expect(statuses).toEqual([200, 200, 200, 200, 503, 503, 503, 503, 503, 503]);
+        });
+
+        it("and asks for permits of the one that it would have chosen", async () => {
+            await start({ objectiveMs: 100 }, limited);
+            await call(2);
+            const [report] = entry.view.availability.rates.reports("1");
+            expect([report.kind, report.upstream, report.kind === "limited" && report.wanted]).toEqual([
+                "limited",
+                "u0",
+                1,
+            ]);
+        });
+
+        it("until an answer names none any more", async () => {
+            const [only] = await start(
+                { objectiveMs: 100 },
+                (arrival, count) => count === 1 ? limited(arrival) : good(arrival),
+            );
+            expect(await call(2)).toEqual([200, 503]);
+            grant("u0", 1);
+            expect(await call(3)).toEqual([200, 200, 200]);
+            expect(only.arrivals.length).toEqual(4);
+        });
+    });
+
     describe("sends nothing to one that wants rest", () => {
         it("for so long, and the other serves, though more than half of them rest", async () => {
             const [a, b, c] = await start({ maxAttempts: 3 }, restFor(5), restFor(5), good);
--- a/packages/loadpatterns/src/limits/policies.ts
+++ b/packages/loadpatterns/src/limits/policies.ts
@@ -1,6 +1,6 @@
 /** Ways to keep one limit over many entries, behind one interface, to compare them without a network. */
-import { AccountLimiter, type HoldingShares, LimitBook, type LimitTolerance, TokenBucket } from "@winchpath/accounts";
-import { silentLog } from "@winchpath/core";
+import { AccountLimiter, type HoldingShares, LimitBook, type LimitTolerance } from "@winchpath/accounts";
+import { silentLog, TokenBucket } from "@winchpath/core";
 import { type AccountLimit, type ClientAccount } from "@winchpath/declarations";
 
 /** What a policy costs. */
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -1,6 +1,6 @@
 /** What a host with a disk does for control on the platform: configuration, upstreams, orders to engines. */
 import { type EntryCounts, LimitBook } from "@winchpath/accounts";
-import { type AvailabilityBook } from "@winchpath/availability";
+import { type AvailabilityBook, RateLedger, type RateReport } from "@winchpath/availability";
 import {
     ComposedMachine,
     ConsensusService,
@@ -101,6 +101,7 @@
     private readonly lease: OrderLease;
     private demand: DemandBook;
     private limits: LimitBook;
+    private rates: RateLedger;
     private readonly keeper: ReplicaKeeper;
     private keeping: Promise<void> = Promise.resolve();
     private rpc!: RpcServer;
@@ -130,10 +131,15 @@
         this.lease = new OrderLease(() => settings.current.orderLeaseMs, log);
         this.demand = new DemandBook(log);
         this.limits = new LimitBook(settings.current.limitTolerance, log);
+        this.rates = this.makeRates();
         this.feed = new Feed(this.registry, this, log);
         this.desk = new AnnouncementDesk(this.registry, this.feed, this, this.clients, log);
-        const noteLeaving = (id: string) => this.registry.noteLeaving(id, host);
-        this.engines = new PlatformEngineCalls(availability, noteLeaving, log);
+        this.engines = new PlatformEngineCalls(availability, {
+            leaving: id => this.registry.noteLeaving(id, host),
+            limited: (upstream, perSecond) => {
+                this.rates.take(host, [{ kind: "limited", upstream, perSecond, ageMs: 0, wanted: 0 }]);
+            },
+        }, log);
         this.server = controlServer(this, control!.port, log);
         this.keeper = this.makeKeeper();
     }
@@ -298,6 +304,7 @@
             leads: () => this.leads,
             lease: this.lease,
             limits: { take: (told: EntryCounts) => this.limits.take(told) },
+            rates: { take: (from: string, reports: readonly RateReport[]) => this.rates.take(from, reports) },
             crashes: () => this.leads ? this.leadership?.crashes : undefined,
             demanded: (report: DemandRequest) => {
                 report.mismatches.forEach(mismatch => this.leadership?.placement.doubt(mismatch));
@@ -365,6 +372,7 @@
         this.demand = new DemandBook(this.log);
         this.limits = new LimitBook(this.settings.current.limitTolerance, this.log);
         this.limits.follow(this.configuration?.accounts ?? []);
+        this.rates = this.makeRates();
         const end = new AbortController();
         const placement = new EnginePlacement(this, this.registry, this.demand, this.engines, this.log);
         const crashes = this.crashWatch();
@@ -375,6 +383,10 @@
         placement.run(end.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
     }
 
+    private makeRates(): RateLedger {
+        return new RateLedger(this.log, (id, limited) => this.registry.setLimited(id, limited));
+    }
+
     private crashWatch(): CrashWatch {
         return new CrashWatch({
             book: () => this.crashes,
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -54,6 +54,7 @@
             seeds: () => seedsOf(settings.current),
         }, log);
         this.meter = new DemandMeter(log, availability);
+        availability.rates.listen(() => this.meter.press(this.view.entries), () => this.view.changed.notify());
         this.crashes = new CrashReporter(isRefused, log);
         const codec = new PlatformRequestCodec();
         const stopping = () => this.leaving;
