Permits for limited upstreams last two seconds and longer, and all processes together hold no more than come in one

Cause: the life of a permit was the only bound on how many may be used in one moment, so it had to be short. Now the number that processes hold is bounded instead (one second's worth, two at least): entries tell what they have left, the leader grants no more than that leaves free, and a new leader begins with so many in debt.

--- a/packages/availability/src/rateledgers.ts
+++ b/packages/availability/src/rateledgers.ts
@@ -9,10 +9,16 @@
 /** Within this time a new leader hears from processes that know of a rate, in milliseconds. */
 const learnMs = 4000;
 /**
- * Permits last this long, and longer in proportion to the time between two of them: all processes may use theirs in one
- * moment, so they must not pile up, yet few requests may come to a process. In milliseconds, with the bound.
+ * All processes may use their permits in one moment, so they hold together no more than come in this time, and two at
+ * least.
  */
-const shortestLifeMs = 1000;
+const heldSeconds = 1;
+const leastHeld = 2;
+/**
+ * Permits last this long, or twice the time between two of them, with the bound, in milliseconds: few requests may come
+ * to a process that holds one, and the others can't have it meanwhile.
+ */
+const shortestLifeMs = 2000;
 const lifePerPermit = 2;
 const longestLifeMs = 5000;
 /** A word that a rate is over is remembered for this long, in milliseconds: an older one may still come. */
@@ -24,10 +30,19 @@
 
 type LimitedReport = RateReport & { readonly kind: "limited"; };
 
+/** Permits that a process may still use. */
+interface Holding {
+    readonly permits: number;
+    /** Steady time at which the last of them lapses. */
+    readonly until: number;
+}
+
 interface Limit {
     readonly perSecond: number;
     /** What may be granted now. */
     readonly bucket: TokenBucket;
+    /** By process. */
+    readonly holdings: Map<string, Holding>;
 }
 
 /** The newest word on one upstream. */
@@ -40,7 +55,8 @@
 
 /**
  * Each permit is taken out of its upstream's bucket as it is granted, and lost where it isn't used, so what is sent
- * never exceeds what was granted, whoever fails or answers late. A new leader begins with empty buckets.
+ * never exceeds what was granted, whoever fails or answers late. A new leader counts as many permits as processes may
+ * hold as granted by the one before.
  */
 export class RateLedger {
     private readonly records = new Map<string, RateRecord>();
@@ -52,12 +68,17 @@
         private readonly onChange: (upstream: string, limited: boolean) => void,
     ) {}
 
+    /** Requests a second that an upstream has said it takes; undefined where it has named no rate, or none any more. */
+    public rateOf(upstream: string): number | undefined {
+        return this.records.get(upstream)?.limit?.perSecond;
+    }
+
     /** Takes in what a process tells, and answers each report. */
     public take(from: string, reports: readonly RateReport[]): RateGrant[] {
         this.forgetOld();
         return reports.map(report => {
             this.hear(from, report);
-            return this.answer(report);
+            return this.answer(from, report);
         });
     }
 
@@ -81,7 +102,7 @@
         this.onChange(upstream, limit !== undefined);
     }
 
-    private answer(report: RateReport): RateGrant {
+    private answer(from: string, report: RateReport): RateGrant {
         const { upstream } = report;
         const record = this.records.get(upstream);
         const none = { upstream, lifted: false, permits: 0, lifeMs: 0, dryMs: 0 };
@@ -93,7 +114,7 @@
         if (record.limit === undefined) {
             return { ...none, lifted: true };
         }
-        return report.kind === "limited" ? grant(record.limit, report) : none;
+        return report.kind === "limited" ? grant(record.limit, from, report) : none;
     }
 
     private forgetOld(): void {
@@ -110,18 +131,41 @@
 function limitOf(perSecond: number, before: Limit | undefined): Limit {
     const rate = usedRate(perSecond);
     const size = Math.max(1, rate * savedSeconds);
-    const bucket = before?.bucket ?? new TokenBucket(rate, size, 0);
+    const bucket = before?.bucket ?? new TokenBucket(rate, size, -mostHeld(rate));
     bucket.resize(rate, size);
-    return { perSecond, bucket };
+    return { perSecond, bucket, holdings: before?.holdings ?? new Map() };
 }
 
-function grant({ bucket, perSecond }: Limit, { upstream, wanted }: LimitedReport): RateGrant {
-    const permits = Math.max(0, Math.min(wanted, Math.floor(bucket.level)));
+function grant(limit: Limit, from: string, { upstream, wanted, held }: LimitedReport): RateGrant {
+    const { bucket, holdings } = limit;
+    const rate = usedRate(limit.perSecond);
+    const lifeMs = Math.min(longestLifeMs, Math.max(shortestLifeMs, lifePerPermit * 1000 / rate));
+    holdings.delete(from);
+    const free = mostHeld(rate) - held - heldBy(holdings);
+    const permits = Math.max(0, Math.min(wanted, Math.floor(bucket.level), Math.floor(free)));
     bucket.take(permits);
+    holdings.set(from, { permits: held + permits, until: steadyNow() + lifeMs });
     const lacking = wanted > permits ? Math.max(0, 1 - bucket.level) : 0;
-    const periodMs = 1000 / usedRate(perSecond);
-    const lifeMs = Math.min(longestLifeMs, shortestLifeMs + lifePerPermit * periodMs);
-    return { upstream, lifted: false, permits, lifeMs, dryMs: Math.min(longestDryMs, lacking * periodMs) };
+    return { upstream, lifted: false, permits, lifeMs, dryMs: Math.min(longestDryMs, lacking / rate * 1000) };
+}
+
+/** Permits that processes may still use; forgets those that have lapsed. */
+function heldBy(holdings: Map<string, Holding>): number {
+    const now = steadyNow();
+    let sum = 0;
+    for (const [process, { permits, until }] of holdings) {
+        if (until <= now) {
+            holdings.delete(process);
+        }
+        else {
+            sum += permits;
+        }
+    }
+    return sum;
+}
+
+function mostHeld(rate: number): number {
+    return Math.max(leastHeld, rate * heldSeconds);
 }
 
 function usedRate(perSecond: number): number {
--- a/packages/availability/src/ratelimits.ts
+++ b/packages/availability/src/ratelimits.ts
@@ -19,6 +19,8 @@
         readonly ageMs: number;
         /** Permits that are asked for. */
         readonly wanted: number;
+        /** Permits that are left of earlier ones. */
+        readonly held: number;
     }
     | {
         readonly kind: "lifted";
@@ -65,7 +67,7 @@
     private batches: Batch[] = [];
     private dryUntil = 0;
     /** Permits that were used since the last report. */
-    private used = 0;
+    public used = 0;
     /** Requests that would have gone there since the last report. */
     private readonly wanting = new Set<string>();
 
@@ -231,8 +233,14 @@
         }
         for (const [upstream, state] of this.limited) {
             if (isNews(state, epoch)) {
-                const { named, at, wanted } = state;
-                reports.push({ kind: "limited", upstream, perSecond: named?.perSecond, ageMs: now - at, wanted });
+                reports.push({
+                    kind: "limited",
+                    upstream,
+                    perSecond: state.named?.perSecond,
+                    ageMs: now - state.at,
+                    wanted: state.wanted,
+                    held: state.available,
+                });
                 state.asked();
             }
         }
@@ -283,7 +291,7 @@
     }
 }
 
-/** Whether a leadership is to be told that an upstream has named a rate, or asked for permits. */
+/** Whether a leadership is to be told that an upstream has named a rate or permits were used, or asked for some. */
 function isNews(state: LimitedUpstream, epoch: string): boolean {
-    return state.wanted > 0 || (state.named !== undefined && state.toldTo !== epoch);
+    return state.wanted > 0 || state.used > 0 || (state.named !== undefined && state.toldTo !== epoch);
 }
--- a/packages/fleet/src/upstreamrates.ts
+++ b/packages/fleet/src/upstreamrates.ts
@@ -10,11 +10,11 @@
     const ageMs = Math.round(Math.min(longestAgeMs, report.ageMs));
     return report.kind === "lifted"
         ? { upstream, ageMs, lifted: true }
-        : { upstream, ageMs, perSecond: report.perSecond, wanted: report.wanted };
+        : { upstream, ageMs, perSecond: report.perSecond, wanted: report.wanted, held: report.held };
 }
 
-export function decodeRate({ upstream, ageMs, lifted, perSecond, wanted }: UpstreamRate): RateReport {
+export function decodeRate({ upstream, ageMs, lifted, perSecond, wanted, held }: UpstreamRate): RateReport {
     return lifted
         ? { kind: "lifted", upstream, ageMs }
-        : { kind: "limited", upstream, perSecond, ageMs, wanted };
+        : { kind: "limited", upstream, perSecond, ageMs, wanted, held };
 }
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -137,7 +137,7 @@
         this.engines = new PlatformEngineCalls(availability, {
             leaving: id => this.registry.noteLeaving(id, host),
             limited: (upstream, perSecond) => {
-                this.rates.take(host, [{ kind: "limited", upstream, perSecond, ageMs: 0, wanted: 0 }]);
+                this.rates.take(host, [{ kind: "limited", upstream, perSecond, ageMs: 0, wanted: 0, held: 0 }]);
             },
         }, log);
         this.server = controlServer(this, control!.port, log);
@@ -433,6 +433,10 @@
         return this.settings.current.announceMs;
     }
 
+    public rateOf(upstream: string): number | undefined {
+        return this.rates.rateOf(upstream);
+    }
+
     public gaveOrder(): void {
         this.lease.gave();
     }
