--- a/packages/forwarding/src/codecs.ts
+++ b/packages/forwarding/src/codecs.ts
@@ -73,6 +73,8 @@
     readonly restMs: number | undefined;
     /** Requests a second that it takes from all processes together; undefined where it names no rate. */
     readonly limitPerSecond: number | undefined;
+    /** Names of its headers that mean nothing here, in lower case. */
+    readonly unknown: readonly string[];
 }
 
 export interface RequestCodec {
--- a/packages/forwarding/src/signals.ts
+++ b/packages/forwarding/src/signals.ts
@@ -1,5 +1,5 @@
 /** What the heads of upstreams' answers say of those upstreams, besides what they answer. */
-import { type AvailabilityBook } from "@winchpath/availability";
+import { type AvailabilityBook, UnknownWords } from "@winchpath/availability";
 import { type EventLog, type Metrics } from "@winchpath/core";
 import { type DemandMeter } from "@winchpath/fleet";
 import { type AnswerFacts } from "./codecs.js";
@@ -18,13 +18,21 @@
  * connection to that upstream. An entry that is cut off from the control group has no other source.
  */
 export class UpstreamSignals {
-    public constructor(private readonly parts: SignalParts) {}
+    private readonly unknown: UnknownWords;
+
+    public constructor(private readonly parts: SignalParts) {
+        this.unknown = new UnknownWords(parts.log, parts.metrics);
+    }
 
     /** `sentAt`: steady time at which the request was sent. */
     public take(job: Job, link: UpstreamLink, facts: AnswerFacts, sentAt: number): void {
         if (facts.leaving) {
             this.takeLeaving(job, link);
         }
+        if (facts.sealed) {
+            // Spoiled answers have names that nobody meant.
+            this.unknown.note(job.service, link.id, facts.unknown);
+        }
         if (facts.limitPerSecond !== undefined) {
             this.takeLimit(job, link, facts.limitPerSecond, sentAt);
         }
--- a/packages/forwarding/src/tests/standins.ts
+++ b/packages/forwarding/src/tests/standins.ts
@@ -51,6 +51,7 @@
         load: undefined,
         leaving: headerOf(headers, "x-leaving") === "1",
         restMs: status === 503 ? retryAfterMs(headerOf(headers, "retry-after")) : undefined,
+        unknown: [],
         limitPerSecond: ratePerSecond(valuesOf(headers, "x-limit")),
     }),
 };
