The first permit of a rate comes after its period where no leader before can have granted any; a pattern of engines that name rates

A leader that has led for longer than permits last owes nothing to the one before it, and began with two permits in debt all the same: the first came after 2.7 s at 1.1 a second in place of 0.9.

--- a/packages/availability/src/rateledgers.ts
+++ b/packages/availability/src/rateledgers.ts
@@ -68,11 +68,6 @@
         private readonly onChange: (upstream: string, limited: boolean) => void,
     ) {}
 
-    /** Requests a second that an upstream has said it takes; undefined where it has named no rate, or none any more. */
-    public rateOf(upstream: string): number | undefined {
-        return this.records.get(upstream)?.limit?.perSecond;
-    }
-
     /** Takes in what a process tells, and answers each report. */
     public take(from: string, reports: readonly RateReport[]): RateGrant[] {
         this.forgetOld();
@@ -93,7 +88,7 @@
         if (before !== undefined && at <= before.at) {
             return;
         }
-        const limit = perSecond === undefined ? undefined : limitOf(perSecond, before?.limit);
+        const limit = perSecond === undefined ? undefined : this.limitOf(perSecond, before?.limit);
         this.records.set(upstream, { limit, at });
         if (before?.limit?.perSecond !== perSecond) {
             const event = limit === undefined ? "upstream.unlimited" : "upstream.limited";
@@ -117,6 +112,17 @@
         return report.kind === "limited" ? grant(record.limit, from, report) : none;
     }
 
+    /** Goes on with what was saved up before: a rate may change with each answer. */
+    private limitOf(perSecond: number, before: Limit | undefined): Limit {
+        const rate = usedRate(perSecond);
+        const size = Math.max(1, rate * savedSeconds);
+        // Permits of the leader before may still be held.
+        const isNew = steadyNow() - this.since < longestLifeMs;
+        const bucket = before?.bucket ?? new TokenBucket(rate, size, isNew ? -mostHeld(rate) : 0);
+        bucket.resize(rate, size);
+        return { perSecond, bucket, holdings: before?.holdings ?? new Map() };
+    }
+
     private forgetOld(): void {
         const now = steadyNow();
         for (const [upstream, { limit, at }] of this.records) {
@@ -127,15 +133,6 @@
     }
 }
 
-/** Goes on with what was saved up before: a rate may change with each answer. */
-function limitOf(perSecond: number, before: Limit | undefined): Limit {
-    const rate = usedRate(perSecond);
-    const size = Math.max(1, rate * savedSeconds);
-    const bucket = before?.bucket ?? new TokenBucket(rate, size, -mostHeld(rate));
-    bucket.resize(rate, size);
-    return { perSecond, bucket, holdings: before?.holdings ?? new Map() };
-}
-
 function grant(limit: Limit, from: string, { upstream, wanted, held }: LimitedReport): RateGrant {
     const { bucket, holdings } = limit;
     const rate = usedRate(limit.perSecond);
--- a/packages/availability/src/tests/ratelimits.test.ts
+++ b/packages/availability/src/tests/ratelimits.test.ts
@@ -123,6 +123,15 @@
             expect([sent <= 10, sent >= 7]).toEqual([true, true]);
         });
 
+        it("grant the first one a period after they were named, where no leader before can have granted any", () => {
+            mock.timers.tick(5000);
+            rates.name("u", 2, Date.now());
+            report(rates, ledger);
+            mock.timers.tick(500);
+            ask(1);
+            expect(rates.take("u")).toEqual("permitted");
+        });
+
         it("grant no more than may be held at once, by all together, until that is used or lapses", () => {
             rates.name("u", 3, Date.now());
             report(rates, ledger);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -38,4 +38,5 @@
 export * from "./registries.js";
 export * from "./services.js";
 export * from "./storepaces.js";
+export * from "./upstreamrates.js";
 export * from "./views.js";
--- a/packages/loadpatterns/src/engines.ts
+++ b/packages/loadpatterns/src/engines.ts
@@ -57,9 +57,22 @@
     left: number;
 }
 
+/** A rate that an engine names in its answers for some time. */
+export interface NamedRate {
+    /** Requests that it takes from all entries together. */
+    readonly perSecond: number;
+    /** Simulated times. */
+    readonly from: number;
+    readonly until: number;
+}
+
 export class SimulatedEngine {
     /** Share of its requests that it fails as they begin. */
     public failingShare = 0;
+    /** The rate that its answers name. */
+    public named: NamedRate | undefined;
+    /** Times at which requests have reached it. */
+    public readonly arrivals: number[] = [];
     public readonly copiesInMemory: string[] = [];
     public readonly copiesOnDisk: string[] = [];
     /** Requests that it has begun. */
@@ -96,6 +109,14 @@
         return this.runs.length;
     }
 
+    /** Requests a second that its answers name now; undefined where they name no rate. */
+    public get limitPerSecond(): number | undefined {
+        const now = Date.now();
+        return this.named !== undefined && now >= this.named.from && now < this.named.until
+            ? this.named.perSecond
+            : undefined;
+    }
+
     /** Whether one more model of that size fits. */
     public fits(model: EngineModel): boolean {
         const usedMb = [...this.models.keys()].reduce((sum, name) => sum + this.modelOf(name).sizeMb, 0);
@@ -124,6 +145,7 @@
 
     /** Runs a request to its end, or until the signal is aborted. */
     public async run(work: EngineWork, signal: AbortSignal, onFirst: () => void): Promise<EngineEnd> {
+        this.arrivals.push(Date.now());
         const held = this.models.get(work.model);
         if (held === undefined || (work.adapter !== "" && !held.has(work.adapter))) {
             return "lacking";
--- a/packages/loadpatterns/src/entries.ts
+++ b/packages/loadpatterns/src/entries.ts
@@ -5,6 +5,7 @@
 import { DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
 import {
     Admissions,
+    type AnswerFacts,
     type AttemptOutcome,
     type AttemptParts,
     Forwarder,
@@ -39,7 +40,7 @@
 export class SimulatedEntry {
     private readonly view: FleetView<Configuration>;
     private readonly follower: FeedFollower<Configuration>;
-    private readonly meter = new DemandMeter(silentLog);
+    private readonly meter: DemandMeter;
     private readonly forwarder: Forwarder;
     private readonly ended = new AbortController();
 
@@ -51,6 +52,9 @@
         draws: Draws,
     ) {
         this.view = new FleetView(text => JSON.parse(text) as Configuration, silentLog);
+        const { rates } = this.view.availability;
+        this.meter = new DemandMeter(silentLog, this.view.availability);
+        rates.listen(() => this.meter.press(this.view.entries), () => this.view.changed.notify());
         const options = { entry: name, dataCentre, seeds: () => [leaderUrl] };
         this.follower = new FeedFollower(this.view, clients, options, silentLog);
         this.forwarder = new Forwarder({
@@ -107,15 +111,38 @@
             promptTokens: job.facts.promptTokens,
             outputTokens: tokensOf(job) - ownTokensOf(job),
         };
-        const end = await this.engines.get(link.id)!.run(work, cut, () => {
+        const engine = this.engines.get(link.id)!;
+        if (!parts.maySend()) {
+            return { kind: "not-run", reason: "unsent", misdirected: false, unreachable: false };
+        }
+        const end = await engine.run(work, cut, () => {
+            parts.onHead(headOf(job, engine, true));
             parts.onAnswer();
             job.answerStarted = true;
             (parts.res as unknown as SimulatedResponse).first();
         });
+        if (end === "full" || end === "lacking") {
+            parts.onHead(headOf(job, engine, false));
+        }
         return outcomeOf(end, job);
     }
 }
 
+/** What the head of an engine's answer says. */
+function headOf({ id }: Job, { limitPerSecond }: SimulatedEngine, sealed: boolean): AnswerFacts {
+    return {
+        id,
+        sealed,
+        limitPerSecond,
+        notRun: !sealed,
+        misdirected: false,
+        load: undefined,
+        leaving: false,
+        restMs: undefined,
+        unknown: [],
+    };
+}
+
 function outcomeOf(end: EngineEnd, job: Job): AttemptOutcome {
     switch (end) {
         case "done":
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -1,7 +1,9 @@
 /** The leader of a simulated fleet: the product's registry, feed, demand, health and placement. */
+import { RateLedger } from "@winchpath/availability";
 import { silentLog } from "@winchpath/core";
 import { type Configuration, type ConfigurationDocument } from "@winchpath/declarations";
 import {
+    decodeRate,
     DemandBook,
     type DemandRequest,
     type EngineCalls,
@@ -47,6 +49,7 @@
     private readonly feed: Feed;
     private readonly demand = new DemandBook(silentLog);
     private readonly healths = new HealthWatch(this.registry);
+    private readonly rates = new RateLedger(silentLog, (id, limited) => this.registry.setLimited(id, limited));
     private readonly placement: EnginePlacement;
     private readonly ended = new AbortController();
 
@@ -96,6 +99,7 @@
             reportDemand: async (report: DemandRequest) => {
                 await trip();
                 this.take(report);
+                return { allowances: [], permits: this.rates.take(report.entry, report.rates.map(decodeRate)) };
             },
         };
         // Entries use these two calls of this one service only.
--- a/packages/loadpatterns/src/patterns/index.ts
+++ b/packages/loadpatterns/src/patterns/index.ts
@@ -1,5 +1,6 @@
 export * from "./all.js";
 export * from "./failingengines.js";
+export * from "./limitedengines.js";
 export * from "./movingdemand.js";
 export * from "./patterns.js";
 export * from "./risingmodels.js";
--- a/packages/loadpatterns/src/patterns/patterns.ts
+++ b/packages/loadpatterns/src/patterns/patterns.ts
@@ -1,5 +1,6 @@
 /** What a load pattern is, and how it is played. */
 import { type Callers, Tally } from "../callers.js";
+import { type NamedRate } from "../engines.js";
 import { type FleetShape, SimulatedFleet } from "../fleets.js";
 import { type Mechanism, mechanisms } from "../mechanisms.js";
 import { SimulatedTime } from "../times.js";
@@ -22,6 +23,8 @@
     readonly storeLoads: number;
     /** Requests that the busiest engine began, as a multiple of the mean. */
     readonly busiest: number;
+    /** Engines that have named a rate, with the times at which requests reached them. */
+    readonly limited: readonly (NamedRate & { readonly arrivals: readonly number[]; })[];
 }
 
 /** The fleet is up, and demand may be heard, after this long: the leader plans nothing before. */
@@ -67,5 +70,6 @@
         tally,
         storeLoads: fleet.engines.reduce((sum, engine) => sum + engine.storeLoads, 0),
         busiest: Math.max(...begun) / Math.max(1, mean),
+        limited: fleet.engines.flatMap(({ named, arrivals }) => named === undefined ? [] : [{ ...named, arrivals }]),
     };
 }
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -433,10 +433,6 @@
         return this.settings.current.announceMs;
     }
 
-    public rateOf(upstream: string): number | undefined {
-        return this.rates.rateOf(upstream);
-    }
-
     public gaveOrder(): void {
         this.lease.gave();
     }
