--- a/packages/availability/src/tests/ratehistories.test.ts
+++ b/packages/availability/src/tests/ratehistories.test.ts
@@ -117,7 +117,7 @@
         for (; this.due >= 1; this.due--) {
             this.requests += 1;
             const { rates } = this.entries[Math.floor(this.draw() * this.history.entries)];
-            if (rates.heldUntil(upstream) === undefined) {
+            if (rates.permitExpectedAt(upstream) === undefined) {
                 this.send(rates);
             }
             else {
