--- a/packages/loadpatterns/src/index.ts
+++ b/packages/loadpatterns/src/index.ts
@@ -8,5 +8,6 @@
 export * from "./limits/index.js";
 export * from "./mechanisms.js";
 export * from "./patterns/index.js";
+export * from "./rates/index.js";
 export * from "./routes.js";
 export * from "./times.js";
--- /dev/null
+++ b/packages/loadpatterns/src/rates/index.ts
@@ -0,0 +1,4 @@
+export * from "./all.js";
+export * from "./plays.js";
+export * from "./policies.js";
+export * from "./posts.js";
