--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./debuglogs.js";
 export * from "./errors.js";
 export * from "./eventlogs.js";
+export * from "./eventloops.js";
 export * from "./histograms.js";
 export * from "./listening.js";
 export * from "./names.js";
--- a/packages/declarations/src/configurationstates.ts
+++ b/packages/declarations/src/configurationstates.ts
@@ -1,5 +1,5 @@
 /** Replicated state of the configuration document. The highest version wins. */
-import { Notifier } from "@winchpath/core";
+import { Notifier, steadyNow } from "@winchpath/core";
 
 /** A configuration document with its version. */
 export interface ConfigurationDocument {
@@ -25,16 +25,23 @@
     /** Notified when the document has been replaced. */
     public readonly changed = new Notifier();
     private document: ConfigurationDocument | undefined;
+    private appliedAt = steadyNow();
 
     public get current(): ConfigurationDocument | undefined {
         return this.document;
     }
 
+    /** Milliseconds since the current document was applied on this host. */
+    public get ageMs(): number {
+        return steadyNow() - this.appliedAt;
+    }
+
     public apply(command: unknown): DocumentResult {
         const document = command as ConfigurationDocument;
         const replaced = this.document === undefined || document.version > this.document.version;
         if (replaced) {
             this.document = { version: document.version, text: document.text };
+            this.appliedAt = steadyNow();
             this.changed.notify();
         }
         return { version: this.document!.version, replaced };
@@ -47,6 +54,7 @@
     public restore(state: unknown): void {
         const document = state as Partial<ConfigurationDocument>;
         this.document = document.text === undefined ? undefined : document as ConfigurationDocument;
+        this.appliedAt = steadyNow();
         this.changed.notify();
     }
 }
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -28,6 +28,8 @@
     readonly leaderUrl: string;
     readonly controlUrls: readonly string[];
     readonly document: ConfigurationDocument | undefined;
+    /** Milliseconds since this host applied that document. */
+    readonly documentAgeMs: number;
     /** Requests that have crashed upstreams. */
     readonly quarantine: Pick<QuarantineState, "key" | "position" | "changesSince">;
     /** Models that requests at an entry are waiting for, by {@link modelMapKey}. */
@@ -212,6 +214,14 @@
         const { control } = this;
         const changes = this.registry.changesSince(isNewEpoch ? -1 : Number(req.position));
         const document = this.hasNewerDocument(req) ? control.document : undefined;
+        if (document !== undefined) {
+            this.log.info("configuration.sent", {
+                entry: req.entry,
+                version: document.version,
+                entryVersion: Number(req.documentVersion),
+                appliedAgeMs: Math.round(control.documentAgeMs),
+            });
+        }
         const state = this.entries.get(req.entry)!;
         state.polledAt = steadyNow();
         state.answeredAt = state.polledAt;
@@ -223,6 +233,7 @@
             left: [...changes.departed],
             documentVersion: BigInt(document?.version ?? 0),
             documentText: document?.text ?? "",
+            documentAgeMs: document === undefined ? 0 : Math.round(control.documentAgeMs),
             entries: this.liveEntries,
             complete: control.leadershipAgeMs > warmUpMs,
             controlUrls: [...control.controlUrls],
--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -1,6 +1,6 @@
 /** An entry's copy of the upstreams and the configuration, which stays usable while no leader is reachable. */
 import { AvailabilityTracker } from "@winchpath/availability";
-import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
+import { type EventLog, type Metrics, Notifier, steadyNow } from "@winchpath/core";
 import { QuarantineList } from "@winchpath/quarantine";
 import { decodeQuarantine, decodeUpstream } from "./encodings.js";
 import { type PollResponse, type Upstream, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
@@ -27,6 +27,7 @@
         private readonly readDocument: DocumentReader<C>,
         private readonly log: EventLog,
         public readonly availability = new AvailabilityTracker(),
+        private readonly metrics?: Metrics,
     ) {}
 
     public get configuration(): C | undefined {
@@ -77,6 +78,11 @@
         return this.confirmedUntil;
     }
 
+    /** Milliseconds since {@link confirmedAt}. */
+    public get confirmedAgeMs(): number {
+        return steadyNow() - this.confirmedUntil;
+    }
+
     /** Applies a response of the leader; `sentAt`: monotonic time at which the request was sent. */
     public apply(res: PollResponse, sentAt = Number.NEGATIVE_INFINITY): void {
         this.lastResponseAt = steadyNow();
@@ -91,7 +97,7 @@
             this.deleteUnconfirmed(res.epoch);
         }
         if (res.documentText !== "") {
-            this.updateDocument(res.documentText, Number(res.documentVersion));
+            this.updateDocument(res.documentText, Number(res.documentVersion), res.documentAgeMs);
         }
         if (Number(res.documentVersion) <= this.version) {
             // Not reached if the newest document is invalid here.
@@ -177,14 +183,19 @@
     }
 
     /** Activates a document if it is newer than the active one, whichever leader sent it. */
-    private updateDocument(text: string, version: number): void {
+    private updateDocument(text: string, version: number, appliedAgeMs: number): void {
         if (version <= this.version) {
             return;
         }
         const configuration = this.readDocument(text, version);
         if (configuration !== undefined) {
             this.current = { version, configuration };
-            this.log.info("configuration.in-force", { version });
+            this.metrics?.histogram("configuration_in_force").record(appliedAgeMs);
+            this.log.info("configuration.in-force", {
+                version,
+                appliedAgeMs,
+                confirmedAgeMs: Math.round(this.confirmedAgeMs),
+            });
         }
     }
 }
--- a/packages/fleet/src/tests/feeds.test.ts
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -14,6 +14,7 @@
     public leaderUrl = "http://other";
     public controlUrls = ["http://a"];
     public document: FeedControl["document"];
+    public documentAgeMs = 0;
     public readonly quarantine = new QuarantineState();
     public barriers = 0;
     public readonly awaitedNames = new Set<string>();
--- a/packages/fleet/src/tests/largefleets.test.ts
+++ b/packages/fleet/src/tests/largefleets.test.ts
@@ -34,6 +34,7 @@
     public readonly leaderUrl = "";
     public readonly controlUrls = [];
     public readonly document = undefined;
+    public readonly documentAgeMs = 0;
     public readonly quarantine = new QuarantineState();
     public readonly awaited = new Map<string, ReadonlySet<string>>();
 
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -43,7 +43,8 @@
     | { readonly kind: "broken"; readonly reason: string; readonly lost: boolean; }
     /** The deadline passed. */
     | { readonly kind: "late"; }
-    | { readonly kind: "caller-gone"; };
+    /** The client left; `sent`: whether the request had been sent. */
+    | { readonly kind: "caller-gone"; readonly sent: boolean; };
 
 /** Settings and callbacks of an attempt. */
 export interface AttemptOptions {
@@ -103,7 +104,7 @@
 
     public async run(): Promise<AttemptOutcome> {
         const { request, endpoint } = this;
-        const onClientGone = () => this.cancel({ kind: "caller-gone" });
+        const onClientGone = () => this.cancel({ kind: "caller-gone", sent: this.sent });
         const deadlineTimer = setTimeout(() => this.cancel({ kind: "late" }), Math.max(0, remainingMs(request)));
         const connectionTimer = setTimeout(
             () => this.sent || this.settleUnsent("no free connection"),
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -1,5 +1,5 @@
 /** HTTP listener for clients. Reads and validates requests and passes them to the forwarder. */
-import { type EventLog, listenBacklog, Notifier, sleep, steadyNow } from "@winchpath/core";
+import { type EventLog, eventLoop, listenBacklog, type Metrics, Notifier, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration, type ListenerLimits } from "@winchpath/declarations";
 import { type FleetView } from "@winchpath/fleet";
 import { once } from "node:events";
@@ -33,6 +33,7 @@
     readonly forwarder: Forwarder;
     readonly admissions: AdmissionController;
     readonly log: EventLog;
+    readonly metrics: Metrics;
     readonly stopping: () => boolean;
 }
 
@@ -155,6 +156,7 @@
         const { grant } = identified;
         const body = await readBody(req, limits);
         if (abortSignal.aborted) {
+            this.recordClientGone(metadata.id, "body");
             return undefined;
         }
         if (!Buffer.isBuffer(body)) {
@@ -189,6 +191,12 @@
         };
     }
 
+    /** Records a client that left before its request was passed to the forwarder. */
+    private recordClientGone(id: string | undefined, stage: "body"): void {
+        this.deps.metrics.count("callers_gone_total", { stage });
+        this.deps.log.warn("request.caller-gone", { request: id, stage });
+    }
+
     /** Waits for the first configuration; returns undefined after a timeout. */
     private async waitForRoutes(startedAt: number): Promise<RouteTable | undefined> {
         const deadline = startedAt + configurationWaitMs;
@@ -212,6 +220,8 @@
             path: req.url,
             configuration: this.deps.view.version,
             viewAgeMs: Math.round(this.deps.view.ageMs),
+            confirmedAgeMs: Math.round(this.deps.view.confirmedAgeMs),
+            loopDelayMs: eventLoop.delayMs,
             ...details,
         });
         // The unread rest of the body would be parsed as the next request.
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -1,6 +1,6 @@
 /** Forwards requests to upstreams: selection, waiting, attempts, retries and the final response. */
 import { type PermitDecision } from "@winchpath/availability";
-import { type EventLog, Metrics, steadyNow } from "@winchpath/core";
+import { type EventLog, eventLoop, Metrics, steadyNow } from "@winchpath/core";
 import { type Configuration, type EngineSpec } from "@winchpath/declarations";
 import { type CrashReporter, type DemandMeter, type FleetView, type ItemKey } from "@winchpath/fleet";
 import { EjectionTracker } from "@winchpath/routing";
@@ -122,7 +122,7 @@
         for (let attemptIndex = 0;; attemptIndex++) {
             const assignment = await this.assign(request);
             if (request.abortSignal.aborted) {
-                this.responder.logEvent(request, "caller-gone", {});
+                this.recordClientGone(request, attemptIndex === 0 ? "queue" : "between-attempts");
                 this.refundIfNotRun(request);
                 return;
             }
@@ -139,6 +139,12 @@
         }
     }
 
+    /** Records a client that left before its request was sent (again). */
+    private recordClientGone(request: InboundRequest, stage: "queue" | "between-attempts"): void {
+        this.deps.metrics.count("callers_gone_total", { stage });
+        this.responder.logEvent(request, "caller-gone", { stage });
+    }
+
     /** Refunds the account if no upstream may have executed the request. */
     private refundIfNotRun(request: InboundRequest): void {
         if (request.attemptedUpstreams.length === 0) {
@@ -243,6 +249,7 @@
         let responseMetadata: ResponseMetadata | undefined;
         let firstByteMs: number | undefined;
         let longestPauseMs = 0;
+        let sentDelayMs = 0;
         const tracked = endpoint.track(request.priority, unsharedPromptTokens(request), requiredCacheTokens(request));
         meter.started(key);
         this.ejections.sent(endpoint.id);
@@ -254,7 +261,10 @@
                 urgency: this.engineOf(request.service) === undefined ? undefined : Math.min(9, request.priority),
                 stripApiKeys: this.deps.view.configuration?.accounts !== undefined,
                 closing: stopping,
-                maySend: () => this.maySend(request, endpoint, permitDecision),
+                maySend: () => {
+                    sentDelayMs = eventLoop.delayMs;
+                    return this.maySend(request, endpoint, permitDecision);
+                },
                 headTimeoutMs: this.headTimeoutMs(request, tracked.tokensAhead),
                 onPause: ms => {
                     longestPauseMs = Math.max(longestPauseMs, ms);
@@ -281,6 +291,7 @@
                 try: attemptIndex + 1,
                 load: Math.round(endpoint.load),
                 viewAgeMs: Math.round(this.deps.view.ageMs),
+                sentDelayMs: sentDelayMs === 0 ? undefined : sentDelayMs,
                 outcome: outcome.kind,
                 reason: "reason" in outcome ? outcome.reason : undefined,
                 firstMs: firstByteMs,
@@ -339,6 +350,7 @@
                 return "done";
             case "caller-gone":
                 this.responder.recordMetrics(request, "caller-gone");
+                this.deps.metrics.count("callers_gone_total", { stage: outcome.sent ? "sent" : "connection" });
                 return "done";
             case "late":
                 this.responder.respond(request, res, LocalResponse.late);
--- a/packages/forwarding/src/responders.ts
+++ b/packages/forwarding/src/responders.ts
@@ -1,5 +1,5 @@
 /** Sends final responses and records logs and metrics of requests. */
-import { type EventLog, type Metrics } from "@winchpath/core";
+import { type EventLog, eventLoop, type Metrics } from "@winchpath/core";
 import { type FleetView } from "@winchpath/fleet";
 import { type ServerResponse } from "node:http";
 import { type BufferedResponse, writeBufferedResponse } from "./bufferedresponses.js";
@@ -7,7 +7,7 @@
 import { LocalResponse, writeLocalResponse } from "./localresponses.js";
 
 export interface ResponderDependencies {
-    readonly view: Pick<FleetView<unknown>, "version" | "ageMs">;
+    readonly view: Pick<FleetView<unknown>, "version" | "ageMs" | "confirmedAgeMs">;
     readonly log: EventLog;
     readonly metrics: Metrics;
     /** Whether the process is shutting down, so that responses close client connections. */
@@ -91,6 +91,12 @@
 
     private viewFields(): LogFields {
         const { view, waiting } = this.deps;
-        return { configuration: view.version, viewAgeMs: Math.round(view.ageMs), waiting: waiting() };
+        return {
+            configuration: view.version,
+            viewAgeMs: Math.round(view.ageMs),
+            confirmedAgeMs: Math.round(view.confirmedAgeMs),
+            loopDelayMs: eventLoop.delayMs,
+            waiting: waiting(),
+        };
     }
 }
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -158,6 +158,7 @@
     public readonly successReports: string[] = [];
     public readonly forwarder: Forwarder;
     public readonly listener: ClientListener;
+    public readonly metrics = new Metrics();
     public stopping = false;
     public readonly limiter = new AccountLimiter(exactLimits, () => undefined);
     private position = 0n;
@@ -174,7 +175,7 @@
             codec: testCodec,
             meter: this.meter,
             log: silentLog,
-            metrics: new Metrics(),
+            metrics: this.metrics,
             dataCentre: "d",
             retryBudget: { ratio: 0.2, slack, windowMs: 10_000 },
             admissions,
@@ -190,6 +191,7 @@
             forwarder: this.forwarder,
             admissions,
             log: silentLog,
+            metrics: this.metrics,
             stopping: () => this.stopping,
         });
     }
@@ -230,6 +232,7 @@
             left: [],
             documentVersion: 1n,
             documentText: "{}",
+            documentAgeMs: 0,
             entries: 1,
             complete: false,
             controlUrls: [],
--- a/packages/loadpatterns/src/entries.ts
+++ b/packages/loadpatterns/src/entries.ts
@@ -158,7 +158,7 @@
         case "lacking":
             return { kind: "not-run", reason: "lacking", misdirected: true, unreachable: false };
         case "dropped":
-            return job.abortSignal.aborted ? { kind: "caller-gone" } : { kind: "late" };
+            return job.abortSignal.aborted ? { kind: "caller-gone", sent: true } : { kind: "late" };
     }
 }
 
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -44,6 +44,7 @@
     public readonly announceMs = announceMs;
     public readonly registry = new Registry(silentLog);
     public readonly document: ConfigurationDocument;
+    public readonly documentAgeMs = 0;
     public readonly quarantine = new QuarantineState();
     private readonly feed: Feed;
     private readonly demand = new DemandTracker(silentLog);
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -266,6 +266,10 @@
         return this.documents.current;
     }
 
+    public get documentAgeMs(): number {
+        return this.documents.ageMs;
+    }
+
     public get quarantine(): QuarantineState {
         return this.quarantineState;
     }
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -47,7 +47,7 @@
         const { host, dataCentre, retryBudget } = settings.current;
         const timeline = new Timeline({ process: `entry/${host}`, host, dataCentre });
         this.clients = new RpcClients({ key: undefined, timeline });
-        this.fleetView = new FleetView((text, version) => this.readDocument(text, version), log, availability);
+        this.fleetView = new FleetView((text, version) => this.readDocument(text, version), log, availability, metrics);
         this.feedFollower = new FeedFollower(this.fleetView, this.clients, {
             entry: host,
             dataCentre,
@@ -87,6 +87,7 @@
             forwarder: this.forwarder,
             admissions,
             log,
+            metrics,
             stopping,
         });
     }
--- a/packages/winchpathd/src/platformhosts.ts
+++ b/packages/winchpathd/src/platformhosts.ts
@@ -3,7 +3,7 @@
  * process avoids the memory overhead of a second Node.js runtime.
  */
 import { AvailabilityTracker } from "@winchpath/availability";
-import { type EventLog, Metrics } from "@winchpath/core";
+import { type EventLog, eventLoop, Metrics } from "@winchpath/core";
 import { createMetricsServer } from "@winchpath/platform";
 import { type PlatformEntry } from "./platformentries.js";
 import { type PlatformRelay } from "./platformrelays.js";
@@ -30,6 +30,7 @@
     public async start(): Promise<void> {
         const { callerAddress: callers, controlAddress: control, dataDirectory: dataFolder, metricsAddress: metrics } =
             this.settings.current;
+        eventLoop.start(this.log, this.metrics);
         if (callers !== undefined) {
             const { PlatformEntry } = await import("./platformentries.js");
             this.entry = new PlatformEntry(this.settings, this.availability, this.metrics, this.log);
@@ -47,6 +48,7 @@
         await Promise.all([this.control?.prepareStop(), this.entry?.stop()]);
         await this.control?.stop();
         await this.metricsListener.close();
+        eventLoop.stop();
     }
 
     private async createControl(): Promise<ControlComponent> {
