Departures of clients are read before their requests are sent on

Callers saw (GONE): requests reached an upstream long after their clients had left. Cause: a process that is behind holds a request and its client's departure in the kernel; one turn of the event loop reads the request and sends it on in the same turn, the next one reads the departure. Nothing between them lets the loop read. Ruled out: the checks of the abort signal (queue, pool, tries) do hold; they only ask too soon. The same at our own interface, where keyed work stays promised.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./clocks.js";
 export * from "./debuglogs.js";
+export * from "./departures.js";
 export * from "./errors.js";
 export * from "./eventlogs.js";
 export * from "./eventloops.js";
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -1,7 +1,7 @@
 /** The leader's change feed: entries long-poll for changes, and each poll confirms the changes applied so far. */
 import { create } from "@bufbuild/protobuf";
 import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
-import { type ConfigurationDocument } from "@winchpath/declarations";
+import { type ConfigurationState } from "@winchpath/declarations";
 import { type QuarantineState } from "@winchpath/quarantine";
 import { encodeQuarantine, encodeUpstream } from "./encodings.js";
 import { batchMs, minResponseIntervalMs } from "./feedintervals.js";
@@ -27,9 +27,8 @@
     readonly quorumAgeMs: number;
     readonly leaderUrl: string;
     readonly controlUrls: readonly string[];
-    readonly document: ConfigurationDocument | undefined;
-    /** Milliseconds since this host applied that document. */
-    readonly documentAgeMs: number;
+    /** The configuration document, and how long ago this host applied it. */
+    readonly documents: Pick<ConfigurationState, "current" | "ageMs">;
     /** Requests that have crashed upstreams. */
     readonly quarantine: Pick<QuarantineState, "key" | "position" | "changesSince">;
     /** Models that requests at an entry are waiting for, by {@link modelMapKey}. */
@@ -206,20 +205,20 @@
     }
 
     private hasNewerDocument(req: PollRequest): boolean {
-        const { document } = this.control;
+        const document = this.control.documents.current;
         return document !== undefined && document.version > Number(req.documentVersion);
     }
 
     private createResponse(req: PollRequest, epoch: string, isNewEpoch: boolean, startedAt: number): PollResponse {
         const { control } = this;
         const changes = this.registry.changesSince(isNewEpoch ? -1 : Number(req.position));
-        const document = this.hasNewerDocument(req) ? control.document : undefined;
+        const document = this.hasNewerDocument(req) ? control.documents.current : undefined;
         if (document !== undefined) {
             this.log.info("configuration.sent", {
                 entry: req.entry,
                 version: document.version,
                 entryVersion: Number(req.documentVersion),
-                appliedAgeMs: Math.round(control.documentAgeMs),
+                appliedAgeMs: Math.round(control.documents.ageMs),
             });
         }
         const state = this.entries.get(req.entry)!;
@@ -233,7 +232,7 @@
             left: [...changes.departed],
             documentVersion: BigInt(document?.version ?? 0),
             documentText: document?.text ?? "",
-            documentAgeMs: document === undefined ? 0 : Math.round(control.documentAgeMs),
+            documentAgeMs: document === undefined ? 0 : Math.round(control.documents.ageMs),
             entries: this.liveEntries,
             complete: control.leadershipAgeMs > warmUpMs,
             controlUrls: [...control.controlUrls],
--- a/packages/fleet/src/tests/feeds.test.ts
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -13,8 +13,7 @@
     public quorumAgeMs = 0;
     public leaderUrl = "http://other";
     public controlUrls = ["http://a"];
-    public document: FeedControl["document"];
-    public documentAgeMs = 0;
+    public documents: FeedControl["documents"] = { current: undefined, ageMs: 0 };
     public readonly quarantine = new QuarantineState();
     public barriers = 0;
     public readonly awaitedNames = new Set<string>();
@@ -54,7 +53,7 @@
     it("sends a snapshot after a read barrier, and then only changes", async () => {
         const { control, registry, view, poll } = setUp();
         registry.announce(createAnnouncement("u1", 1));
-        control.document = { version: 3, text: "three" };
+        control.documents = { current: { version: 3, text: "three" }, ageMs: 0 };
         await poll();
         expect([control.barriers, view.version, view.upstreams().map(({ id }) => id)]).toEqual([1, 3, ["u1"]]);
         registry.announce(createAnnouncement("u2", 1));
@@ -100,10 +99,10 @@
 describe("FleetView", () => {
     it("never returns to an older document", async () => {
         const { control, view, poll } = setUp();
-        control.document = { version: 5, text: "five" };
+        control.documents = { current: { version: 5, text: "five" }, ageMs: 0 };
         await poll();
         control.epoch = "2/b";
-        control.document = { version: 4, text: "four" };
+        control.documents = { current: { version: 4, text: "four" }, ageMs: 0 };
         await poll();
         expect(view.version).toEqual(5);
     });
--- a/packages/fleet/src/tests/largefleets.test.ts
+++ b/packages/fleet/src/tests/largefleets.test.ts
@@ -33,8 +33,7 @@
     public readonly leadershipAgeMs = 60_000;
     public readonly leaderUrl = "";
     public readonly controlUrls = [];
-    public readonly document = undefined;
-    public readonly documentAgeMs = 0;
+    public readonly documents = { current: undefined, ageMs: 0 };
     public readonly quarantine = new QuarantineState();
     public readonly awaited = new Map<string, ReadonlySet<string>>();
 
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -41,6 +41,8 @@
     | { readonly kind: "unknown"; readonly reason: string; readonly lost: boolean; }
     /** The response broke off after part of it was forwarded. */
     | { readonly kind: "broken"; readonly reason: string; readonly lost: boolean; }
+    /** The process fell behind while the request waited for a connection; the client may have left. Nothing was sent. */
+    | { readonly kind: "postponed"; }
     /** The deadline passed. */
     | { readonly kind: "late"; }
     /** The client left; `sent`: whether the request had been sent. */
@@ -56,6 +58,8 @@
     readonly stripApiKeys: boolean;
     /** Whether responses ask the client to close its connection. */
     readonly closing: () => boolean;
+    /** Whether newer input may lie unread; checked once a connection is available. */
+    readonly isBehind: () => boolean;
     /** Whether the upstream may still receive the request; checked once a connection is available. */
     readonly maySend: () => boolean;
     /**
@@ -89,6 +93,8 @@
     private lastEventAt: number | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private sent = false;
+    /** Whether no connection was free when the attempt began. */
+    private waitedForConnection = false;
     private settled = false;
     private status = 0;
     private headers: readonly string[] = [];
@@ -117,6 +123,7 @@
         }
         else {
             endpoint.pool.dispatch(this.dispatchOptions(), this);
+            this.waitedForConnection = true;
         }
         try {
             return await this.outcome.promise;
@@ -148,6 +155,9 @@
             // undici would resend the request on another connection; the forwarder decides about retries.
             this.settle({ kind: "unknown", reason: "connection lost", lost: true });
         }
+        else if (this.waitedForConnection && this.options.isBehind()) {
+            this.settle({ kind: "postponed" });
+        }
         else if (!this.options.maySend()) {
             this.settleUnsent("upstream no longer accepts requests");
         }
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -1,5 +1,14 @@
 /** HTTP listener for clients. Reads and validates requests and passes them to the forwarder. */
-import { type EventLog, eventLoop, listenBacklog, type Metrics, Notifier, sleep, steadyNow } from "@winchpath/core";
+import {
+    type EventLog,
+    eventLoop,
+    listenBacklog,
+    type Metrics,
+    Notifier,
+    onClientGone,
+    sleep,
+    steadyNow,
+} from "@winchpath/core";
 import { type Configuration, type ListenerLimits } from "@winchpath/declarations";
 import { type FleetView } from "@winchpath/fleet";
 import { once } from "node:events";
@@ -97,12 +106,14 @@
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const startedAt = steadyNow();
         const clientAbort = new AbortController();
-        res.once("close", () => clientAbort.abort());
+        onClientGone(req, res, () => clientAbort.abort());
         // Closes the connection even if the response headers, sent before the shutdown, did not announce it.
         res.once("finish", () => this.deps.stopping() && req.socket.end());
         res.sendDate = false;
         this.active += 1;
         try {
+            // The client may have left by now; its departure is read after its request.
+            await eventLoop.departuresRead();
             const request = await this.admit(req, res, startedAt, clientAbort.signal);
             if (request !== undefined) {
                 await this.deps.forwarder.serve(request, res);
@@ -114,6 +125,10 @@
         }
         finally {
             this.active -= 1;
+            if (clientAbort.signal.aborted) {
+                // Output that the client will never take must not keep the connection open.
+                res.destroy();
+            }
         }
     }
 
@@ -125,6 +140,10 @@
         abortSignal: AbortSignal,
     ): Promise<InboundRequest | undefined> {
         const metadata = this.deps.codec.requestMetadata(req.rawHeaders);
+        if (abortSignal.aborted) {
+            this.recordClientGone(metadata.id, "arrival");
+            return undefined;
+        }
         const table = this.routeTable ?? await this.waitForRoutes(startedAt);
         const refuse = (response: LocalResponse, retryAfterMs?: number) => {
             this.refuse(req, res, metadata.id, { kind: "refused", response, retryAfterMs });
@@ -192,7 +211,7 @@
     }
 
     /** Records a client that left before its request was passed to the forwarder. */
-    private recordClientGone(id: string | undefined, stage: "body"): void {
+    private recordClientGone(id: string | undefined, stage: "arrival" | "body"): void {
         this.deps.metrics.count("callers_gone_total", { stage });
         this.deps.log.warn("request.caller-gone", { request: id, stage });
     }
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -120,7 +120,13 @@
         const key = itemKeyOf(request);
         this.deps.meter.arrived(key, promptEquivalentTokens(request));
         for (let attemptIndex = 0;; attemptIndex++) {
+            if (attemptIndex > 0) {
+                await eventLoop.departuresRead();
+            }
             const assignment = await this.assign(request);
+            if (eventLoop.isBehind) {
+                await eventLoop.departuresRead();
+            }
             if (request.abortSignal.aborted) {
                 this.recordClientGone(request, attemptIndex === 0 ? "queue" : "between-attempts");
                 this.refundIfNotRun(request);
@@ -261,6 +267,7 @@
                 urgency: this.engineOf(request.service) === undefined ? undefined : Math.min(9, request.priority),
                 stripApiKeys: this.deps.view.configuration?.accounts !== undefined,
                 closing: stopping,
+                isBehind: () => eventLoop.isBehind,
                 maySend: () => {
                     sentDelayMs = eventLoop.delayMs;
                     return this.maySend(request, endpoint, permitDecision);
@@ -355,6 +362,9 @@
             case "late":
                 this.responder.respond(request, res, LocalResponse.late);
                 return "done";
+            case "postponed":
+                request.attemptedUpstreams.splice(request.attemptedUpstreams.lastIndexOf(endpoint.id), 1);
+                return "again";
             case "not-run":
                 request.attemptedUpstreams.splice(request.attemptedUpstreams.lastIndexOf(endpoint.id), 1);
                 request.declinedUpstreams.add(endpoint.id);
--- a/packages/forwarding/src/outcomerecorders.ts
+++ b/packages/forwarding/src/outcomerecorders.ts
@@ -77,6 +77,7 @@
                 ? true
                 : undefined;
         case "not-run":
+        case "postponed":
             return undefined;
     }
 }
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -1,7 +1,7 @@
 /** The leader of a simulated fleet, built from the production registry, feed, demand book, health watch and placement. */
 import { RateLimitCoordinator } from "@winchpath/availability";
 import { silentLog } from "@winchpath/core";
-import { type Configuration, type ConfigurationDocument } from "@winchpath/declarations";
+import { type Configuration } from "@winchpath/declarations";
 import {
     decodeRate,
     type DemandRequest,
@@ -43,8 +43,7 @@
     public readonly controlUrls = [leaderUrl];
     public readonly announceMs = announceMs;
     public readonly registry = new Registry(silentLog);
-    public readonly document: ConfigurationDocument;
-    public readonly documentAgeMs = 0;
+    public readonly documents: FeedControl["documents"];
     public readonly quarantine = new QuarantineState();
     private readonly feed: Feed;
     private readonly demand = new DemandTracker(silentLog);
@@ -61,7 +60,7 @@
         private readonly engines: ReadonlyMap<string, SimulatedEngine>,
         private readonly features: LeaderFeatures,
     ) {
-        this.document = { version: configuration.version, text: JSON.stringify(configuration) };
+        this.documents = { current: { version: configuration.version, text: JSON.stringify(configuration) }, ageMs: 0 };
         this.feed = new Feed(this.registry, this, silentLog);
         this.placement = new PlacementController(this, this.registry, this.demand, this.engineCalls(), silentLog);
     }
--- a/packages/requests/src/clientservers.ts
+++ b/packages/requests/src/clientservers.ts
@@ -1,5 +1,5 @@
 /** HTTP server for clients. */
-import { messageOf } from "@winchpath/core";
+import { eventLoop, messageOf, onClientGone } from "@winchpath/core";
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import { once } from "node:events";
 import { type RequestHandler } from "./handlers.js";
@@ -45,15 +45,11 @@
     parse: Parse,
 ): Promise<void> {
     const disconnected = new AbortController();
-    reply.raw.once("close", () => {
-        // Skips the abort once the response is complete.
-        if (!reply.raw.writableFinished) {
-            disconnected.abort();
-        }
-    });
+    onClientGone(req.raw, reply.raw, () => disconnected.abort());
     const job = parse(req, disconnected.signal, options);
     const events = options.handler.handle(job);
     try {
+        await rejectIfGone(job);
         const first = await events.next();
         reply.hijack();
         writeHead(reply, first.value, job.requestId);
@@ -67,6 +63,15 @@
     }
 }
 
+/** Rejects a request whose client has left by now, unless its idempotency key promises that it is run. */
+async function rejectIfGone(job: Job): Promise<void> {
+    // The departure is read after the request.
+    await eventLoop.departuresRead();
+    if (job.signal.aborted && job.idempotencyKey === undefined) {
+        throw new RequestFailure(ProblemCode.callerLeft, "not-run", "the caller left before its request was run");
+    }
+}
+
 function writeHead(reply: FastifyReply, event: ResponseEvent | void, requestId: string): void {
     if (event?.tag !== "head") {
         throw new RequestFailure(ProblemCode.upstreamLost, "unknown", "the answer has no head");
--- a/packages/winchpathd/src/agents.ts
+++ b/packages/winchpathd/src/agents.ts
@@ -1,4 +1,5 @@
 /** The agent process: registers one upstream with the control group and serves its RPC interface. */
+import { eventLoop, Metrics, silentLog } from "@winchpath/core";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { type Settings } from "@winchpath/settings";
 import { Timeline, TimelineService, timelineService } from "@winchpath/timeline";
@@ -17,6 +18,7 @@
 
     public static async start(cfg: Settings): Promise<AgentProcess> {
         const { host, dataCentre, key } = cfg;
+        eventLoop.start(silentLog, new Metrics());
         const upstream = cfg.upstream!;
         const timeline = new Timeline({ process: `agent/${host}`, host, dataCentre });
         const clients = new RpcClients({ key, timeline });
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -11,7 +11,7 @@
     Replica,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { type EventFields, logger, Metrics, sleep, steadyNow } from "@winchpath/core";
+import { type EventFields, eventLoop, type LogFields, logger, Metrics, sleep, steadyNow } from "@winchpath/core";
 import { CatalogueCache, Declarations, type Model } from "@winchpath/declarations";
 import { createOperatorServer } from "@winchpath/operators";
 import {
@@ -66,6 +66,7 @@
 
 export class ControlProcess implements RunningProcess {
     private readonly log = logger("winchpathd");
+    private readonly logEvent = (event: string, values: EventFields = {}) => this.log(event, values as LogFields);
     private readonly stopping = new AbortController();
     private readonly metrics = new Metrics();
     private readonly timeline: Timeline;
@@ -118,6 +119,7 @@
     /** Starts the process and resolves once it serves requests. */
     public static async start(cfg: Settings, onFatal: (err: Error) => void): Promise<ControlProcess> {
         const control = new ControlProcess(cfg, onFatal);
+        eventLoop.start({ info: control.logEvent, warn: control.logEvent }, control.metrics);
         await control.openReplica();
         await control.openListeners();
         void control.runBackgroundTasks();
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -91,7 +91,7 @@
     private readonly stopping = new AbortController();
     private readonly timeline: Timeline;
     private readonly clients: RpcClients;
-    private documents = new ConfigurationState();
+    public documents = new ConfigurationState();
     private quarantineState = new QuarantineState();
     private readonly registry: Registry;
     private readonly feed: Feed;
@@ -262,14 +262,6 @@
         return this.replica?.state.membership?.members.map(member => member.url) ?? [];
     }
 
-    public get document(): ConfigurationDocument | undefined {
-        return this.documents.current;
-    }
-
-    public get documentAgeMs(): number {
-        return this.documents.ageMs;
-    }
-
     public get quarantine(): QuarantineState {
         return this.quarantineState;
     }
