Timers that judge a peer or a caller let the loop read first when they are late

Callers and operators saw: after a stall, an entry gives up its leader (call.unanswered with deadline_exceeded in the record), a leader calls upstreams silent, an attempt ends as late although its answer lies in the kernel. Mend: startFairTimer (calls between processes, attempts, connections, probes, grants, bodies, orders and reports to engines), and EventLoop.readUntil in place of the present where silence is judged (elections, members, members' leases, entries of the feed, upstreams).

--- a/packages/accounts/src/limiters.ts
+++ b/packages/accounts/src/limiters.ts
@@ -3,7 +3,7 @@
  * are admitted at once and counted. Near the limit they are admitted within the leader's grants, and wait briefly for a
  * grant unless the leader has said that there will be none.
  */
-import { Deferred, steadyNow } from "@winchpath/core";
+import { Deferred, startFairTimer, steadyNow } from "@winchpath/core";
 import { type AccountLimit, type ClientAccount } from "@winchpath/declarations";
 import {
     type AccountCounts,
@@ -271,9 +271,9 @@
         const pending: PendingRequest = { units, done: new Deferred() };
         state.pending.push(pending);
         this.requestReport();
-        const timer = setTimeout(() => pending.done.resolve(false), grantTimeoutMs);
+        const timer = startFairTimer(() => pending.done.resolve(false), grantTimeoutMs);
         const granted = await pending.done.promise;
-        clearTimeout(timer);
+        timer.cancel();
         state.pending = state.pending.filter(other => other !== pending);
         return granted;
     }
--- a/packages/consensus/src/elections.ts
+++ b/packages/consensus/src/elections.ts
@@ -1,6 +1,6 @@
 /** Starts an election when no leader has been heard within the election timeout. */
 import { create } from "@bufbuild/protobuf";
-import { Notifier, steadyNow } from "@winchpath/core";
+import { eventLoop, Notifier, steadyNow } from "@winchpath/core";
 import { type VoteRequest, VoteRequestSchema } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 import { quorumSize, votersOf } from "./members.js";
 import { type PeerConnector } from "./peers.js";
@@ -47,8 +47,7 @@
     /** Time left until the next election, with random jitter. */
     private electionTimeoutMs(): number {
         const { electionMs } = this.state.options;
-        const sinceHeard = steadyNow() - this.state.lastHeardAt;
-        const base = Math.max(0, electionMs - sinceHeard);
+        const base = Math.max(0, electionMs - this.state.silentMs);
         return base + Math.random() * electionMs * electionJitterFraction;
     }
 
@@ -94,8 +93,8 @@
             );
         }
         const deadline = steadyNow() + state.options.electionMs;
-        while (granted < needed && responses < others.length && steadyNow() < deadline) {
-            await responseReceived.wait(deadline - steadyNow());
+        while (granted < needed && responses < others.length && eventLoop.readUntil < deadline) {
+            await responseReceived.wait(deadline - eventLoop.readUntil);
         }
         return granted >= needed;
     }
--- a/packages/consensus/src/formations.ts
+++ b/packages/consensus/src/formations.ts
@@ -1,6 +1,6 @@
 /** Cluster formation: finds and joins the control group, or forms it on the first start. */
 import { create } from "@bufbuild/protobuf";
-import { newId, sleep, steadyNow } from "@winchpath/core";
+import { newId, sleep } from "@winchpath/core";
 import {
     EntrySchema,
     type Member,
@@ -74,8 +74,8 @@
 
     /** Whether no leader was heard for so long that the group may have removed this member. */
     private hasLostLeader(): boolean {
-        const { role, lastHeardAt } = this.state;
-        return role !== "leader" && steadyNow() - lastHeardAt > rejoinAfterMs;
+        const { role, silentMs } = this.state;
+        return role !== "leader" && silentMs > rejoinAfterMs;
     }
 
     /** Joins the group again; this changes nothing if the replica is still a member. */
--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -1,6 +1,6 @@
 /** One term of leadership: proposals, commits, quorum reads and leadership transfer. */
 import { create } from "@bufbuild/protobuf";
-import { Failure, FailureCode, Notifier, steadyNow, waitUntil } from "@winchpath/core";
+import { eventLoop, Failure, FailureCode, Notifier, steadyNow, waitUntil } from "@winchpath/core";
 import { type Applier, type ApplyResult } from "./appliers.js";
 import { type Entry, EntrySchema, type Member } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 import { findMember, quorumSize, votersOf } from "./members.js";
@@ -131,7 +131,7 @@
     /** Milliseconds since the member's last response, or since the start of this leadership if that is later. */
     public silentMs(id: string): number {
         const lastResponseAt = this.replications.get(id)?.lastResponseAt ?? Number.NEGATIVE_INFINITY;
-        return steadyNow() - Math.max(lastResponseAt, this.leaderSince);
+        return eventLoop.readUntil - Math.max(lastResponseAt, this.leaderSince);
     }
 
     /** Milliseconds since this replica became the leader. */
--- a/packages/consensus/src/states.ts
+++ b/packages/consensus/src/states.ts
@@ -1,6 +1,6 @@
 /** State shared by all tasks of a replica. */
 import { create } from "@bufbuild/protobuf";
-import { type EventLog, Failure, FailureCode, Notifier, steadyNow } from "@winchpath/core";
+import { type EventLog, eventLoop, Failure, FailureCode, Notifier } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import {
     type Entry,
@@ -111,9 +111,14 @@
         return findMember(this.membership, this.memberId)?.voter ?? false;
     }
 
+    /** How long no leader has been heard, as far as input has been read, in milliseconds. */
+    public get silentMs(): number {
+        return eventLoop.readUntil - this.lastHeardAt;
+    }
+
     /** Whether the replica leads, or has heard a leader within the election timeout. */
     public get hasRecentLeader(): boolean {
-        return this.role === "leader" || steadyNow() - this.lastHeardAt < this.options.electionMs;
+        return this.role === "leader" || this.silentMs < this.options.electionMs;
     }
 
     /** Sets the current term and vote; resolves once they are synced. */
--- a/packages/core/src/tasks.ts
+++ b/packages/core/src/tasks.ts
@@ -1,6 +1,7 @@
 /** Primitives for asynchronous tasks. */
 import { steadyNow } from "./clocks.js";
 import { Failure, FailureCode } from "./errors.js";
+import { eventLoop, startFairTimer } from "./eventloops.js";
 
 /** A promise that can be resolved or rejected from outside. */
 export class Deferred<T> {
@@ -68,7 +69,7 @@
 /** Settles like the promise, or fails with code `timeout` after `ms`. */
 export async function withTimeout<T>(promise: Promise<T>, ms: number, operation: string): Promise<T> {
     const timeout = new Deferred<T>();
-    const timer = setTimeout(
+    const timer = startFairTimer(
         () => timeout.reject(Failure.of(FailureCode.timeout, `${operation} took over ${ms} ms`)),
         ms,
     );
@@ -76,7 +77,26 @@
         return await Promise.race([promise, timeout.promise]);
     }
     finally {
-        clearTimeout(timer);
+        timer.cancel();
+    }
+}
+
+/** Makes a call with a signal that is aborted with a failure of code `timeout` after `ms`. */
+export async function callWithTimeout<T>(
+    call: (signal: AbortSignal) => Promise<T>,
+    ms: number,
+    operation: string,
+): Promise<T> {
+    const controller = new AbortController();
+    const timer = startFairTimer(
+        () => controller.abort(Failure.of(FailureCode.timeout, `${operation} took over ${ms} ms`)),
+        ms,
+    );
+    try {
+        return await call(controller.signal);
+    }
+    finally {
+        timer.cancel();
     }
 }
 
@@ -89,7 +109,7 @@
 ): Promise<void> {
     const deadline = steadyNow() + ms;
     while (!condition()) {
-        const left = deadline - steadyNow();
+        const left = deadline - eventLoop.readUntil;
         if (left <= 0) {
             throw Failure.of(FailureCode.timeout, `${operation} took over ${ms} ms`);
         }
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -1,6 +1,6 @@
 /** The leader's change feed: entries long-poll for changes, and each poll confirms the changes applied so far. */
 import { create } from "@bufbuild/protobuf";
-import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
+import { type EventLog, eventLoop, Notifier, steadyNow } from "@winchpath/core";
 import { type ConfigurationState } from "@winchpath/declarations";
 import { type QuarantineState } from "@winchpath/quarantine";
 import { encodeQuarantine, encodeUpstream } from "./encodings.js";
@@ -52,6 +52,11 @@
     hasUpdates: boolean;
 }
 
+/** Whether an entry has polled recently, as far as polls have been read. */
+function isLive({ polledAt }: EntryState): boolean {
+    return eventLoop.readUntil - polledAt < entryTimeoutMs;
+}
+
 export class Feed {
     private readonly entries = new Map<string, EntryState>();
     /** Notified when an entry has polled, and so confirmed a position. */
@@ -81,10 +86,7 @@
         if (now - this.liveCount.at < countCacheMs) {
             return this.liveCount.live;
         }
-        let live = 0;
-        for (const { polledAt } of this.entries.values()) {
-            live += now - polledAt < entryTimeoutMs ? 1 : 0;
-        }
+        const live = [...this.entries.values()].filter(isLive).length;
         this.liveCount = { at: now, live };
         return live;
     }
@@ -116,8 +118,8 @@
     public async awaitConfirmation(position: number, timeoutMs: number): Promise<void> {
         const deadline = steadyNow() + timeoutMs;
         this.wakePolls();
-        while (steadyNow() < deadline && this.unconfirmedEntries(position).length > 0) {
-            await this.confirmed.wait(deadline - steadyNow());
+        while (eventLoop.readUntil < deadline && this.unconfirmedEntries(position).length > 0) {
+            await this.confirmed.wait(deadline - eventLoop.readUntil);
         }
         const unconfirmed = this.unconfirmedEntries(position);
         if (unconfirmed.length > 0) {
@@ -126,9 +128,8 @@
     }
 
     private unconfirmedEntries(position: number): string[] {
-        const now = steadyNow();
         return [...this.entries]
-            .filter(([, entry]) => now - entry.polledAt < entryTimeoutMs && entry.position < position)
+            .filter(([, entry]) => isLive(entry) && entry.position < position)
             .map(([name]) => name);
     }
 
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -1,7 +1,7 @@
 /** The control leader's registry of announced upstreams. */
 import { clone, create, equals } from "@bufbuild/protobuf";
 import { DrainTracker } from "@winchpath/availability";
-import { type EventLog, Notifier, steadyNow } from "@winchpath/core";
+import { type EventLog, eventLoop, Notifier, steadyNow } from "@winchpath/core";
 import { ChangeLog } from "./changelogs.js";
 import {
     type Announcement,
@@ -267,7 +267,7 @@
         const now = steadyNow();
         const isRecent = (at: number) => now - at < unreachableReportTtlMs;
         const unreachableCount = [...record.unreachableReports.values()].filter(isRecent).length;
-        return now - record.lastAnnouncedAt > maxSilenceMs || isRecent(record.refusedAt)
+        return eventLoop.readUntil - record.lastAnnouncedAt > maxSilenceMs || isRecent(record.refusedAt)
             || unreachableCount >= minReports;
     }
 
@@ -275,7 +275,7 @@
     public removeExpired(): void {
         const now = steadyNow();
         for (const [id, record] of this.upstreams) {
-            if (now - record.lastAnnouncedAt > expireAfterMs) {
+            if (eventLoop.readUntil - record.lastAnnouncedAt > expireAfterMs) {
                 this.remove(id, "silent");
             }
         }
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -1,5 +1,5 @@
 /** A single attempt to send a request to one upstream. */
-import { Deferred, messageOf, steadyNow } from "@winchpath/core";
+import { Deferred, type FairTimer, messageOf, startFairTimer, steadyNow } from "@winchpath/core";
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
 import {
@@ -111,8 +111,8 @@
     public async run(): Promise<AttemptOutcome> {
         const { request, endpoint } = this;
         const onClientGone = () => this.cancel({ kind: "caller-gone", sent: this.sent });
-        const deadlineTimer = setTimeout(() => this.cancel({ kind: "late" }), Math.max(0, remainingMs(request)));
-        const connectionTimer = setTimeout(
+        const deadlineTimer = startFairTimer(() => this.cancel({ kind: "late" }), Math.max(0, remainingMs(request)));
+        const connectionTimer = startFairTimer(
             () => this.sent || this.settleUnsent("no free connection"),
             connectionWaitMs,
         );
@@ -129,18 +129,18 @@
             return await this.outcome.promise;
         }
         finally {
-            clearTimeout(deadlineTimer);
-            clearTimeout(connectionTimer);
-            clearTimeout(headTimer);
+            deadlineTimer.cancel();
+            connectionTimer.cancel();
+            headTimer?.cancel();
             request.abortSignal.removeEventListener("abort", onClientGone);
         }
     }
 
-    private startHeadTimeout(): NodeJS.Timeout | undefined {
+    private startHeadTimeout(): FairTimer | undefined {
         const { headTimeoutMs } = this.options;
         return headTimeoutMs === undefined
             ? undefined
-            : setTimeout(() => this.onHeadTimeout(), headTimeoutMs);
+            : startFairTimer(() => this.onHeadTimeout(), headTimeoutMs);
     }
 
     private onHeadTimeout(): void {
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -7,6 +7,7 @@
     Notifier,
     onClientGone,
     sleep,
+    startFairTimer,
     steadyNow,
 } from "@winchpath/core";
 import { type Configuration, type ListenerLimits } from "@winchpath/declarations";
@@ -257,7 +258,7 @@
     }
     const chunks: Buffer[] = [];
     let size = 0;
-    const timer = setTimeout(() => req.destroy(), limits.idleTimeoutMs);
+    const timer = startFairTimer(() => req.destroy(), limits.idleTimeoutMs);
     try {
         for await (const chunk of req.iterator({ destroyOnReturn: false })) {
             size += (chunk as Buffer).length;
@@ -272,7 +273,7 @@
         return LocalResponse.bodyLate;
     }
     finally {
-        clearTimeout(timer);
+        timer.cancel();
     }
     return Buffer.concat(chunks);
 }
--- a/packages/forwarding/src/connectors.ts
+++ b/packages/forwarding/src/connectors.ts
@@ -1,6 +1,7 @@
 /** Opens connections to upstreams and tells resets from regular closes. */
-import { type Socket } from "node:net";
-import { buildConnector } from "undici";
+import { startFairTimer } from "@winchpath/core";
+import { connect, type Socket } from "node:net";
+import { type buildConnector } from "undici";
 
 /**
  * undici treats a response without a length as complete if the connection fails with ECONNRESET. Under any other code
@@ -42,21 +43,27 @@
     }
 }
 
-/** `timeoutMs`: timeout for establishing a connection. */
+/** Opens connections; `timeoutMs`: time to establish one, as far as answers to it have been read. */
 export function upstreamConnector(timeoutMs: number, resetDetector: ResetDetector): buildConnector.connector {
-    const connect = buildConnector({
-        timeout: timeoutMs,
-        keepAlive: true,
-        keepAliveInitialDelay: keepAliveProbeDelayMs,
-    });
-    return (options, callback) => {
-        connect(options, (...[err, socket]) => {
-            if (err) {
-                callback(err, noSocket);
-                return;
-            }
-            resetDetector.attach(socket!);
-            callback(noError, socket!);
+    return ({ hostname, port }, callback) => {
+        const socket = connect({
+            host: hostname,
+            port: Number(port),
+            noDelay: true,
+            keepAlive: true,
+            keepAliveInitialDelay: keepAliveProbeDelayMs,
+        });
+        const timer = startFairTimer(() => socket.destroy(new Error("connect timeout")), timeoutMs);
+        const onError = (err: Error) => {
+            timer.cancel();
+            callback(err, noSocket);
+        };
+        socket.once("error", onError);
+        socket.once("connect", () => {
+            timer.cancel();
+            socket.off("error", onError);
+            resetDetector.attach(socket);
+            callback(noError, socket);
         });
     };
 }
--- a/packages/quarantine/src/connectionprobes.ts
+++ b/packages/quarantine/src/connectionprobes.ts
@@ -1,4 +1,5 @@
 /** Detects whether a process has ended, by its host refusing connections to its address. */
+import { startFairTimer } from "@winchpath/core";
 import { connect } from "node:net";
 
 /** Without an answer within this time, in milliseconds, nothing is known about the process. */
@@ -10,11 +11,11 @@
     return new Promise(resolve => {
         const socket = connect({ host: hostname, port: Number(port), noDelay: true });
         const finish = (refused: boolean) => {
-            clearTimeout(timer);
+            timer.cancel();
             socket.destroy();
             resolve(refused);
         };
-        const timer = setTimeout(() => finish(false), probeTimeoutMs);
+        const timer = startFairTimer(() => finish(false), probeTimeoutMs);
         socket.once("connect", () => finish(false));
         socket.once("error", (err: NodeJS.ErrnoException) => finish(err.code === "ECONNREFUSED"));
     });
--- a/packages/requests/src/attempts.ts
+++ b/packages/requests/src/attempts.ts
@@ -1,6 +1,6 @@
 /** Sends one attempt of a request to one agent. */
 import { create } from "@bufbuild/protobuf";
-import { messageOf } from "@winchpath/core";
+import { messageOf, startFairTimer } from "@winchpath/core";
 import { type RoutedReplica, type Router } from "@winchpath/routing";
 import { Refusal, RunRequestSchema } from "@winchpath/upstream";
 import { type AgentConnector, NotSentError } from "./agents.js";
@@ -64,7 +64,7 @@
     ): AsyncGenerator<ResponseEvent> {
         const abortController = new AbortController();
         const abort = () => abortController.abort();
-        const timer = setTimeout(abort, remainingMs(job));
+        const timer = startFairTimer(abort, remainingMs(job));
         [leaseLost, job.signal].forEach(signal => signal.addEventListener("abort", abort, { once: true }));
         try {
             const chunks = this.agents.connect(plan.replica.url).run(
@@ -91,7 +91,7 @@
             };
         }
         finally {
-            clearTimeout(timer);
+            timer.cancel();
             [leaseLost, job.signal].forEach(signal => signal.removeEventListener("abort", abort));
         }
     }
--- a/packages/rpc/src/clients.ts
+++ b/packages/rpc/src/clients.ts
@@ -2,6 +2,7 @@
 import { type DescService } from "@bufbuild/protobuf";
 import { type Client, createClient, type Transport } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { FairTimeoutTransport } from "./fairtimeouts.js";
 import { clientInterceptor, type RpcOptions } from "./interceptors.js";
 
 /** Time without traffic after which a ping checks the session, in milliseconds. */
@@ -54,12 +55,12 @@
                 pingTimeoutMs,
                 idleConnectionTimeoutMs: idleTimeoutMs,
             });
-            const transport = createConnectTransport({
+            const transport = new FairTimeoutTransport(createConnectTransport({
                 baseUrl: url,
                 httpVersion: "2",
                 sessionManager: sessions,
                 interceptors: [clientInterceptor(this.options)],
-            });
+            }));
             peer = { sessions, transport, clients: new Map() };
             this.peers.set(url, peer);
         }
--- /dev/null
+++ b/packages/rpc/src/fairtimeouts.ts
@@ -0,0 +1,41 @@
+/** Call timeouts that don't count a response as missing while it lies unread. */
+import { type DescMessage, type DescMethodUnary, type MessageInitShape } from "@bufbuild/protobuf";
+import { Code, ConnectError, type ContextValues, type Transport, type UnaryResponse } from "@connectrpc/connect";
+import { startFairTimer } from "@winchpath/core";
+
+/** Enforces the timeouts of unary calls in place of the library, whose timers run before input is read. */
+export class FairTimeoutTransport implements Transport {
+    public readonly stream: Transport["stream"];
+
+    public constructor(private readonly inner: Transport) {
+        this.stream = inner.stream.bind(inner);
+    }
+
+    public async unary<I extends DescMessage, O extends DescMessage>(
+        method: DescMethodUnary<I, O>,
+        signal: AbortSignal | undefined,
+        timeoutMs: number | undefined,
+        header: Parameters<Transport["unary"]>[3],
+        input: MessageInitShape<I>,
+        contextValues?: ContextValues,
+    ): Promise<UnaryResponse<I, O>> {
+        if (timeoutMs === undefined) {
+            return this.inner.unary(method, signal, undefined, header, input, contextValues);
+        }
+        const controller = new AbortController();
+        const onAbort = () => controller.abort(signal?.reason);
+        const onTimeout = () => controller.abort(new ConnectError("the operation timed out", Code.DeadlineExceeded));
+        const timer = startFairTimer(onTimeout, timeoutMs);
+        signal?.addEventListener("abort", onAbort, { once: true });
+        if (signal?.aborted) {
+            onAbort();
+        }
+        try {
+            return await this.inner.unary(method, controller.signal, undefined, header, input, contextValues);
+        }
+        finally {
+            timer.cancel();
+            signal?.removeEventListener("abort", onAbort);
+        }
+    }
+}
--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -1,7 +1,7 @@
 /** Runs requests at the upstream and streams the responses to their readers. */
 import { create } from "@bufbuild/protobuf";
 import { BackoffTracker } from "@winchpath/availability";
-import { messageOf, Notifier, retryAfterMs, sleep, steadyNow } from "@winchpath/core";
+import { messageOf, Notifier, retryAfterMs, sleep, startFairTimer, steadyNow } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import { CrashTracker } from "./crashtrackers.js";
 import { leavingHeader, notStartedHeader } from "./engineschemas.js";
@@ -108,7 +108,7 @@
 
     /** Sends a request to the upstream and copies the response into the record. */
     private async execute(record: RunRecord, req: RunRequest): Promise<void> {
-        const timer = setTimeout(() => record.abort.abort(), req.timeoutMs);
+        const timer = startFairTimer(() => record.abort.abort(), req.timeoutMs);
         const timedOut = () => Date.now() >= deadline;
         const deadline = Date.now() + req.timeoutMs;
         const startedAt = steadyNow();
@@ -126,7 +126,7 @@
             await this.recordFailure(record, req, err, { startedAt, timedOut: timedOut() });
         }
         finally {
-            clearTimeout(timer);
+            timer.cancel();
         }
     }
 
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -11,7 +11,7 @@
     Replica,
     RpcPeerConnector,
 } from "@winchpath/consensus";
-import { type EventFields, eventLoop, type LogFields, logger, Metrics, sleep, steadyNow } from "@winchpath/core";
+import { type EventFields, eventLoop, type LogFields, logger, Metrics, sleep } from "@winchpath/core";
 import { CatalogueCache, Declarations, type Model } from "@winchpath/declarations";
 import { createOperatorServer } from "@winchpath/operators";
 import {
@@ -326,7 +326,7 @@
         if (!this.isReady) {
             return this.stopping.signal.aborted ? "stopping" : "starting or stopping";
         }
-        const isCutOff = state.role !== "leader" && steadyNow() - state.lastHeardAt > leaderTimeoutMs;
+        const isCutOff = state.role !== "leader" && state.silentMs > leaderTimeoutMs;
         return isCutOff ? "cut off from the control group" : "";
     }
 
