A leader's quorum age is the time since a majority was known to follow it

Operators could see: orders to engines up to one election time after another leader may have been elected. Cause: quorumAgeMs counted from the last check that found members responsive, each up to electionMs silent by then; only confirmedAt went by the true age. Orders wait at 0.7 s of true age; publishing keeps its former tolerance of two election times, by name.

--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -21,7 +21,8 @@
     private readonly startIndex: bigint;
     private syncedIndex = 0n;
     private transferring = false;
-    private lastQuorumAt = steadyNow();
+    /** Monotonic time of the last check that found a majority responsive. */
+    private lastResponsiveAt = steadyNow();
     private readonly leaderSince = steadyNow();
 
     public constructor(
@@ -139,16 +140,11 @@
         return steadyNow() - this.leaderSince;
     }
 
-    /** Milliseconds since the last check at which a majority was responsive. */
-    public get quorumAgeMs(): number {
-        return steadyNow() - this.lastQuorumAt;
-    }
-
     /**
      * Milliseconds since the latest time at which a majority is known to have followed this leader; no later
      * leader can have committed an entry before that time. Infinite before the first responses.
      */
-    public get majorityAgeMs(): number {
+    public get quorumAgeMs(): number {
         const now = steadyNow();
         const voters = votersOf(this.state.membership);
         const confirmedAt = voters.map(({ id }) =>
@@ -251,9 +247,9 @@
             const voters = votersOf(this.state.membership);
             const responsive = voters.filter(({ id }) => id === this.state.memberId || this.isResponsive(id)).length;
             if (responsive >= quorumSize(voters.length)) {
-                this.lastQuorumAt = steadyNow();
+                this.lastResponsiveAt = steadyNow();
             }
-            if (this.active && steadyNow() - this.lastQuorumAt > electionMs * 2) {
+            if (this.active && steadyNow() - this.lastResponsiveAt > electionMs * 2) {
                 this.state.timeline.record("leader.lost-quorum", { detail: `term=${this.term}` });
                 void this.state.becomeFollower(this.term, "", "");
             }
--- a/packages/consensus/src/tests/replicas.test.ts
+++ b/packages/consensus/src/tests/replicas.test.ts
@@ -1,3 +1,4 @@
+import { sleep } from "@winchpath/core";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
 import { TestGroup, type TestNode } from "./groups.js";
@@ -78,6 +79,27 @@
         });
     });
 
+    describe("the quorum age of a leader", () => {
+        // Guards against an age that counts from the last check of the members, which may be one election time later.
+        it("is never shorter than the time since a majority could last be reached", async () => {
+            group = await TestGroup.start(names);
+            const leader = await group.waitForLeader();
+            await group.propose(leader.name, "before");
+            const leadership = leader.replica.readyLeadership!;
+            group.isolate(leader.name);
+            const cutAt = performance.now();
+            const tooYoung: number[] = [];
+            for (let step = 0; step < 40 && leadership.active; step++) {
+                const silentMs = Math.floor(performance.now() - cutAt);
+                if (leadership.quorumAgeMs < silentMs - 1) {
+                    tooYoung.push(silentMs - leadership.quorumAgeMs);
+                }
+                await sleep(2);
+            }
+            expect(tooYoung).toEqual([]);
+        });
+    });
+
     describe("a host that missed hundreds of entries", () => {
         it("catches up from a snapshot after log compaction", async () => {
             group = await TestGroup.start(names);
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -74,6 +74,8 @@
 const maxOrderQuorumAgeMs = 700;
 /** Shorter than the one second after which operators' clients try another host. */
 const callTimeoutMs = 900;
+/** A leader without quorum contact for longer publishes no changes; covers a disk of the majority that is slow. */
+const maxFeedQuorumAgeMs = 2 * electionMs;
 const leadershipTransferTimeoutMs = 1500;
 const rpcCloseTimeoutMs = 300;
 /** Events kept in memory; the structured log has all of them. */
@@ -249,7 +251,7 @@
     }
 
     public get quorumAgeMs(): number {
-        return Math.min(unknownAgeMs, this.replica?.readyLeadership?.majorityAgeMs ?? unknownAgeMs);
+        return Math.min(unknownAgeMs, this.replica?.readyLeadership?.quorumAgeMs ?? unknownAgeMs);
     }
 
     /** URL of the leader; empty if it is this host or unknown. */
@@ -286,7 +288,7 @@
     public get epoch(): string | undefined {
         const leading = this.replica?.readyLeadership;
         // A leader without quorum contact may have been replaced, so it publishes nothing.
-        const valid = leading !== undefined && leading.quorumAgeMs < electionMs;
+        const valid = leading !== undefined && leading.quorumAgeMs < maxFeedQuorumAgeMs;
         return valid ? `${leading.term}/${this.replica!.state.memberId}` : undefined;
     }
 
