An unknown route or key is denied only by a confirmed configuration

Cause: an entry judged by whatever configuration it had last read, however long that had not been confirmed; FleetView.confirmedAt was asked for keys only. A stall, a lost poll or a lost leader all show as a change that is not in force. Why it works: before a 404 or 401 the entry asks a member of the control group, which answers after a quorum read; one question serves all that wait, and without an answer the request gets 503 as not executed.

--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -5,7 +5,14 @@
 import { type QuarantineState } from "@winchpath/quarantine";
 import { encodeQuarantine, encodeUpstream } from "./encodings.js";
 import { batchMs, minResponseIntervalMs } from "./feedintervals.js";
-import { type PollRequest, type PollResponse, PollResponseSchema } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import {
+    type ConfirmRequest,
+    type ConfirmResponse,
+    ConfirmResponseSchema,
+    type PollRequest,
+    type PollResponse,
+    PollResponseSchema,
+} from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { modelMapKey } from "./items.js";
 import { type Registry } from "./registries.js";
 
@@ -114,6 +121,23 @@
             : this.createNotLeaderResponse();
     }
 
+    /** Answers with the document that a majority has committed by now. */
+    public async confirmDocument(req: ConfirmRequest): Promise<ConfirmResponse> {
+        await this.control.barrier();
+        const { current, ageMs } = this.control.documents;
+        const isNewer = current !== undefined && current.version > Number(req.documentVersion);
+        this.log.info("configuration.confirmed", {
+            entry: req.entry,
+            version: current?.version,
+            entryVersion: Number(req.documentVersion),
+        });
+        return create(ConfirmResponseSchema, {
+            documentVersion: BigInt(current?.version ?? 0),
+            documentText: isNewer ? current.text : "",
+            documentAgeMs: isNewer ? Math.round(ageMs) : 0,
+        });
+    }
+
     /** Resolves once every live entry has confirmed `position`, or after `timeoutMs`. */
     public async awaitConfirmation(position: number, timeoutMs: number): Promise<void> {
         const deadline = steadyNow() + timeoutMs;
--- a/packages/fleet/src/fleetservices.ts
+++ b/packages/fleet/src/fleetservices.ts
@@ -11,7 +11,7 @@
 import { decodeRate } from "./rateencodings.js";
 
 export interface FleetServiceDependencies {
-    readonly feed: Pick<Feed, "poll" | "liveEntries">;
+    readonly feed: Pick<Feed, "poll" | "confirmDocument" | "liveEntries">;
     readonly announcements: AnnouncementReceiver;
     readonly demand: Pick<DemandTracker, "take">;
     readonly lease: Pick<OrderLease, "yieldTo">;
@@ -34,6 +34,7 @@
     };
     return {
         poll: req => deps.feed.poll(req),
+        confirm: req => deps.feed.confirmDocument(req),
         announce: async req => {
             checkLeads();
             if (req.announcement?.upstream === undefined) {
--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -3,7 +3,12 @@
 import { type EventLog, type Metrics, Notifier, steadyNow } from "@winchpath/core";
 import { QuarantineList } from "@winchpath/quarantine";
 import { decodeQuarantine, decodeUpstream } from "./encodings.js";
-import { type PollResponse, type Upstream, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import {
+    type ConfirmResponse,
+    type PollResponse,
+    type Upstream,
+    UpstreamState,
+} from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { supersedes } from "./incarnations.js";
 
 /** Parses a configuration document. Logs the reason and returns undefined if the document is invalid. */
@@ -106,6 +111,18 @@
         this.changed.notify();
     }
 
+    /** Applies a confirmation of the document by a quorum read; `sentAt`: monotonic time at which it was requested. */
+    public applyConfirmation(res: ConfirmResponse, sentAt: number): void {
+        const version = Number(res.documentVersion);
+        if (res.documentText !== "") {
+            this.updateDocument(res.documentText, version, res.documentAgeMs);
+        }
+        if (version <= this.version) {
+            this.confirmedUntil = Math.max(this.confirmedUntil, sentAt);
+        }
+        this.changed.notify();
+    }
+
     private update(upstream: Upstream, epoch: string): void {
         const holder = this.getByName(upstream.name);
         if (holder !== undefined && supersedes(holder, upstream)) {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./announcementbatchers.js";
 export * from "./announcements.js";
+export * from "./configurationconfirmers.js";
 export * from "./crashreports.js";
 export * from "./demands.js";
 export * from "./drainreports.js";
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -1,4 +1,5 @@
 /** HTTP listener for clients. Reads and validates requests and passes them to the forwarder. */
+import { type AccountGrant } from "@winchpath/accounts";
 import {
     type EventLog,
     eventLoop,
@@ -10,16 +11,17 @@
     startFairTimer,
     steadyNow,
 } from "@winchpath/core";
-import { type Configuration, type ListenerLimits } from "@winchpath/declarations";
+import { type Configuration, type ListenerLimits, type Route } from "@winchpath/declarations";
 import { type FleetView } from "@winchpath/fleet";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { type AdmissionController, type Refusal } from "./admissioncontrollers.js";
+import { type ConfirmationPolicy } from "./confirmationpolicies.js";
 import { type Forwarder } from "./forwarders.js";
-import { type HeaderCodec, headerValue } from "./headercodecs.js";
+import { type HeaderCodec, headerValue, type RequestMetadata } from "./headercodecs.js";
 import { type InboundRequest } from "./inboundrequests.js";
-import { LocalResponse, writeLocalResponse } from "./localresponses.js";
+import { asksForAnotherEntry, LocalResponse, writeLocalResponse } from "./localresponses.js";
 import { RouteTable, selectTarget } from "./routetables.js";
 
 /** Header limit of the HTTP parser; the lower configured limit is checked afterwards. */
@@ -32,6 +34,8 @@
 const configurationWaitMs = 400;
 /** Time reserved for sending a response to the client, in milliseconds. */
 const responseTransitMs = 20;
+/** Retry-After while the control group cannot be reached, in milliseconds; covers a leader election in part. */
+const unconfirmedRetryMs = 300;
 /** Retry-After while shutting down, in milliseconds; the client should use another entry. */
 const stoppingRetryMs = 50;
 /** Interval at which idle connections are closed during shutdown, in milliseconds. */
@@ -42,11 +46,19 @@
     readonly codec: HeaderCodec;
     readonly forwarder: Forwarder;
     readonly admissions: AdmissionController;
+    readonly confirmations: ConfirmationPolicy;
     readonly log: EventLog;
     readonly metrics: Metrics;
     readonly stopping: () => boolean;
 }
 
+/** What a configuration says of a request. */
+type ConfigurationDecision =
+    | { readonly kind: "allowed"; readonly route: Route; readonly grant: AccountGrant | undefined; }
+    /** The configuration doesn't have the route or the key. A newer one may. */
+    | { readonly kind: "denied"; readonly refusal: Refusal; }
+    | { readonly kind: "refused"; readonly refusal: Refusal; };
+
 export class ClientListener {
     private readonly server = createServer({
         maxHeaderSize: maxParsedHeaderBytes,
@@ -145,7 +157,7 @@
             this.recordClientGone(metadata.id, "arrival");
             return undefined;
         }
-        const table = this.routeTable ?? await this.waitForRoutes(startedAt);
+        let table = this.routeTable ?? await this.waitForRoutes(startedAt);
         const refuse = (response: LocalResponse, retryAfterMs?: number) => {
             this.refuse(req, res, metadata.id, { kind: "refused", response, retryAfterMs });
             return undefined;
@@ -165,15 +177,22 @@
         if (headerBytes(req.rawHeaders) > limits.headerBytes) {
             return refuse(LocalResponse.headersTooLarge);
         }
-        const route = table.match(req.headers.host ?? "", req.url!);
-        if (route === undefined) {
-            return refuse(LocalResponse.unrouted);
+        let decision = this.decide(table, req, metadata);
+        const { confirmations } = this.deps;
+        const confirmed = await confirmations.confirmIfNeeded(decision.kind !== "denied", metadata.deadlineMs);
+        if (confirmed) {
+            this.refresh();
+            table = this.routeTable!;
+            decision = this.decide(table, req, metadata);
         }
-        const identified = this.deps.admissions.identify(route, metadata);
-        if (identified.kind === "refused") {
-            return refuseFor(identified);
+        else if (decision.kind === "denied") {
+            return refuse(LocalResponse.configurationUnconfirmed, unconfirmedRetryMs);
+        }
+        if (decision.kind !== "allowed") {
+            this.deps.metrics.histogram("refusal_confirmed_age").record(this.deps.view.confirmedAgeMs);
+            return refuseFor(decision.refusal);
         }
-        const { grant } = identified;
+        const { route, grant } = decision;
         const body = await readBody(req, limits);
         if (abortSignal.aborted) {
             this.recordClientGone(metadata.id, "body");
@@ -217,6 +236,23 @@
         this.deps.log.warn("request.caller-gone", { request: id, stage });
     }
 
+    /** Decides by the given configuration alone. */
+    private decide(table: RouteTable, req: IncomingMessage, metadata: RequestMetadata): ConfigurationDecision {
+        const route = table.match(req.headers.host ?? "", req.url!);
+        if (route === undefined) {
+            const refusal = { kind: "refused", response: LocalResponse.unrouted, retryAfterMs: undefined } as const;
+            return { kind: "denied", refusal };
+        }
+        const identified = this.deps.admissions.identify(route, metadata);
+        if (identified.kind === "refused") {
+            return {
+                kind: identified.response === LocalResponse.unknownKey ? "denied" : "refused",
+                refusal: identified,
+            };
+        }
+        return { kind: "allowed", route, grant: identified.grant };
+    }
+
     /** Waits for the first configuration; returns undefined after a timeout. */
     private async waitForRoutes(startedAt: number): Promise<RouteTable | undefined> {
         const deadline = startedAt + configurationWaitMs;
@@ -246,7 +282,7 @@
         });
         // The unread rest of the body would be parsed as the next request.
         const bodyUnread = !req.complete;
-        const close = bodyUnread || this.deps.stopping() || response === LocalResponse.unconfirmed;
+        const close = bodyUnread || this.deps.stopping() || asksForAnotherEntry(response);
         writeLocalResponse(res, response, { retryAfterMs, close });
     }
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./attempts.js";
 export * from "./bufferedresponses.js";
 export * from "./clientlisteners.js";
+export * from "./confirmationpolicies.js";
 export * from "./endpointtables.js";
 export * from "./eventsplitters.js";
 export * from "./forwarders.js";
--- a/packages/forwarding/src/localresponses.ts
+++ b/packages/forwarding/src/localresponses.ts
@@ -5,6 +5,8 @@
 export const LocalResponse = {
     /** No configuration has been received yet; not executed. */
     unconfigured: { status: 503, reason: "unconfigured" },
+    /** The route or the API key is unknown here, and no control host confirms that none has been added; not executed. */
+    configurationUnconfirmed: { status: 503, reason: "configuration-unconfirmed" },
     unrouted: { status: 404, reason: "unrouted" },
     /** The API key is missing or belongs to no account. */
     unknownKey: { status: 401, reason: "unknown-key" },
@@ -39,6 +41,11 @@
 } as const;
 export type LocalResponse = typeof LocalResponse[keyof typeof LocalResponse];
 
+/** Whether the client should use another entry, because this one cannot verify its configuration. */
+export function asksForAnotherEntry(response: LocalResponse): boolean {
+    return response === LocalResponse.unconfirmed || response === LocalResponse.configurationUnconfirmed;
+}
+
 /** Writes a generated response. `retryAfterMs` is set only if the request was not executed and may be retried. */
 export function writeLocalResponse(
     res: ServerResponse,
--- a/packages/forwarding/src/responders.ts
+++ b/packages/forwarding/src/responders.ts
@@ -4,7 +4,7 @@
 import { type ServerResponse } from "node:http";
 import { type BufferedResponse, writeBufferedResponse } from "./bufferedresponses.js";
 import { ageMs, type InboundRequest } from "./inboundrequests.js";
-import { LocalResponse, writeLocalResponse } from "./localresponses.js";
+import { asksForAnotherEntry, LocalResponse, writeLocalResponse } from "./localresponses.js";
 
 export interface ResponderDependencies {
     readonly view: Pick<FleetView<unknown>, "version" | "ageMs" | "confirmedAgeMs">;
@@ -51,8 +51,7 @@
             ...this.viewFields(),
             ...details,
         });
-        // Clients of an entry that cannot verify API keys should use another entry.
-        const close = this.deps.stopping() || response === LocalResponse.unconfirmed;
+        const close = this.deps.stopping() || asksForAnotherEntry(response);
         writeLocalResponse(res, response, { retryAfterMs, close });
     }
 
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -10,6 +10,7 @@
 import {
     AdmissionController,
     ClientListener,
+    ConfirmationPolicy,
     Forwarder,
     type HeaderCodec,
     headerValue,
@@ -159,9 +160,12 @@
     public readonly forwarder: Forwarder;
     public readonly listener: ClientListener;
     public readonly metrics = new Metrics();
+    /** Confirms every configuration at once by default. */
+    public readonly confirmer = { confirm: async (_timeoutMs: number) => true };
     public stopping = false;
     public readonly limiter = new AccountLimiter(exactLimits, () => undefined);
     private position = 0n;
+    private documentVersion = 1n;
 
     public constructor(
         private configuration: Configuration,
@@ -190,6 +194,7 @@
             codec: testCodec,
             forwarder: this.forwarder,
             admissions,
+            confirmations: new ConfirmationPolicy(this.view, this.confirmer, Number.POSITIVE_INFINITY),
             log: silentLog,
             metrics: this.metrics,
             stopping: () => this.stopping,
@@ -209,6 +214,13 @@
         await this.listener.listen({ host: "127.0.0.1", port: 0 });
     }
 
+    /** Puts another configuration in force, as the leader would with a new version. */
+    public replaceConfiguration(configuration: Configuration): void {
+        this.configuration = configuration;
+        this.documentVersion += 1n;
+        this.setUpstreams();
+    }
+
     /** Updates upstreams in the fleet view in place of the leader. */
     public setUpstreams(...upstreams: Partial<Upstream>[]): void {
         this.position += 1n;
@@ -230,7 +242,7 @@
             ),
             removed: [],
             left: [],
-            documentVersion: 1n,
+            documentVersion: this.documentVersion,
             documentText: "{}",
             documentAgeMs: 0,
             entries: 1,
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -3,8 +3,8 @@
 import { type AvailabilityTracker } from "@winchpath/availability";
 import { type EventLog, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
-import { CrashReporter, DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
-import { AdmissionController, ClientListener, Forwarder } from "@winchpath/forwarding";
+import { ConfigurationConfirmer, CrashReporter, DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
+import { AdmissionController, ClientListener, ConfirmationPolicy, Forwarder } from "@winchpath/forwarding";
 import {
     createReadinessServer,
     parseCommittedDocument,
@@ -81,11 +81,23 @@
             crashReporter: this.crashReporter,
             stopping,
         });
+        const confirmer = new ConfigurationConfirmer(
+            this.fleetView,
+            this.clients,
+            {
+                entry: host,
+                leaderUrl: () => this.leaderUrl,
+                controlUrls: () => [...new Set([...this.controlUrls, ...leaderSeeds(settings.current)])],
+            },
+            log,
+            metrics,
+        );
         this.clientListener = new ClientListener({
             view: this.fleetView,
             codec,
             forwarder: this.forwarder,
             admissions,
+            confirmations: new ConfirmationPolicy(this.fleetView, confirmer, settings.current.configurationApplyMs),
             log,
             metrics,
             stopping,
