--- a/packages/fleet/src/configurationconfirmers.ts
+++ b/packages/fleet/src/configurationconfirmers.ts
@@ -9,8 +9,10 @@
 const callTimeoutMs = 600;
 /** Pause after a question without an answer, in milliseconds. */
 const retryMs = 50;
-/** Number of control hosts that are asked at the same time while no leader is known. */
-const maxParallelCalls = 3;
+/** Number of other control hosts that are asked if the leader is unknown or does not answer. */
+const maxOtherHosts = 3;
+/** Time after which other control hosts are asked too, in milliseconds. */
+const hedgeMs = 60;
 
 export interface ConfirmerOptions {
     readonly entry: string;
@@ -57,7 +59,7 @@
     private async ask(): Promise<void> {
         await sleep(batchMs);
         const sentAt = steadyNow();
-        const answer = await Promise.any(this.urls().map(url => this.call(url))).catch(() => undefined);
+        const answer = await this.firstAnswer().catch(() => undefined);
         this.metrics.count("configuration_confirmations_total", {
             outcome: answer === undefined ? "none" : "answered",
         });
@@ -82,8 +84,18 @@
         }
     }
 
-    private urls(): readonly string[] {
-        const { leaderUrl, controlUrls } = this.options;
-        return leaderUrl() === "" ? controlUrls().slice(0, maxParallelCalls) : [leaderUrl()];
+    /** Asks the leader, and other members of the control group if it does not answer soon; all answer by a quorum read. */
+    private async firstAnswer(): Promise<ConfirmResponse> {
+        const leaderUrl = this.options.leaderUrl();
+        const others = this.options.controlUrls().filter(url => url !== leaderUrl).slice(0, maxOtherHosts);
+        if (leaderUrl === "") {
+            return Promise.any(others.map(url => this.call(url)));
+        }
+        const leaderAnswer = this.call(leaderUrl);
+        const answeredSoon = await Promise.race([
+            leaderAnswer.then(() => true, () => false),
+            sleep(hedgeMs).then(() => false),
+        ]);
+        return answeredSoon ? leaderAnswer : Promise.any([leaderAnswer, ...others.map(url => this.call(url))]);
     }
 }
--- a/packages/fleet/src/feedfollowers.ts
+++ b/packages/fleet/src/feedfollowers.ts
@@ -10,6 +10,10 @@
 /** Timeout of a poll; exceeds the time for which the leader may hold it. */
 const pollTimeoutMs = 1500;
 const probeTimeoutMs = 500;
+/** A poll without an answer for this long is overdue: other hosts are probed while it waits. */
+const pollOverdueMs = 1150;
+/** The same for the first poll of a leader, which it does not hold. */
+const initialPollOverdueMs = 600;
 /** Timeout of the first poll of a leader; longer, since a new leader sends all entries a full snapshot at once. */
 const initialPollTimeoutMs = 2500;
 const retryMs = 50;
@@ -68,7 +72,7 @@
             const sentAt = steadyNow();
             const response = this.leaderUrl === ""
                 ? await this.probeHosts(signal)
-                : await this.request(this.leaderUrl, signal, false);
+                : await this.pollOrReplace(signal);
             if (signal.aborted) {
                 return;
             }
@@ -79,11 +83,51 @@
         }
     }
 
+    /** Polls the leader. Once the answer is overdue, another leader is looked for, and followed if there is one. */
+    private async pollOrReplace(signal: AbortSignal): Promise<HostResponse | undefined> {
+        const polledUrl = this.leaderUrl;
+        const controller = new AbortController();
+        const abort = () => controller.abort();
+        signal.addEventListener("abort", abort, { once: true });
+        try {
+            const poll = this.request(polledUrl, controller.signal, false);
+            const overdueMs = this.epoch === "" ? initialPollOverdueMs : pollOverdueMs;
+            const isOverdue = await Promise.race([
+                poll.then(() => false),
+                sleep(overdueMs, controller.signal).then(() => true),
+            ]);
+            return isOverdue
+                ? await Promise.race([poll, this.findReplacement(polledUrl, controller.signal)])
+                : await poll;
+        }
+        finally {
+            abort();
+            signal.removeEventListener("abort", abort);
+        }
+    }
+
+    /** Probes until a leader other than `silentUrl` is located; never resolves once the signal is aborted. */
+    private async findReplacement(silentUrl: string, signal: AbortSignal): Promise<HostResponse> {
+        for (;;) {
+            const found = await this.probeHosts(signal, silentUrl);
+            if (signal.aborted) {
+                return new Promise(() => undefined);
+            }
+            if (found !== undefined) {
+                this.lastFailures.set(silentUrl, steadyNow());
+                this.clients.disconnect(silentUrl);
+                this.forgetLeader(silentUrl, "overdue");
+                return found;
+            }
+            await sleep(retryMs, signal);
+        }
+    }
+
     /** Probes several hosts in parallel, so that one that is down delays nothing. Returns the first useful response. */
-    private async probeHosts(signal: AbortSignal): Promise<HostResponse | undefined> {
-        const probes = this.nextUrls().map(async url => {
+    private async probeHosts(signal: AbortSignal, silentUrl = ""): Promise<HostResponse | undefined> {
+        const probes = this.nextUrls().filter(url => url !== silentUrl).map(async url => {
             const response = await this.request(url, signal, true);
-            if (response === undefined || !this.locatesLeader(response)) {
+            if (response === undefined || !this.locatesLeader(response) || this.names(response, silentUrl)) {
                 throw new Error("no leader located");
             }
             return response;
@@ -127,6 +171,11 @@
             || (res.leaderUrl !== "" && res.leaderUrl !== url && !this.hasFailedRecently(res.leaderUrl));
     }
 
+    /** Whether a host that doesn't lead names `url` as the leader. */
+    private names({ res }: HostResponse, url: string): boolean {
+        return res.notLeader && res.leaderUrl === url;
+    }
+
     private hasFailedRecently(url: string): boolean {
         return steadyNow() - (this.lastFailures.get(url) ?? Number.NEGATIVE_INFINITY) < failureCooldownMs;
     }
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -21,6 +21,8 @@
 /** Time for a new leader to hear from every upstream; covers three announcements at the default interval. */
 const warmUpMs = 4000;
 
+/** A leader without quorum contact for longer publishes no changes; covers a majority with slow disks. */
+export const maxQuorumAgeMs = 2000;
 /** How long the count of live entries is cached. */
 const countCacheMs = 100;
 
@@ -183,7 +185,7 @@
                     break;
                 }
                 poll.hasUpdates = Number.isFinite(dueMs);
-                await wake.wait(Math.min(dueMs, leftMs));
+                await wake.wait(Math.min(dueMs, leftMs, Math.max(batchMs, maxQuorumAgeMs - this.control.quorumAgeMs)));
             }
             if (this.hasUpdates(req)) {
                 await new Promise(resolve => setTimeout(resolve, batchMs));
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -394,7 +394,7 @@
         const { id, address } = announcement.upstream!;
         const now = steadyNow();
         const holder = this.upstreams.get(this.idAtAddress.get(address) ?? "");
-        const isAddressHeld = holder !== undefined && now - holder.lastAnnouncedAt < addressHeldMs
+        const isAddressHeld = holder !== undefined && eventLoop.readUntil - holder.lastAnnouncedAt < addressHeldMs
             && !supersedes(announcement.upstream!, holder.upstream);
         const mayHaveEnded = isAddressHeld || this.endedIncarnations.hasAny(announcement.upstream!.name);
         if (!mayHaveEnded || announcement.sequence <= maxInitialSequence) {
--- a/packages/fleet/src/tests/feedfollowers.test.ts
+++ b/packages/fleet/src/tests/feedfollowers.test.ts
@@ -73,6 +73,36 @@
         end.abort();
     });
 
+    it("replaces a leader whose answer is overdue before the poll times out", async t => {
+        t.mock.timers.enable({ apis: ["Date", "setTimeout"], now: 1_000_000 });
+        const group = new TestControlGroup();
+        const view = new FleetView(() => ({}), silentLog);
+        const options = { entry: "x", dataCentre: "d", seeds: () => hosts.slice(0, 3) };
+        const follower = new FeedFollower(view, group.clients(), options, silentLog);
+        const end = new AbortController();
+        void follower.run(end.signal);
+        await advance(t, 500);
+        group.unresponsive.add("http://a");
+        group.leader = "http://e";
+        await advance(t, 1350);
+        expect(follower.leader).toEqual("http://e");
+        end.abort();
+    });
+
+    it("keeps a leader whose answer is overdue while no other leads", async t => {
+        t.mock.timers.enable({ apis: ["Date", "setTimeout"], now: 1_000_000 });
+        const group = new TestControlGroup();
+        group.fullResponseMs = 1400;
+        const view = new FleetView(() => ({}), silentLog);
+        const options = { entry: "x", dataCentre: "d", seeds: () => hosts.slice(0, 3) };
+        const follower = new FeedFollower(view, group.clients(), options, silentLog);
+        const end = new AbortController();
+        void follower.run(end.signal);
+        await advance(t, 4500);
+        expect([follower.leader, group.fullResponses]).toEqual(["http://a", 4]);
+        end.abort();
+    });
+
     it("gives a busy leader time to send the first snapshot, without repeated polls", async t => {
         t.mock.timers.enable({ apis: ["Date", "setTimeout"], now: 1_000_000 });
         const group = new TestControlGroup();
--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -1,7 +1,7 @@
 /** Runs requests at the upstream and streams the responses to their readers. */
 import { create } from "@bufbuild/protobuf";
 import { BackoffTracker } from "@winchpath/availability";
-import { messageOf, Notifier, retryAfterMs, sleep, startFairTimer, steadyNow } from "@winchpath/core";
+import { eventLoop, messageOf, Notifier, retryAfterMs, sleep, startFairTimer, steadyNow } from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import { CrashTracker } from "./crashtrackers.js";
 import { leavingHeader, notStartedHeader } from "./engineschemas.js";
@@ -101,6 +101,8 @@
             return;
         }
         await sleep(orphanTimeoutMs, record.abort.signal);
+        // An entry may have come back for the response while this process was late.
+        await eventLoop.inputRead();
         if (record.readerCount === 0) {
             record.abort.abort();
         }
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -38,6 +38,7 @@
     type Fence,
     FleetService,
     type Incarnation,
+    maxQuorumAgeMs,
     OrderLease,
     OutlierMonitor,
     type PlacementContext,
@@ -74,8 +75,6 @@
 const maxOrderQuorumAgeMs = 700;
 /** Shorter than the one second after which operators' clients try another host. */
 const callTimeoutMs = 900;
-/** A leader without quorum contact for longer publishes no changes; covers a disk of the majority that is slow. */
-const maxFeedQuorumAgeMs = 2 * electionMs;
 const leadershipTransferTimeoutMs = 1500;
 const rpcCloseTimeoutMs = 300;
 /** Events kept in memory; the structured log has all of them. */
@@ -288,7 +287,7 @@
     public get epoch(): string | undefined {
         const leading = this.replica?.readyLeadership;
         // A leader without quorum contact may have been replaced, so it publishes nothing.
-        const valid = leading !== undefined && leading.quorumAgeMs < maxFeedQuorumAgeMs;
+        const valid = leading !== undefined && leading.quorumAgeMs < maxQuorumAgeMs;
         return valid ? `${leading.term}/${this.replica!.state.memberId}` : undefined;
     }
 
