The decision by the configuration in a module of its own; tests that a part taken out fails

ClientListener.admit had grown by the confirmation: routing, keys and confirmation are ConfigurationDecider's now. Tests made sharper after taking parts out: the departure test sends over an idle connection, the worlds have an earlier question, the overdue poll a leader that falls silent before the next leads.

--- a/packages/fleet/src/tests/confirmationworlds.test.ts
+++ b/packages/fleet/src/tests/confirmationworlds.test.ts
@@ -74,6 +74,8 @@
         const quorumAgeMs = Math.max(0, Date.now() - cutAt);
         view.apply(create(PollResponseSchema, { documentVersion: BigInt(oldVersion), quorumAgeMs }), Date.now());
     });
+    // An earlier request has asked already.
+    void confirmer.confirm(confirmTimeoutMs);
     await sleep(world.requestedAt);
     const confirmed = await confirmer.confirm(confirmTimeoutMs);
     return { version: view.version, confirmed };
--- a/packages/fleet/src/tests/feedfollowers.test.ts
+++ b/packages/fleet/src/tests/feedfollowers.test.ts
@@ -12,6 +12,8 @@
 class TestControlGroup {
     public leader = "http://a";
     public readonly unresponsive = new Set<string>();
+    /** Hosts that do not answer calls from now on; calls in progress are answered. */
+    public readonly silent = new Set<string>();
     public requests = 0;
     /** Number and duration of the leader's responses to polls. */
     public fullResponses = 0;
@@ -29,9 +31,10 @@
         this.requests += 1;
         const isFull = url === this.leader && !probe;
         this.fullResponses += isFull ? 1 : 0;
-        const answerMs = this.unresponsive.has(url) ? timeoutMs : isFull ? this.fullResponseMs : 5;
+        const isSilent = this.silent.has(url);
+        const answerMs = this.unresponsive.has(url) || isSilent ? timeoutMs : isFull ? this.fullResponseMs : 5;
         await new Promise(resolve => setTimeout(resolve, answerMs));
-        if (this.unresponsive.has(url)) {
+        if (this.unresponsive.has(url) || isSilent) {
             throw new Error("silent");
         }
         if (answerMs >= timeoutMs) {
@@ -82,7 +85,8 @@
         const end = new AbortController();
         void follower.run(end.signal);
         await advance(t, 500);
-        group.unresponsive.add("http://a");
+        group.silent.add("http://a");
+        await advance(t, 20);
         group.leader = "http://e";
         await advance(t, 1350);
         expect(follower.leader).toEqual("http://e");
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -1,5 +1,4 @@
 /** HTTP listener for clients. Reads and validates requests and passes them to the forwarder. */
-import { type AccountGrant } from "@winchpath/accounts";
 import {
     type EventLog,
     eventLoop,
@@ -11,15 +10,16 @@
     startFairTimer,
     steadyNow,
 } from "@winchpath/core";
-import { type Configuration, type ListenerLimits, type Route } from "@winchpath/declarations";
+import { type Configuration, type ListenerLimits } from "@winchpath/declarations";
 import { type FleetView } from "@winchpath/fleet";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { type AdmissionController, type Refusal } from "./admissioncontrollers.js";
+import { ConfigurationDecider } from "./configurationdecisions.js";
 import { type ConfirmationPolicy } from "./confirmationpolicies.js";
 import { type Forwarder } from "./forwarders.js";
-import { type HeaderCodec, headerValue, type RequestMetadata } from "./headercodecs.js";
+import { type HeaderCodec, headerValue } from "./headercodecs.js";
 import { type InboundRequest } from "./inboundrequests.js";
 import { asksForAnotherEntry, LocalResponse, writeLocalResponse } from "./localresponses.js";
 import { RouteTable, selectTarget } from "./routetables.js";
@@ -34,8 +34,6 @@
 const configurationWaitMs = 400;
 /** Time reserved for sending a response to the client, in milliseconds. */
 const responseTransitMs = 20;
-/** Retry-After while the control group cannot be reached, in milliseconds; covers a leader election in part. */
-const unconfirmedRetryMs = 300;
 /** Retry-After while shutting down, in milliseconds; the client should use another entry. */
 const stoppingRetryMs = 50;
 /** Interval at which idle connections are closed during shutdown, in milliseconds. */
@@ -52,26 +50,22 @@
     readonly stopping: () => boolean;
 }
 
-/** What a configuration says of a request. */
-type ConfigurationDecision =
-    | { readonly kind: "allowed"; readonly route: Route; readonly grant: AccountGrant | undefined; }
-    /** The configuration doesn't have the route or the key. A newer one may. */
-    | { readonly kind: "denied"; readonly refusal: Refusal; }
-    | { readonly kind: "refused"; readonly refusal: Refusal; };
-
 export class ClientListener {
     private readonly server = createServer({
         maxHeaderSize: maxParsedHeaderBytes,
         connectionsCheckingInterval: timeoutCheckMs,
         noDelay: true,
     }, (req, res) => void this.handle(req, res));
+    private readonly decider: ConfigurationDecider;
     private routeTable: RouteTable | undefined;
     /** Notified when a configuration becomes available. */
     private readonly configured = new Notifier();
     private active = 0;
     private closing = false;
 
-    public constructor(private readonly deps: ListenerDependencies) {}
+    public constructor(private readonly deps: ListenerDependencies) {
+        this.decider = new ConfigurationDecider({ ...deps, routeTable: () => this.currentTable() });
+    }
 
     public get port(): number {
         return (this.server.address() as AddressInfo).port;
@@ -100,6 +94,12 @@
         this.server.keepAliveTimeout = idleTimeoutMs;
     }
 
+    /** Routes of the latest configuration, of which there is one. */
+    private currentTable(): RouteTable {
+        this.refresh();
+        return this.routeTable!;
+    }
+
     /** Stops accepting connections and waits for active requests, up to `graceMs`. */
     public async close(graceMs: number): Promise<void> {
         const deadline = steadyNow() + graceMs;
@@ -157,7 +157,7 @@
             this.recordClientGone(metadata.id, "arrival");
             return undefined;
         }
-        let table = this.routeTable ?? await this.waitForRoutes(startedAt);
+        const limits = (this.routeTable ?? await this.waitForRoutes(startedAt))?.configuration.limits;
         const refuse = (response: LocalResponse, retryAfterMs?: number) => {
             this.refuse(req, res, metadata.id, { kind: "refused", response, retryAfterMs });
             return undefined;
@@ -170,29 +170,18 @@
             // There may be too little time left before the shutdown.
             return refuse(LocalResponse.stopping, stoppingRetryMs);
         }
-        if (table === undefined) {
+        if (limits === undefined) {
             return refuse(LocalResponse.unconfigured, unconfiguredRetryMs);
         }
-        const { limits } = table.configuration;
         if (headerBytes(req.rawHeaders) > limits.headerBytes) {
             return refuse(LocalResponse.headersTooLarge);
         }
-        let decision = this.decide(table, req, metadata);
-        const { confirmations } = this.deps;
-        const confirmed = await confirmations.confirmIfNeeded(decision.kind !== "denied", metadata.deadlineMs);
-        if (confirmed) {
-            this.refresh();
-            table = this.routeTable!;
-            decision = this.decide(table, req, metadata);
-        }
-        else if (decision.kind === "denied") {
-            return refuse(LocalResponse.configurationUnconfirmed, unconfirmedRetryMs);
+        const host = req.headers.host ?? "";
+        const decision = await this.decider.decide({ host, url: req.url!, metadata });
+        if (decision.kind === "refused") {
+            return refuseFor(decision);
         }
-        if (decision.kind !== "allowed") {
-            this.deps.metrics.histogram("refusal_confirmed_age").record(this.deps.view.confirmedAgeMs);
-            return refuseFor(decision.refusal);
-        }
-        const { route, grant } = decision;
+        const { table, route, grant } = decision;
         const body = await readBody(req, limits);
         if (abortSignal.aborted) {
             this.recordClientGone(metadata.id, "body");
@@ -209,7 +198,7 @@
         return {
             id: metadata.id ?? "",
             method: req.method!,
-            host: req.headers.host ?? "",
+            host,
             url: req.url!,
             headers: req.rawHeaders,
             body,
@@ -236,23 +225,6 @@
         this.deps.log.warn("request.caller-gone", { request: id, stage });
     }
 
-    /** Decides by the given configuration alone. */
-    private decide(table: RouteTable, req: IncomingMessage, metadata: RequestMetadata): ConfigurationDecision {
-        const route = table.match(req.headers.host ?? "", req.url!);
-        if (route === undefined) {
-            const refusal = { kind: "refused", response: LocalResponse.unrouted, retryAfterMs: undefined } as const;
-            return { kind: "denied", refusal };
-        }
-        const identified = this.deps.admissions.identify(route, metadata);
-        if (identified.kind === "refused") {
-            return {
-                kind: identified.response === LocalResponse.unknownKey ? "denied" : "refused",
-                refusal: identified,
-            };
-        }
-        return { kind: "allowed", route, grant: identified.grant };
-    }
-
     /** Waits for the first configuration; returns undefined after a timeout. */
     private async waitForRoutes(startedAt: number): Promise<RouteTable | undefined> {
         const deadline = startedAt + configurationWaitMs;
--- a/packages/forwarding/src/tests/departures.test.ts
+++ b/packages/forwarding/src/tests/departures.test.ts
@@ -3,7 +3,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
-import { RawUpstream, type ReceivedRequest, TestEntry, testRoute } from "./testservers.js";
+import { completeResponse, RawUpstream, type ReceivedRequest, TestEntry, testRoute } from "./testservers.js";
 
 /** Time after which nobody may work for a client that has left, in milliseconds. */
 const goneMs = 500;
@@ -106,12 +106,14 @@
             })
         ) {
             it(`${how}, sends nothing to the upstream`, async () => {
-                await start("safe", () => undefined);
+                await start("safe", ({ id, socket }) => socket.write(completeResponse(id, "hello")));
+                // Leaves an idle connection to the upstream.
+                await entry.call("earlier");
                 send();
                 leave();
                 block(100);
                 await sleep(goneMs);
-                expect(upstream.received).toEqual([]);
+                expect(upstream.received.map(({ id }) => id)).toEqual(["earlier"]);
             });
         }
     });
--- a/packages/winchpath/src/explanations.ts
+++ b/packages/winchpath/src/explanations.ts
@@ -120,9 +120,17 @@
         case "unconfigured":
             return "the entry had not received a configuration yet because it had no leader of the control group";
         case "unrouted":
-            return `configuration ${String(values.configuration)} has no route for ${String(values.host)} ${
-                String(values.path)
-            }`;
+            return `configuration ${String(values.configuration)}, confirmed ${
+                String(values.confirmedAgeMs)
+            } ms before, has no route for ${String(values.host)} ${String(values.path)}`;
+        case "configuration-unconfirmed":
+            return `configuration ${
+                String(values.configuration)
+            } has no such route or API key, and no control host confirmed that it is the latest one; the last confirmation was ${
+                String(values.confirmedAgeMs)
+            } ms old`;
+        case "request.caller-gone":
+            return `the caller left (${String(values.stage)}); ${attemptText}`;
         case "unknown-key":
             return `the request sent no API key, or one that no account in configuration ${
                 String(values.configuration)
