--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -117,7 +117,8 @@
         if (res.documentText !== "") {
             this.updateDocument(res.documentText, version, res.documentAgeMs);
         }
-        if (version <= this.version) {
+        // An older version comes from a host that is still restoring its state.
+        if (version === this.version) {
             this.confirmedUntil = Math.max(this.confirmedUntil, sentAt);
         }
         this.changed.notify();
--- a/packages/fleet/src/tests/configurationconfirmers.test.ts
+++ b/packages/fleet/src/tests/configurationconfirmers.test.ts
@@ -91,6 +91,13 @@
         expect(rounds > 3 && rounds <= 10).toEqual(true);
     });
 
+    it("does not count the answer of a host that has an older document, or none", async () => {
+        const hosts = new TestControlHosts({ a: async () => ({ documentVersion: 4n, documentText: "four" }) });
+        await resultOf(confirmerFor(hosts).confirm(500), 50);
+        const restoring = new TestControlHosts({ a: async () => ({ documentVersion: 0n }) });
+        expect(await resultOf(confirmerFor(restoring).confirm(300), 400)).toEqual(false);
+    });
+
     it("does not count a document that cannot be read here as confirmed", async () => {
         view = new FleetView(() => undefined, silentLog);
         const hosts = new TestControlHosts({ a: async () => ({ documentVersion: 4n, documentText: "?" }) });
