Logs show how each crash of an upstream becomes known

Cause: a crash passes through a probe, a report, the leader's confirmation, a commit and the feed before entries act on it, and only the commit was logged, so that the reasons for five to seven crashes under one request could not be told apart.

--- a/packages/fleet/src/crashreports.ts
+++ b/packages/fleet/src/crashreports.ts
@@ -15,6 +15,8 @@
 const idleMs = 1000;
 /** Maximum number of successes waiting to be reported. */
 const maxSucceeded = 2000;
+/** Bound on the upstreams in one log line. */
+const maxLoggedUpstreams = 16;
 
 interface CrashObservation {
     readonly upstream: string;
@@ -67,6 +69,11 @@
         this.observations.push(observation);
         void this.probeOnce(upstream.address).then(refused => {
             observation.refused = refused;
+            this.log.info("crash.probed", {
+                upstream: upstream.id,
+                refused,
+                ageMs: Math.round(steadyNow() - observation.endedAt),
+            });
             this.wake.notify();
         });
     }
@@ -107,7 +114,15 @@
         this.succeededFingerprints = new Set();
         try {
             const req = { entry, sights: sent.map(encodeObservation), endedWell: [...succeededFingerprints] };
+            const sentAt = steadyNow();
             await clients.client(FleetService, url).reportCrashes(req, { timeoutMs: reportTimeoutMs });
+            this.log.info("crashes.reported", {
+                leader: url,
+                upstreams: sent.slice(0, maxLoggedUpstreams).map(({ upstream }) => upstream),
+                upstreamCount: sent.length,
+                agoMs: Math.round(Math.max(0, ...sent.map(({ endedAt }) => sentAt - endedAt))),
+                tookMs: Math.round(steadyNow() - sentAt),
+            });
         }
         catch (err) {
             this.log.warn("crashes.untold", { leader: url, sights: sent.length, error: messageOf(err) });
--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -1,7 +1,7 @@
 /** An entry's copy of the upstreams and the configuration, which stays usable while no leader is reachable. */
 import { AvailabilityTracker } from "@winchpath/availability";
 import { type EventLog, type Metrics, Notifier, steadyNow } from "@winchpath/core";
-import { QuarantineList } from "@winchpath/quarantine";
+import { type QuarantineChanges, QuarantineList } from "@winchpath/quarantine";
 import { ReceivedLimits } from "./admissioncoordinators.js";
 import { decodeQuarantine, decodeUpstream } from "./encodings.js";
 import {
@@ -13,6 +13,9 @@
 import { HostGrants } from "./hostgrants.js";
 import { supersedes } from "./incarnations.js";
 
+/** Bound on the quarantined requests in one log line. */
+const maxLoggedRequests = 16;
+
 /** Parses a configuration document. Logs the reason and returns undefined if the document is invalid. */
 export type DocumentReader<C> = (text: string, version: number) => C | undefined;
 
@@ -101,7 +104,7 @@
         this.hosts.apply(res.host, sentAt + res.waitedMs, res.complete);
         this.admission.apply(res, this.lastResponseAt);
         this.quarantine.setKey(res.fingerprintKey);
-        this.quarantine.applyChanges(decodeQuarantine(res));
+        this.applyQuarantine(decodeQuarantine(res));
         // Kept across leaders: the next one may accept a delayed announcement of such an upstream.
         res.left.forEach(id => this.availability.markDraining(id));
         res.removed.forEach(id => this.removeReported(id, res.epoch));
@@ -119,6 +122,22 @@
         this.changed.notify();
     }
 
+    private applyQuarantine(changes: QuarantineChanges): void {
+        this.quarantine.applyChanges(changes);
+        const { position, whole, listed, removed } = changes;
+        if (listed.length > 0 || removed.length > 0) {
+            this.log.info("quarantine.in-force", {
+                position,
+                whole,
+                listed: listed.slice(0, maxLoggedRequests).map(({ fingerprint, standing, occasions }) =>
+                    `${fingerprint} ${standing} ${occasions}`
+                ),
+                listedCount: listed.length,
+                removedCount: removed.length,
+            });
+        }
+    }
+
     /** Applies a confirmation of the document by a quorum read; `sentAt`: monotonic time at which it was requested. */
     public applyConfirmation(res: ConfirmResponse, sentAt: number): void {
         const version = Number(res.documentVersion);
--- a/packages/quarantine/src/crashmonitors.ts
+++ b/packages/quarantine/src/crashmonitors.ts
@@ -91,6 +91,16 @@
         const now = steadyNow();
         const presence = this.options.presence(upstream);
         let pending = this.pending.get(upstream);
+        this.options.log.info("upstream.end-reported", {
+            upstream,
+            entry,
+            presence,
+            refused,
+            agoMs: Math.round(agoMs),
+            suspects: suspects.slice(0, maxLoggedFingerprints).map(({ fingerprint, sentAgoMs }) =>
+                `${fingerprint} ${Math.round(sentAgoMs)}`
+            ),
+        });
         const hasLeft = presence === "leaving" || presence === "gone";
         if (pending === undefined && !this.recorded.has(upstream) && hasLeft) {
             this.options.log.info("upstream.end-ignored", { upstream, entry, presence, suspects: suspects.length });
