The order of two crashes under a request follows what its entry knew

Callers: under load a crash could count for nothing, so that a request that crashes upstreams was barred an upstream later. Change: a suspect names the upstreams that had crashed under it before it was sent; such crashes are ordered by that, also if they are written the other way round.

--- a/packages/quarantine/src/commands.ts
+++ b/packages/quarantine/src/commands.ts
@@ -1,6 +1,9 @@
 /** Commands in the replicated log about requests that were running at upstreams that crashed. */
 import Type, { type Static } from "typebox";
 
+/** Bound on the earlier crashes that are named with a suspect. */
+export const maxPrecedingCrashes = 8;
+
 /** A request that was running at an upstream when it crashed. */
 export const Suspect = Type.Object({
     fingerprint: Type.String({ minLength: 1, maxLength: 64 }),
@@ -8,6 +11,11 @@
     size: Type.Integer({ minimum: 0 }),
     /** Time since it was sent there, in milliseconds; of several copies, the latest. */
     sentAgoMs: Type.Number({ minimum: 0 }),
+    /**
+     * Upstreams that had crashed under it before it was sent, as far as its entry knew: reports are delayed by different
+     * times, so that times of two reports don't tell the order.
+     */
+    sentAfter: Type.Optional(Type.Array(Type.String(), { maxItems: maxPrecedingCrashes })),
 });
 export type Suspect = Static<typeof Suspect>;
 
--- a/packages/quarantine/src/crashattributions.ts
+++ b/packages/quarantine/src/crashattributions.ts
@@ -32,6 +32,8 @@
  * crashes are weighted to count as one, so that harmless requests aren't barred after repeated outages.
  */
 const correlationWindowMs = 75;
+/** Time by which a crash follows the sending of a request whose times contradict the known order, in milliseconds. */
+const minRunMs = 1;
 /** Tolerance for rounding errors in sums of weights. */
 const weightTolerance = 1e-9;
 /** Bound on the crashes kept; the oldest are evicted. */
@@ -42,7 +44,7 @@
 /** A crash of one incarnation of an upstream. */
 interface Crash {
     /** Milliseconds since the Unix epoch, by the leader's clock. */
-    readonly at: number;
+    at: number;
     readonly suspects: Map<string, SuspectRecord>;
     /** The request that the crash is attributed to. */
     cause: string | undefined;
@@ -53,6 +55,8 @@
     readonly size: number;
     /** Milliseconds since the Unix epoch, by the leader's clock; of several copies, the latest. */
     readonly sentAt: number;
+    /** Upstreams known to have crashed under it before it was sent. */
+    readonly sentAfter: readonly string[];
 }
 
 /** A request that is suspected, or that counts as the cause. */
@@ -66,7 +70,12 @@
 export const StoredCrash = Type.Object({
     upstream: Type.String(),
     at: Type.Number(),
-    suspects: Type.Array(Type.Object({ fingerprint: Type.String(), size: Type.Integer(), sentAt: Type.Number() })),
+    suspects: Type.Array(Type.Object({
+        fingerprint: Type.String(),
+        size: Type.Integer(),
+        sentAt: Type.Number(),
+        sentAfter: Type.Optional(Type.Array(Type.String())),
+    })),
     cause: Type.Optional(Type.String()),
 });
 export type StoredCrash = Static<typeof StoredCrash>;
@@ -125,13 +134,46 @@
         const crash = this.crashes.get(upstream)
             ?? { at, suspects: new Map<string, SuspectRecord>(), cause: undefined };
         this.crashes.set(upstream, crash);
-        for (const { fingerprint, size, sentAgoMs } of suspects.slice(0, maxSuspectsPerCrash - crash.suspects.size)) {
-            const previous = crash.suspects.get(fingerprint)?.sentAt ?? Number.NEGATIVE_INFINITY;
-            crash.suspects.set(fingerprint, { size, sentAt: Math.max(previous, reportedAt - sentAgoMs) });
+        for (const suspect of suspects.slice(0, maxSuspectsPerCrash - crash.suspects.size)) {
+            const { fingerprint, size, sentAgoMs, sentAfter = [] } = suspect;
+            const previous = crash.suspects.get(fingerprint);
+            crash.suspects.set(fingerprint, {
+                size,
+                sentAt: Math.max(previous?.sentAt ?? Number.NEGATIVE_INFINITY, reportedAt - sentAgoMs),
+                sentAfter: [...new Set([...previous?.sentAfter ?? [], ...sentAfter])],
+            });
         }
+        this.orderAfterPrecedingCrashes(crash);
+        this.orderBeforeFollowingSuspects(upstream, crash);
         return crash;
     }
 
+    /** Moves a crash, and the sending of its suspects, to after the crashes that are known to precede it. */
+    private orderAfterPrecedingCrashes(crash: Crash): void {
+        for (const [fingerprint, suspect] of crash.suspects) {
+            const preceding = suspect.sentAfter
+                .map(upstream => this.crashes.get(upstream))
+                .filter(found => found !== undefined)
+                .filter(found => found !== crash);
+            if (preceding.length > 0) {
+                const sentAt = Math.max(suspect.sentAt, ...preceding.map(({ at }) => at));
+                crash.suspects.set(fingerprint, { ...suspect, sentAt });
+                crash.at = Math.max(crash.at, sentAt + minRunMs);
+            }
+        }
+    }
+
+    /** Moves a crash that is written late to before the sending of the suspects that are known to follow it. */
+    private orderBeforeFollowingSuspects(upstream: string, crash: Crash): void {
+        for (const other of this.crashes.values()) {
+            for (const { sentAfter, sentAt } of other.suspects.values()) {
+                if (other !== crash && sentAfter.includes(upstream)) {
+                    crash.at = Math.min(crash.at, sentAt);
+                }
+            }
+        }
+    }
+
     /**
      * Returns barred requests whose crashes weigh too little now that correlated crashes are known, and clears the
      * attributions.
@@ -202,7 +244,12 @@
         return [...this.crashes].map(([upstream, { at, suspects, cause }]) => ({
             upstream,
             at,
-            suspects: [...suspects].map(([fingerprint, { size, sentAt }]) => ({ fingerprint, size, sentAt })),
+            suspects: [...suspects].map(([fingerprint, { size, sentAt, sentAfter }]) => ({
+                fingerprint,
+                size,
+                sentAt,
+                ...(sentAfter.length === 0 ? {} : { sentAfter: [...sentAfter] }),
+            })),
             ...(cause === undefined ? {} : { cause }),
         }));
     }
@@ -210,7 +257,9 @@
     public restore(stored: readonly StoredCrash[]): void {
         this.crashes.clear();
         for (const { upstream, at, suspects, cause } of stored) {
-            const records = suspects.map(({ fingerprint, size, sentAt }) => [fingerprint, { size, sentAt }] as const);
+            const records = suspects.map(({ fingerprint, size, sentAt, sentAfter = [] }) =>
+                [fingerprint, { size, sentAt, sentAfter }] as const
+            );
             this.crashes.set(upstream, { at, suspects: new Map(records), cause });
         }
     }
--- a/packages/quarantine/src/tests/quarantinestates.test.ts
+++ b/packages/quarantine/src/tests/quarantinestates.test.ts
@@ -9,9 +9,20 @@
     public readonly state = new QuarantineState();
     private crashes = 0;
 
-    /** `runMs`: time from sending the requests to the crash. */
-    public crash(at: number, fingerprints: readonly string[], runMs = 50, upstream = `u${++this.crashes}`): void {
-        const suspects: Suspect[] = fingerprints.map(fingerprint => ({ fingerprint, size: 3, sentAgoMs: runMs }));
+    /** `runMs`: time from sending the requests to the crash. `sentAfter`: crashes known before they were sent. */
+    public crash(
+        at: number,
+        fingerprints: readonly string[],
+        runMs = 50,
+        upstream = `u${++this.crashes}`,
+        sentAfter?: string[],
+    ): void {
+        const suspects: Suspect[] = fingerprints.map(fingerprint => ({
+            fingerprint,
+            size: 3,
+            sentAgoMs: runMs,
+            ...(sentAfter === undefined ? {} : { sentAfter }),
+        }));
         this.state.apply({ kind: "upstream-ended", upstream, agoMs: 0, suspects }, { time: at });
     }
 
@@ -49,6 +60,28 @@
         expect(fleet.standing("deadly")).toEqual("suspected");
     });
 
+    // Guards against delayed reports: a retry's crash counted for nothing if its report took 60 ms less than the one before.
+    for (const order of ["in order", "reversed"] as const) {
+        it(`counts a retry by what its entry knew when it sent it, with reports written ${order}`, () => {
+            const fleet = new Fleet();
+            const first = () => fleet.crash(1060, ["deadly"], 40, "u1");
+            const second = () => fleet.crash(1040, ["deadly"], 40, "u2", ["u1"]);
+            (order === "in order" ? [first, second] : [second, first]).forEach(crash => crash());
+            expect(fleet.standing("deadly")).toEqual("suspected");
+            fleet.crash(1050, ["deadly"], 30, "u3", ["u1", "u2"]);
+            expect(fleet.standing("deadly")).toEqual("barred");
+        });
+    }
+
+    it("keeps the order of crashes in a snapshot", () => {
+        const fleet = new Fleet();
+        fleet.crash(1040, ["deadly"], 40, "u2", ["u1"]);
+        const snapshot = JSON.parse(JSON.stringify(fleet.state.snapshot())) as unknown;
+        fleet.state.restore(snapshot);
+        fleet.crash(1060, ["deadly"], 40, "u1");
+        expect(fleet.standing("deadly")).toEqual("suspected");
+    });
+
     it("bars neither of two requests that were present each time until the fifth crash, and then both", () => {
         const fleet = new Fleet();
         const seen = [0, 1000, 2000, 3000, 4000].map(at => {
