Entries learn when a crash is decided, and suspected requests run one at a time

Callers: under load a request that crashes upstreams took five to seven of them where four are allowed. Nothing held a further copy at an entry that had itself seen crashes under it, and nothing bounded copies of a suspected request over all entries. Also: the result of an address probe was reused for 500 ms whatever ran at the address, so an earlier incarnation's answer could count for the next one's. Change: reports are answered with what is undecided and the list's position that includes the rest; the leader grants trials of suspected requests one at a time (StartTrial), waits while a crash under one is undecided, and rejects barred ones whatever the entry knows; each lost incarnation is probed. Ruled out: the probe alone.

--- a/packages/fleet/src/encodings.ts
+++ b/packages/fleet/src/encodings.ts
@@ -1,7 +1,12 @@
 /** Encodes feed messages. Each version of an upstream is encoded once and shared by the responses to all entries. */
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
-import { type QuarantineChanges } from "@winchpath/quarantine";
-import { type PollResponse, type Upstream, UpstreamSchema } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type QuarantineChanges, type TrialDecision } from "@winchpath/quarantine";
+import {
+    type PollResponse,
+    TrialDecision as EncodedDecision,
+    type Upstream,
+    UpstreamSchema,
+} from "./gen/winchpath/fleet/v1/fleet_pb.js";
 
 const encodedUpstreams = new WeakMap<Upstream, Uint8Array>();
 
@@ -46,3 +51,18 @@
         removed: res.unquarantined,
     };
 }
+
+const encodedDecisions: Readonly<Record<TrialDecision, EncodedDecision>> = {
+    granted: EncodedDecision.GRANTED,
+    wait: EncodedDecision.WAIT,
+    rejected: EncodedDecision.REJECTED,
+};
+
+export function encodeTrialDecision(decision: TrialDecision): EncodedDecision {
+    return encodedDecisions[decision];
+}
+
+/** Returns undefined for a decision that this version doesn't know. */
+export function decodeTrialDecision(encoded: EncodedDecision): TrialDecision | undefined {
+    return (Object.keys(encodedDecisions) as TrialDecision[]).find(decision => encodedDecisions[decision] === encoded);
+}
--- a/packages/fleet/src/fleetservices.ts
+++ b/packages/fleet/src/fleetservices.ts
@@ -2,9 +2,10 @@
 import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
 import { type AccountLimitCoordinator, type Allowance } from "@winchpath/accounts";
 import { type RateLimitCoordinator } from "@winchpath/availability";
-import { type CrashMonitor } from "@winchpath/quarantine";
+import { type CrashMonitor, type QuarantineState, type SuspectTrials } from "@winchpath/quarantine";
 import { type AnnouncementReceiver } from "./announcements.js";
 import { type DemandTracker } from "./demands.js";
+import { encodeTrialDecision } from "./encodings.js";
 import { type Feed } from "./feeds.js";
 import { type DemandRequest, type FleetService } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type OrderLease } from "./orderleases.js";
@@ -23,8 +24,15 @@
     readonly limits: () => Pick<AccountLimitCoordinator, "processCounts" | "shares">;
     /** Receives upstream rate limits known to entries. */
     readonly rates: Pick<RateLimitCoordinator, "processReports">;
-    /** The crash monitor of the current leadership; undefined if this host is not the leader. */
-    readonly crashMonitor: () => Pick<CrashMonitor, "addReports"> | undefined;
+    /** Decides about crashes during the current leadership; undefined if this host is not the leader. */
+    readonly crashes: () => CrashDecisions | undefined;
+}
+
+/** The parts of a leadership that decide about requests that crash upstreams. */
+export interface CrashDecisions {
+    readonly monitor: Pick<CrashMonitor, "addReports" | "isUndecided">;
+    readonly trials: Pick<SuspectTrials, "start" | "end">;
+    readonly book: Pick<QuarantineState, "position">;
 }
 
 export function createFleetService(deps: FleetServiceDependencies): ServiceImpl<typeof FleetService> {
@@ -33,6 +41,13 @@
             throw new ConnectError("not the leader", Code.FailedPrecondition);
         }
     };
+    const requireCrashes = () => {
+        const crashes = deps.crashes();
+        if (crashes === undefined) {
+            throw new ConnectError("not the leader", Code.FailedPrecondition);
+        }
+        return crashes;
+    };
     return {
         poll: req => deps.feed.poll(req),
         confirm: req => deps.feed.confirmDocument(req),
@@ -65,13 +80,16 @@
             };
         },
         reportCrashes: req => {
-            const crashes = deps.crashMonitor();
-            if (crashes === undefined) {
-                throw new ConnectError("not the leader", Code.FailedPrecondition);
-            }
-            crashes.addReports(req.entry, req.sights, req.endedWell);
-            return {};
+            const { monitor, trials, book } = requireCrashes();
+            monitor.addReports(req.entry, req.sights, req.endedWell);
+            req.endedTrials.forEach(trial => trials.end(trial));
+            const upstreams = [...req.sights.map(({ upstream }) => upstream), ...req.undecided];
+            return {
+                undecided: upstreams.filter(upstream => monitor.isUndecided(upstream)),
+                quarantinePosition: BigInt(book.position),
+            };
         },
+        startTrial: req => ({ decision: encodeTrialDecision(requireCrashes().trials.start(req)) }),
         yieldOrders: req => {
             const { gave, ageMs } = deps.lease.yieldTo(Number(req.token));
             return { gave, lastOrderAgeMs: Math.round(ageMs) };
--- a/packages/fleet/src/tests/crashreports.test.ts
+++ b/packages/fleet/src/tests/crashreports.test.ts
@@ -5,8 +5,15 @@
 import { CrashReporter } from "../index.js";
 
 interface Report {
-    readonly sights: { upstream: string; refused: boolean; agoMs: number; suspects: { fingerprint: string; }[]; }[];
+    readonly sights: {
+        upstream: string;
+        refused: boolean;
+        agoMs: number;
+        suspects: { fingerprint: string; sentAfter: string[]; }[];
+    }[];
     readonly endedWell: string[];
+    readonly undecided: string[];
+    readonly endedTrials: string[];
 }
 
 class TestEntry {
@@ -14,10 +21,24 @@
     public probes = 0;
     public refuses = true;
     public leaderAnswers = true;
-    public readonly reporter = new CrashReporter(async () => {
-        this.probes += 1;
-        return this.refuses;
-    }, silentLog);
+    /** Upstreams about whose crash the leader has not decided. */
+    public readonly undecided = new Set<string>();
+    public epoch = "1";
+    public appliedPosition = 0;
+    /** Time that a probe takes, in milliseconds. */
+    public probeMs = 0;
+    public readonly reporter = new CrashReporter(
+        async () => {
+            this.probes += 1;
+            const { refuses } = this;
+            if (this.probeMs > 0) {
+                await new Promise(resolve => setTimeout(resolve, this.probeMs));
+            }
+            return refuses;
+        },
+        silentLog,
+        () => this.appliedPosition,
+    );
     private readonly controller = new AbortController();
 
     public constructor(private readonly t: TestContext) {
@@ -27,18 +48,24 @@
                 throw new Error("not the leader");
             }
             this.reports.push(report);
-            return {};
+            const upstreams = [...report.sights.map(({ upstream }) => upstream), ...report.undecided];
+            return { undecided: upstreams.filter(upstream => this.undecided.has(upstream)), quarantinePosition: 3n };
         };
         const client = (() => ({ reportCrashes })) as unknown as PeerClients["client"];
         const clients = { client, disconnect: () => undefined };
-        void this.reporter.run("e", clients, () => ({ url: "http://leader", epoch: "1" }), this.controller.signal);
+        void this.reporter.run(
+            "e",
+            clients,
+            () => ({ url: "http://leader", epoch: this.epoch }),
+            this.controller.signal,
+        );
     }
 
-    public loseConnection(upstream: string, fingerprint: string): void {
-        this.reporter.lost({ id: upstream, address: `${upstream}:1` }, {
+    public loseConnection(upstream: string, fingerprint: string, runMs = 50, address = `${upstream}:1`): void {
+        this.reporter.lost({ id: upstream, address }, {
             fingerprint,
             size: 1,
-            sentAt: Date.now() - 50,
+            sentAt: Date.now() - runMs,
         });
     }
 
@@ -103,4 +130,137 @@
         expect(entry.reports[0].endedWell).toEqual(["a"]);
         entry.stop();
     });
+
+    // Guards against a probe of an earlier incarnation: its result, up to 500 ms old, was taken for the next one's.
+    it("probes each incarnation, also at the same address", async t => {
+        const entry = new TestEntry(t);
+        entry.loseConnection("u1", "a", 50, "same:1");
+        await entry.advance(100);
+        entry.refuses = false;
+        entry.loseConnection("u2", "a", 50, "same:1");
+        await entry.advance(200);
+        const sights = entry.reports.flatMap(report => report.sights);
+        expect(sights.map(({ upstream, refused }) => [upstream, refused])).toEqual([["u1", true], ["u2", false]]);
+        entry.stop();
+    });
+
+    it("probes an upstream again that had accepted connections after an earlier loss", async t => {
+        const entry = new TestEntry(t);
+        entry.refuses = false;
+        entry.loseConnection("u", "a");
+        await entry.advance(300);
+        entry.refuses = true;
+        entry.loseConnection("u", "b");
+        await entry.advance(300);
+        const sights = entry.reports.flatMap(report => report.sights);
+        const reported = sights.map((
+            { refused, suspects },
+        ) => [refused, ...suspects.map(({ fingerprint }) => fingerprint)]);
+        expect(reported).toEqual([[false, "a"], [true, "b"]]);
+        entry.stop();
+    });
+
+    it("names the crashes that it knew when it sent a request", async t => {
+        const entry = new TestEntry(t);
+        entry.loseConnection("u1", "a");
+        await entry.advance(60);
+        entry.loseConnection("u2", "a", 40);
+        entry.loseConnection("u3", "a", 80);
+        await entry.advance(100);
+        const after = entry.reports.flatMap(({ sights }) =>
+            sights.map(({ upstream, suspects }) => [upstream, ...suspects[0].sentAfter])
+        );
+        expect(after).toEqual([["u1"], ["u2", "u1"], ["u3"]]);
+        entry.stop();
+    });
+
+    describe("before the leader's decision on a crash is in force", () => {
+        it("counts the requests that ran there as undecided", async t => {
+            const entry = new TestEntry(t);
+            entry.undecided.add("u");
+            entry.loseConnection("u", "a");
+            expect([entry.reporter.isUndecided("a"), entry.reporter.isUndecided("b")]).toEqual([true, false]);
+            expect([entry.reporter.holdsSize(1), entry.reporter.holdsSize(2)]).toEqual([true, false]);
+            await entry.advance(500);
+            expect(entry.reporter.isUndecided("a")).toEqual(true);
+            entry.undecided.clear();
+            await entry.advance(500);
+            expect(entry.reporter.isUndecided("a")).toEqual(true);
+            entry.appliedPosition = 3;
+            expect([entry.reporter.isUndecided("a"), entry.reporter.holdsSize(1)]).toEqual([false, false]);
+            entry.stop();
+        });
+
+        it("allows one retry per request, and none after a second crash", async t => {
+            const entry = new TestEntry(t);
+            entry.undecided.add("u1").add("u2");
+            expect(entry.reporter.tryRetry("a")).toEqual(true);
+            entry.loseConnection("u1", "a");
+            entry.loseConnection("u1", "b");
+            expect(["a", "a", "b"].map(fingerprint => entry.reporter.tryRetry(fingerprint))).toEqual([
+                true,
+                false,
+                true,
+            ]);
+            entry.loseConnection("u2", "b");
+            expect(entry.reporter.tryRetry("b")).toEqual(false);
+            entry.stop();
+        });
+
+        it("holds requests for two seconds at most, and asks the leader less and less often", async t => {
+            const entry = new TestEntry(t);
+            entry.undecided.add("u");
+            entry.loseConnection("u", "a");
+            await entry.advance(1900);
+            expect(entry.reporter.isUndecided("a")).toEqual(true);
+            await entry.advance(200);
+            expect(entry.reporter.isUndecided("a")).toEqual(false);
+            await entry.advance(3000);
+            expect(entry.reports.length).toBeLessThanOrEqual(9);
+            entry.stop();
+        });
+
+        it("reports it again to a leader that has followed", async t => {
+            const entry = new TestEntry(t);
+            entry.undecided.add("u");
+            entry.loseConnection("u", "a");
+            await entry.advance(300);
+            entry.epoch = "2";
+            await entry.advance(300);
+            expect(entry.reports.filter(({ sights }) => sights.length > 0).length).toEqual(2);
+            entry.stop();
+        });
+
+        it("reports a copy of a request that is lost later, and counts it as undecided again", async t => {
+            const entry = new TestEntry(t);
+            entry.appliedPosition = 3;
+            entry.loseConnection("u", "a");
+            await entry.advance(300);
+            expect(entry.reporter.isUndecided("a")).toEqual(false);
+            entry.loseConnection("u", "b");
+            expect(entry.reporter.isUndecided("b")).toEqual(true);
+            await entry.advance(300);
+            expect(entry.reporter.isUndecided("b")).toEqual(false);
+            const suspects = entry.reports.flatMap(({ sights }) =>
+                sights.map(sight => sight.suspects.map(({ fingerprint }) => fingerprint))
+            );
+            expect(suspects).toEqual([["a"], ["a", "b"]]);
+            entry.stop();
+        });
+    });
+
+    it("reports the end of a trial only with the crash under it", async t => {
+        const entry = new TestEntry(t);
+        entry.probeMs = 200;
+        entry.loseConnection("u", "a");
+        entry.reporter.endTrial("t1", "u");
+        entry.reporter.endTrial("t2");
+        await entry.advance(600);
+        const ended = entry.reports.filter(({ endedTrials }) => endedTrials.length > 0);
+        expect(ended.map(({ endedTrials, sights }) => [endedTrials, sights.length])).toEqual([[["t2"], 0], [
+            ["t1"],
+            1,
+        ]]);
+        entry.stop();
+    });
 });
--- a/packages/quarantine/src/crashmonitors.ts
+++ b/packages/quarantine/src/crashmonitors.ts
@@ -4,7 +4,7 @@
  */
 import { type EventLog, messageOf, type Metrics, Notifier, steadyNow } from "@winchpath/core";
 import { randomBytes } from "node:crypto";
-import { type QuarantineCommand, type Suspect } from "./commands.js";
+import { maxPrecedingCrashes, type QuarantineCommand, type Suspect } from "./commands.js";
 import { type QuarantineResult, type QuarantineState } from "./quarantinestates.js";
 
 /** Time in which reports of one crash are collected before it is written; later reports are written separately. */
@@ -51,11 +51,19 @@
     readonly reportedAt: number;
     refused: boolean;
     /** By fingerprint; `sentAt` is a monotonic time. */
-    readonly suspects: Map<string, { readonly size: number; readonly sentAt: number; }>;
+    readonly suspects: Map<string, PendingSuspect>;
+}
+
+interface PendingSuspect {
+    readonly size: number;
+    readonly sentAt: number;
+    readonly sentAfter: readonly string[];
 }
 
 export class CrashMonitor {
     private readonly pending = new Map<string, PendingCrash>();
+    /** Crashes whose command has not been applied yet. */
+    private readonly writing = new Map<string, PendingCrash>();
     /** Crashes that were written, with the monotonic time: further reports of them need no confirmation. */
     private readonly recorded = new Map<string, number>();
     private readonly wake = new Notifier();
@@ -72,6 +80,16 @@
         this.wake.notify();
     }
 
+    /** Whether a reported crash has been neither recorded nor dismissed yet. */
+    public isUndecided(upstream: string): boolean {
+        return this.pending.has(upstream) || this.writing.has(upstream);
+    }
+
+    /** Whether a request was running during an undecided crash. */
+    public hasUndecidedCrash(fingerprint: string): boolean {
+        return [...this.pending.values(), ...this.writing.values()].some(({ suspects }) => suspects.has(fingerprint));
+    }
+
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await this.setKey();
@@ -111,9 +129,14 @@
             this.pending.set(upstream, pending);
         }
         pending.refused ||= refused;
-        for (const { fingerprint, size, sentAgoMs } of suspects) {
-            const before = pending.suspects.get(fingerprint)?.sentAt ?? Number.NEGATIVE_INFINITY;
-            pending.suspects.set(fingerprint, { size, sentAt: Math.max(before, now - sentAgoMs) });
+        for (const { fingerprint, size, sentAgoMs, sentAfter = [] } of suspects) {
+            const before = pending.suspects.get(fingerprint);
+            const preceding = [...new Set([...before?.sentAfter ?? [], ...sentAfter])];
+            pending.suspects.set(fingerprint, {
+                size,
+                sentAt: Math.max(before?.sentAt ?? Number.NEGATIVE_INFINITY, now - sentAgoMs),
+                sentAfter: preceding.slice(0, maxPrecedingCrashes),
+            });
         }
     }
 
@@ -148,12 +171,15 @@
         this.recorded.set(upstream, steadyNow());
         const now = steadyNow();
         const agoMs = now - crashedAt;
-        const reported = [...suspects].map(([fingerprint, { size, sentAt }]) => ({
+        const reported = [...suspects].map(([fingerprint, { size, sentAt, sentAfter }]) => ({
             fingerprint,
             size,
             sentAgoMs: now - sentAt,
+            ...(sentAfter.length === 0 ? {} : { sentAfter: [...sentAfter] }),
         }));
+        this.writing.set(upstream, pending);
         const result = await this.write({ kind: "upstream-ended", upstream, agoMs, suspects: reported });
+        this.writing.delete(upstream);
         if (result === undefined) {
             // Without a quorum the report stays pending; suspects may have been added to it meanwhile.
             this.pending.get(upstream)?.suspects.forEach((suspect, fingerprint) => suspects.set(fingerprint, suspect));
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -7,3 +7,4 @@
 export * from "./quarantinelists.js";
 export * from "./quarantinestates.js";
 export * from "./recentsuccesses.js";
+export * from "./suspecttrials.js";
--- a/packages/quarantine/src/tests/crashmonitors.test.ts
+++ b/packages/quarantine/src/tests/crashmonitors.test.ts
@@ -146,4 +146,22 @@
         expect(leader.written.at(-1)).toEqual({ kind: "cleared", fingerprints: ["a"] });
         leader.stop();
     });
+
+    it("tells which crashes and requests are undecided, also while a command is being written", async t => {
+        const leader = new Leader(t);
+        await leader.advance(100);
+        const known = () => [leader.watch.isUndecided("u"), leader.watch.hasUndecidedCrash("a")];
+        expect(known()).toEqual([false, false]);
+        leader.report("e1", "a", false);
+        await leader.advance(300);
+        expect(known()).toEqual([true, true]);
+        leader.hasMajority = false;
+        leader.presence = "replaced";
+        await leader.advance(300);
+        expect(known()).toEqual([true, true]);
+        leader.hasMajority = true;
+        await leader.advance(300);
+        expect([...known(), leader.crashes]).toEqual([false, false, [["a"]]]);
+        leader.stop();
+    });
 });
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -30,6 +30,7 @@
     type Announcement,
     type AnnouncementControl,
     AnnouncementReceiver,
+    type CrashDecisions,
     createFleetService,
     type DemandRequest,
     DemandTracker,
@@ -58,6 +59,7 @@
     type QuarantineCommand,
     type QuarantineResult,
     QuarantineState,
+    SuspectTrials,
     type UpstreamPresence,
 } from "@winchpath/quarantine";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
@@ -112,7 +114,7 @@
             readonly abort: AbortController;
             readonly placement: PlacementController;
             readonly outlierMonitor: OutlierMonitor;
-            readonly crashMonitor: CrashMonitor;
+            readonly crashes: CrashDecisions;
         }
         | undefined;
     private parsedConfig: { readonly version: number; readonly configuration: Configuration | undefined; } | undefined;
@@ -316,7 +318,7 @@
                 processReports: (from: string, reports: readonly RateReport[]) =>
                     this.rateLimits.processReports(from, reports),
             },
-            crashMonitor: () => this.isLeader ? this.leadership?.crashMonitor : undefined,
+            crashes: () => this.isLeader ? this.leadership?.crashes : undefined,
             onDemandReport: (report: DemandRequest) => {
                 report.mismatches.forEach(mismatch => this.leadership?.placement.resyncAfterMismatch(mismatch));
                 report.unreachable.forEach(id => this.registry.reportUnreachable(id, report.entry));
@@ -387,7 +389,8 @@
         const abort = new AbortController();
         const placement = new PlacementController(this, this.registry, this.demand, this.engines, this.log);
         const crashMonitor = this.createCrashMonitor();
-        this.leadership = { epoch, abort, placement, outlierMonitor: new OutlierMonitor(this.registry), crashMonitor };
+        const crashes = { monitor: crashMonitor, trials: this.createTrials(crashMonitor), book: this.quarantineState };
+        this.leadership = { epoch, abort, placement, outlierMonitor: new OutlierMonitor(this.registry), crashes };
         this.log.info("leadership.begun", { epoch });
         void this.orderLease.acquire(
             Number(this.replica!.readyLeadership!.term),
@@ -413,6 +416,14 @@
         });
     }
 
+    private createTrials(crashMonitor: CrashMonitor): SuspectTrials {
+        return new SuspectTrials({
+            book: () => this.quarantineState,
+            hasUndecidedCrash: fingerprint => crashMonitor.hasUndecidedCrash(fingerprint),
+            log: this.log,
+        });
+    }
+
     private upstreamPresence(upstream: string): UpstreamPresence {
         const known = this.registry.get(upstream)?.upstream;
         if (known !== undefined) {
