Entries hold a request until the crashes they have seen under it are decided

Change: one retry may go out before the decision, so that requests that ran beside the cause aren't delayed; any other attempt of the same request at that entry waits until the decision is in force there, for two seconds after the crash at most. A suspected request runs under a trial. Without a leader for two seconds it is refused with 503 and Retry-After 1 s.

--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -2,7 +2,7 @@
 import { type AccountShares } from "@winchpath/accounts";
 import { type EventLog, eventLoop, type Metrics } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
-import { type CrashReporter, type DemandMeter, type FleetView } from "@winchpath/fleet";
+import { type DemandMeter, type FleetView } from "@winchpath/fleet";
 import { EjectionTracker } from "@winchpath/routing";
 import { type ServerResponse } from "node:http";
 import { ActiveFeatures } from "./activefeatures.js";
@@ -19,7 +19,7 @@
 import { LoadWaitPolicy } from "./loadwaitpolicies.js";
 import { LocalResponse } from "./localresponses.js";
 import { OutcomeRecorder } from "./outcomerecorders.js";
-import { Quarantine } from "./quarantines.js";
+import { type CrashReports, Quarantine } from "./quarantines.js";
 import { Responder } from "./responders.js";
 import { type RetryBudgetOptions } from "./retrybudgets.js";
 import { RetryPolicy } from "./retrypolicies.js";
@@ -27,7 +27,7 @@
 import { SharedAdmission } from "./sharedadmissions.js";
 import { StreamInterference } from "./streaminterferences.js";
 import { ThroughputTable } from "./throughputs.js";
-import { UpstreamAssigner } from "./upstreamassigners.js";
+import { type Assignment, UpstreamAssigner } from "./upstreamassigners.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 import { UpstreamPaces } from "./upstreampaces.js";
 import { UpstreamSelector } from "./upstreamselectors.js";
@@ -46,7 +46,7 @@
     readonly admissions: AdmissionController;
     /** Shares of client accounts; undefined if capacity is not shared between them. */
     readonly accountShares?: AccountShares;
-    readonly crashReporter: Pick<CrashReporter, "lost" | "succeeded">;
+    readonly crashReporter: CrashReports;
     /** Whether clients compete for capacity that is short at times; defaults to false. */
     readonly isCapacityContended?: boolean;
     /** Acts on the load of this host; without it no host counts as loaded. */
@@ -158,7 +158,7 @@
             if (attemptIndex > 0) {
                 await eventLoop.departuresRead();
             }
-            const assignment = await this.assigner.assign(request);
+            const assignment = await this.assign(request);
             if (eventLoop.isBehind) {
                 await eventLoop.departuresRead();
             }
@@ -166,11 +166,13 @@
                 if (assignment.kind === "upstream") {
                     this.fairShares.returned(request);
                 }
+                this.quarantine.endTrial(request);
                 this.responder.recordClientGone(request, attemptIndex === 0 ? "queue" : "between-attempts");
                 this.refundIfNotRun(request);
                 return;
             }
             if (assignment.kind === "refused") {
+                this.quarantine.endTrial(request);
                 this.refuse(request, res, assignment);
                 this.refundIfNotRun(request);
                 return;
@@ -183,6 +185,12 @@
         }
     }
 
+    /** Selects an upstream, unless the request must wait for a decision about crashes under it and is refused then. */
+    private async assign(request: InboundRequest): Promise<Assignment> {
+        const refusal = this.quarantine.needsAdmission(request) ? await this.quarantine.admit(request) : undefined;
+        return refusal ?? this.assigner.assign(request);
+    }
+
     /** Refunds the account if no upstream may have executed the request. */
     private refundIfNotRun(request: InboundRequest): void {
         if (request.attemptedUpstreams.length === 0) {
--- a/packages/forwarding/src/inboundrequests.ts
+++ b/packages/forwarding/src/inboundrequests.ts
@@ -6,6 +6,13 @@
 import { type RequestIdentity } from "@winchpath/quarantine";
 import { type RawHeaders, type RequestMetadata } from "./headercodecs.js";
 
+/** Permission of the leader to run a suspected request. */
+export interface SuspectTrial {
+    readonly id: string;
+    /** Monotonic time after which the request must not be sent. */
+    readonly expiresAt: number;
+}
+
 /** A request with its body, metadata and forwarding state. */
 export interface InboundRequest {
     readonly id: string;
@@ -37,6 +44,8 @@
     readonly declinedUpstreams: Set<string>;
     /** Number of attempts during which the connection to the upstream was lost. */
     lostConnections: number;
+    /** The trial under which it may run, if it is suspected of crashing upstreams. */
+    trial?: SuspectTrial;
     /** Id of the last event that was forwarded completely. */
     lastEventId: string | undefined;
     /** Whether part of a response has been sent to the client. */
--- a/packages/forwarding/src/localresponses.ts
+++ b/packages/forwarding/src/localresponses.ts
@@ -38,6 +38,8 @@
     late: { status: 504, reason: "late" },
     /** The request is quarantined because upstreams crashed while executing it. */
     barred: { status: 422, reason: "ends-upstreams" },
+    /** The request is suspected of crashing upstreams, and another copy of it runs or its crash is undecided; not executed. */
+    suspected: { status: 503, reason: "suspected" },
     /** The request would have to wait, and this host lacks resources to hold it; not executed. */
     hostLoaded: { status: 503, reason: "host-loaded" },
     /** The process is shutting down; not executed. */
--- a/packages/forwarding/src/quarantines.ts
+++ b/packages/forwarding/src/quarantines.ts
@@ -1,11 +1,13 @@
-/** Reports requests during which upstreams crashed, and refuses quarantined ones. */
+/** Reports requests during which upstreams crashed, refuses quarantined ones, and lets suspected ones run one at a time. */
+import { newId, sleep, steadyNow } from "@winchpath/core";
 import { type CrashReporter, type FleetView } from "@winchpath/fleet";
-import { type ListedRequest, maxCrashesPerRequest, RecentSuccesses } from "@winchpath/quarantine";
+import { type ListedRequest, maxCrashesPerRequest, maxTrialMs, RecentSuccesses } from "@winchpath/quarantine";
 import { type Refusal } from "./admissioncontrollers.js";
 import { type AttemptOutcome } from "./attempts.js";
-import { identityOf, type InboundRequest } from "./inboundrequests.js";
+import { identityOf, type InboundRequest, remainingMs } from "./inboundrequests.js";
 import { LocalResponse } from "./localresponses.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
+import { minAttemptMs } from "./waitpolicies.js";
 
 /**
  * An upstream that crashes this long after the start of a response, in milliseconds, was not crashed by that request.
@@ -19,6 +21,19 @@
  */
 const maxRememberedBodyBytes = 64 * 1024;
 
+/** Interval at which held requests are checked, in milliseconds. */
+const holdCheckMs = 25;
+/** Time without an answer from a leader after which a suspected request is refused, in milliseconds. */
+const maxLeaderWaitMs = 2000;
+/** Retry-After of a refused suspected request, in milliseconds. */
+const suspectedRetryMs = 1000;
+
+/** The entry's reports about crashes, and the leader's decisions about them. */
+export type CrashReports = Pick<
+    CrashReporter,
+    "lost" | "succeeded" | "holdsSize" | "isUndecided" | "tryRetry" | "startTrial" | "endTrial"
+>;
+
 /** Timing of an attempt. */
 interface AttemptTiming {
     /** Monotonic time. */
@@ -32,20 +47,91 @@
 
     public constructor(
         private readonly view: Pick<FleetView<unknown>, "quarantine">,
-        private readonly reporter: Pick<CrashReporter, "lost" | "succeeded">,
+        private readonly reporter: CrashReports,
     ) {}
 
     /** Returns the refusal of a quarantined request; undefined if it may be forwarded. */
     public refusal(request: InboundRequest): Refusal | undefined {
         const entry = this.quarantineEntry(request);
         if (entry?.standing !== "barred") {
-            return undefined;
+            return request.trial !== undefined && request.trial.expiresAt <= steadyNow()
+                ? suspectedRefusal("trial-expired")
+                : undefined;
         }
-        const { fingerprint, occasions } = entry;
+        return this.barredRefusal(entry);
+    }
+
+    private barredRefusal({ fingerprint, occasions }: Pick<ListedRequest, "fingerprint" | "occasions">): Refusal {
         const details = { fingerprint, occasions, quarantinePosition: this.view.quarantine.position };
         return { kind: "refused", response: LocalResponse.barred, retryAfterMs: undefined, details };
     }
 
+    /** Whether {@link admit} may have to wait; false for nearly all requests, at no cost. */
+    public needsAdmission(request: InboundRequest): boolean {
+        return this.reporter.holdsSize(request.body.length) || this.quarantineEntry(request) !== undefined;
+    }
+
+    /**
+     * Waits until another attempt can't crash an upstream before the previous crash under the request is known: until the
+     * leader's decision on crashes that this entry has observed is in force here, and for a suspected request until no other
+     * copy runs. Returns why the request must not run.
+     */
+    public async admit(request: InboundRequest): Promise<Refusal | undefined> {
+        const unansweredUntil = steadyNow() + maxLeaderWaitMs;
+        const fingerprint = this.fingerprint(request);
+        if (fingerprint === undefined) {
+            return undefined;
+        }
+        let isRetryTaken = false;
+        while (!request.abortSignal.aborted) {
+            const entry = this.quarantineEntry(request);
+            if (entry?.standing === "barred") {
+                return this.barredRefusal(entry);
+            }
+            isRetryTaken ||= request.lostConnections > 0 && this.reporter.tryRetry(fingerprint);
+            if (!this.reporter.isUndecided(fingerprint) || (isRetryTaken && entry === undefined)) {
+                const decision = entry === undefined ? "granted" : await this.startTrial(request, entry);
+                if (decision === "granted") {
+                    return undefined;
+                }
+                if (decision === "rejected") {
+                    return this.barredRefusal(entry!);
+                }
+                if (decision === undefined && steadyNow() >= unansweredUntil) {
+                    return suspectedRefusal("no-leader");
+                }
+            }
+            if (remainingMs(request) - holdCheckMs <= minAttemptMs) {
+                return suspectedRefusal("held");
+            }
+            await sleep(holdCheckMs, request.abortSignal);
+        }
+        return undefined;
+    }
+
+    /** Ends the trial of a request that will not run, or whose attempt has ended. */
+    public endTrial(request: InboundRequest, crashedUpstream?: string): void {
+        if (request.trial !== undefined) {
+            this.reporter.endTrial(request.trial.id, crashedUpstream);
+            request.trial = undefined;
+        }
+    }
+
+    /** Asks the leader whether a suspected request may run; undefined if no leader answers. */
+    private async startTrial(request: InboundRequest, { fingerprint }: ListedRequest) {
+        const lifeMs = Math.min(maxTrialMs, remainingMs(request));
+        const trial = { id: newId(), expiresAt: steadyNow() + lifeMs };
+        const decision = await this.reporter.startTrial({ fingerprint, trial: trial.id, lifeMs });
+        if (decision === "granted") {
+            request.trial = trial;
+        }
+        else if (decision === undefined) {
+            // The leader may have granted it.
+            this.reporter.endTrial(trial.id);
+        }
+        return decision;
+    }
+
     /**
      * Whether a request may be retried after its connection was lost. Not if this happened twice, or if the request is
      * listed as a suspect; the client may still retry.
@@ -63,11 +149,18 @@
     ): void {
         if (outcome.kind === "answered") {
             this.recordSuccess(request);
-            return;
         }
-        if (!isConnectionLost(outcome)) {
-            return;
+        else if (isConnectionLost(outcome)) {
+            this.recordLostConnection(request, endpoint, { sentAt, ranMs });
         }
+        this.endTrial(request, isConnectionLost(outcome) ? endpoint.id : undefined);
+    }
+
+    private recordLostConnection(
+        request: InboundRequest,
+        endpoint: UpstreamEndpoint,
+        { sentAt, ranMs }: AttemptTiming,
+    ): void {
         request.lostConnections += 1;
         if ((ranMs ?? 0) > maxCrashDelayMs) {
             return;
@@ -100,6 +193,11 @@
     }
 }
 
+function suspectedRefusal(reason: string): Refusal {
+    const details = { held: reason };
+    return { kind: "refused", response: LocalResponse.suspected, retryAfterMs: suspectedRetryMs, details };
+}
+
 /** Whether the connection to the upstream was lost during the attempt. */
 export function isConnectionLost(outcome: AttemptOutcome): boolean {
     return (outcome.kind === "unknown" || outcome.kind === "broken") && outcome.lost;
--- a/packages/forwarding/src/tests/quarantine.test.ts
+++ b/packages/forwarding/src/tests/quarantine.test.ts
@@ -109,4 +109,81 @@
         await entry.call("q2", testRequest);
         expect(receivedCount()).toEqual(3);
     });
+
+    // Guards against a client that returns before the previous crash is known: each return crashed two more upstreams.
+    describe("while the leader has not decided about a crash", () => {
+        it("holds another copy of the request, and forwards it once there is a decision", async () => {
+            const [only] = await start({}, respondOk);
+            entry.undecidedFingerprints.add(fingerprint());
+            const held = entry.call("q1", testRequest);
+            expect((await entry.call("q2", { method: "POST", body: "another body" })).status).toEqual(200);
+            expect(only.received.map(({ id }) => id)).toEqual(["q2"]);
+            entry.undecidedFingerprints.clear();
+            expect((await held).status).toEqual(200);
+        });
+
+        it("rejects the held copy if the request is barred", async () => {
+            const [only] = await start({}, respondOk);
+            entry.undecidedFingerprints.add(fingerprint());
+            const held = entry.call("q1", testRequest);
+            await entry.waitForActiveRequests(1);
+            list("barred");
+            expect((await held).status).toEqual(422);
+            expect(only.received.length).toEqual(0);
+        });
+
+        it("retries a request once, and holds later copies", async () => {
+            const all = await start({ maxAttempts: 3, timeoutMs: 600 }, disconnect, disconnect, disconnect);
+            entry.undecidedAfterLoss = true;
+            const statuses = [await entry.call("q1", testRequest), await entry.call("q2", testRequest)];
+            expect(statuses.map(({ status }) => status)).toEqual([502, 503]);
+            expect(all.reduce((sum, { received }) => sum + received.length, 0)).toEqual(2);
+        });
+
+        it("rejects a held copy in time if there is no decision before its deadline", async () => {
+            const [only] = await start({ timeoutMs: 400 }, respondOk);
+            entry.undecidedFingerprints.add(fingerprint());
+            const response = await entry.call("q1", testRequest);
+            expect([response.status, response.headers["retry-after"], only.received.length]).toEqual([503, "1.00", 0]);
+            expect(JSON.parse(response.body)).toEqual({ error: "suspected" });
+        });
+    });
+
+    describe("that are suspected", () => {
+        it("runs them under a trial, which ends with the attempt", async () => {
+            await start({}, respondOk);
+            list("suspected");
+            expect((await entry.call("q1", testRequest)).status).toEqual(200);
+            expect([entry.startedTrials.length, entry.endedTrials]).toEqual([1, entry.startedTrials]);
+        });
+
+        it("waits for a trial", async () => {
+            const [only] = await start({}, respondOk);
+            list("suspected");
+            entry.trialDecision = "wait";
+            const waiting = entry.call("q1", testRequest);
+            await entry.waitForActiveRequests(1);
+            await new Promise(resolve => setTimeout(resolve, 100));
+            expect(only.received.length).toEqual(0);
+            entry.trialDecision = "granted";
+            expect((await waiting).status).toEqual(200);
+        });
+
+        it("rejects them if the leader has barred them, whatever this entry knows", async () => {
+            const [only] = await start({}, respondOk);
+            list("suspected");
+            entry.trialDecision = "rejected";
+            expect((await entry.call("q1", testRequest)).status).toEqual(422);
+            expect(only.received.length).toEqual(0);
+        });
+
+        it("rejects them if no leader answers for two seconds", async () => {
+            const [only] = await start({ timeoutMs: 10_000 }, respondOk);
+            list("suspected");
+            entry.trialDecision = undefined;
+            const response = await entry.call("q1", testRequest);
+            expect([response.status, response.headers["retry-after"], only.received.length]).toEqual([503, "1.00", 0]);
+            expect(entry.endedTrials).toEqual(entry.startedTrials);
+        });
+    });
 });
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -4,6 +4,7 @@
 import { Metrics, ratePerSecond, retryAfterMs, silentLog, steadyNow } from "@winchpath/core";
 import { type Configuration, type EngineSpec, type Route } from "@winchpath/declarations";
 import { DemandMeter, encodeUpstream, FleetView, type Upstream, UpstreamSchema, UpstreamState } from "@winchpath/fleet";
+import { type TrialDecision } from "@winchpath/quarantine";
 import { once } from "node:events";
 import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
@@ -167,6 +168,16 @@
     /** Reported suspects, by upstream. */
     public readonly crashReports: { readonly upstream: string; readonly fingerprint: string; }[] = [];
     public readonly successReports: string[] = [];
+    /** Requests for which the leader hasn't decided about a crash. */
+    public readonly undecidedFingerprints = new Set<string>();
+    /** Whether requests whose connection was lost stay undecided. */
+    public undecidedAfterLoss = false;
+    /** Requests that were retried although undecided. */
+    private readonly retriedFingerprints = new Set<string>();
+    /** The leader's decision on trials of suspected requests; undefined if no leader answers. */
+    public trialDecision: TrialDecision | undefined = "granted";
+    public readonly startedTrials: string[] = [];
+    public readonly endedTrials: string[] = [];
     public readonly forwarder: Forwarder;
     public readonly listener: ClientListener;
     public readonly metrics = new Metrics();
@@ -196,8 +207,17 @@
             retryBudget: { ratio: 0.2, slack, windowMs: 10_000 },
             admissions,
             crashReporter: {
-                lost: ({ id }, { fingerprint }) => this.crashReports.push({ upstream: id, fingerprint }),
+                lost: ({ id }, { fingerprint }) => this.recordLoss(id, fingerprint),
                 succeeded: fingerprint => this.successReports.push(fingerprint),
+                holdsSize: () => this.undecidedFingerprints.size > 0,
+                isUndecided: fingerprint => this.undecidedFingerprints.has(fingerprint),
+                tryRetry: fingerprint =>
+                    !this.undecidedFingerprints.has(fingerprint) || this.takeFreeRetry(fingerprint),
+                startTrial: async ({ trial }) => {
+                    this.startedTrials.push(trial);
+                    return this.trialDecision;
+                },
+                endTrial: trial => this.endedTrials.push(trial),
             },
             stopping: () => this.stopping,
             ...overrides,
@@ -276,6 +296,19 @@
         this.forwarder.refresh();
     }
 
+    private recordLoss(upstream: string, fingerprint: string): void {
+        this.crashReports.push({ upstream, fingerprint });
+        if (this.undecidedAfterLoss) {
+            this.undecidedFingerprints.add(fingerprint);
+        }
+    }
+
+    private takeFreeRetry(fingerprint: string): boolean {
+        const isFree = !this.retriedFingerprints.has(fingerprint);
+        this.retriedFingerprints.add(fingerprint);
+        return isFree;
+    }
+
     /** Sends a request and reads the complete response. */
     public call(
         id: string,
--- a/packages/loadpatterns/src/entries.ts
+++ b/packages/loadpatterns/src/entries.ts
@@ -7,6 +7,7 @@
     AdmissionController,
     type AttemptOptions,
     type AttemptOutcome,
+    type CrashReports,
     Forwarder,
     type HeaderCodec,
     type InboundRequest,
@@ -29,6 +30,17 @@
 /** Requests are passed as objects, so the forwarder never encodes or decodes them. */
 const unusedCodec = {} as HeaderCodec;
 
+/** Ignores crashes. */
+const silentCrashReports: CrashReports = {
+    lost: () => undefined,
+    succeeded: () => undefined,
+    holdsSize: () => false,
+    isUndecided: () => false,
+    tryRetry: () => true,
+    startTrial: async () => "granted",
+    endTrial: () => undefined,
+};
+
 export interface SimulatedEntryOptions {
     /** Whether capacity is contended; engines report their load then. */
     readonly isCapacityContended: boolean;
@@ -80,7 +92,7 @@
                 new AccountLimiter({ windowMs: 0, overage: 0, slack: 0 }, () => undefined),
             ),
             // All simulated requests have the same empty body, so crashes can't be attributed to one of them.
-            crashReporter: { lost: () => undefined, succeeded: () => undefined },
+            crashReporter: silentCrashReports,
             stopping: () => false,
             sendAttempt: (job, link, parts) => this.sendAttempt(job, link, parts),
             random: () => random.uniform(),
