A leadership transfer that fails doesn't keep proposals waiting for the next attempt

Callers: a request with an idempotency key gets 503 control-unavailable if its claim isn't committed within five seconds, and a stopping leader refuses proposals for as long as it tries to hand over, five seconds as well. Cause: proposals were refused from the first attempt until the transfer ended or timed out, also while no voter took over (its request lost, its process late or its disk slow), and each change of the commit index sent another request to take over. Change: an attempt lasts one election timeout; between attempts proposals are accepted for a heartbeat interval, and its failure is recorded (leader.kept). Test: replicas.test.ts; before, the proposals ended after a second with 'not the leader'. Whether this was the cause of the 503 that a run of restarting.test.js saw once is not shown yet.

--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -1,6 +1,6 @@
 /** One term of leadership: proposals, commits, quorum reads and leadership transfer. */
 import { create } from "@bufbuild/protobuf";
-import { eventLoop, Failure, FailureCode, Notifier, steadyNow, waitUntil } from "@winchpath/core";
+import { eventLoop, Failure, FailureCode, Notifier, sleep, steadyNow, waitUntil } from "@winchpath/core";
 import { type Applier, type ApplyResult } from "./appliers.js";
 import { type Entry, EntrySchema, type Member } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 import { findMember, quorumSize, votersOf } from "./members.js";
@@ -81,15 +81,22 @@
         return index;
     }
 
-    /** Transfers leadership to an up-to-date voter, and waits until this replica no longer leads. */
+    /**
+     * Transfers leadership to an up-to-date voter, and waits until this replica no longer leads. Proposals are refused only
+     * during each attempt: if one fails, clients don't wait for the next.
+     */
     public async transferLeadership(timeoutMs: number): Promise<void> {
         const deadline = steadyNow() + timeoutMs;
-        this.transferring = true;
-        try {
-            await this.transferLeadershipBefore(deadline);
-        }
-        finally {
-            this.transferring = false;
+        while (this.active && steadyNow() < deadline) {
+            const successor = this.bestSuccessor();
+            if (successor === undefined) {
+                return;
+            }
+            await this.offerLeadership(successor);
+            if (this.active) {
+                this.state.timeline.record("leader.kept", { detail: `term=${this.term} refused by ${successor.url}` });
+                await sleep(Math.min(this.state.options.heartbeatMs, deadline - steadyNow()));
+            }
         }
     }
 
@@ -154,21 +161,36 @@
         return now - (confirmedAt[quorumSize(voters.length) - 1] ?? Number.NEGATIVE_INFINITY);
     }
 
-    private async transferLeadershipBefore(deadline: number): Promise<void> {
-        while (this.active && steadyNow() < deadline) {
-            const successor = this.bestSuccessor();
-            if (successor === undefined) {
-                return;
-            }
-            if (this.replications.get(successor.id)!.matchIndex < this.state.log.lastIndex) {
-                this.wakeReplications();
-                await this.responseReceived.wait(this.state.options.heartbeatMs);
-                continue;
+    /** Asks a voter to take over, and waits for it for one election timeout. */
+    private async offerLeadership(successor: Member): Promise<void> {
+        const deadline = steadyNow() + this.state.options.electionMs;
+        this.transferring = true;
+        try {
+            if (await this.bringUpToDate(successor, deadline)) {
+                this.state.timeline.record("leader.hand-over", { detail: `to=${successor.url}` });
+                const remainingMs = Math.max(1, deadline - steadyNow());
+                await this.peers.connect(successor.url).elect(this.term, remainingMs).catch(() => undefined);
+                await this.waitWhileActive(deadline);
             }
-            this.state.timeline.record("leader.hand-over", { detail: `to=${successor.url}` });
-            const { electionMs } = this.state.options;
-            await this.peers.connect(successor.url).elect(this.term, electionMs).catch(() => undefined);
-            await this.state.changed.wait(electionMs);
+        }
+        finally {
+            this.transferring = false;
+        }
+    }
+
+    /** Returns whether the voter has all entries; none are added while leadership is transferred. */
+    private async bringUpToDate(successor: Member, deadline: number): Promise<boolean> {
+        const isUpToDate = () => this.replications.get(successor.id)!.matchIndex >= this.state.log.lastIndex;
+        while (this.active && !isUpToDate() && steadyNow() < deadline) {
+            this.wakeReplications();
+            await this.responseReceived.wait(this.state.options.heartbeatMs);
+        }
+        return this.active && isUpToDate();
+    }
+
+    private async waitWhileActive(deadline: number): Promise<void> {
+        while (this.active && steadyNow() < deadline) {
+            await this.state.changed.wait(deadline - steadyNow());
         }
     }
 
--- a/packages/consensus/src/tests/groups.ts
+++ b/packages/consensus/src/tests/groups.ts
@@ -96,6 +96,8 @@
     /** Hosts without a disk that only provide peer discovery. */
     private readonly discoveryHosts = new Map<string, PeerDiscovery>();
     public readonly seeds: string[];
+    /** Whether nodes ignore requests to take over the leadership. */
+    public ignoresElections = false;
     /** Cut links, each as "from>to". */
     private readonly cutLinks = new Set<string>();
 
@@ -275,7 +277,7 @@
             join: member => call(replica => replica.join(member)),
             propose: command => call(replica => replica.proposeAsLeader(command)),
             readIndex: async timeoutMs => ({ index: await call(replica => replica.readIndex(timeoutMs)), term: 0n }),
-            elect: term => call(replica => replica.campaign(term)),
+            elect: term => call(replica => this.group.ignoresElections ? undefined : replica.campaign(term)),
         };
     }
 }
--- a/packages/consensus/src/tests/replicas.test.ts
+++ b/packages/consensus/src/tests/replicas.test.ts
@@ -173,6 +173,21 @@
             expect(kinds.includes("leader.hand-over")).toEqual(true);
             expect(successor.replica.state.term).toEqual(leader.replica.state.term);
         });
+
+        // Guards against a stopping leader that refused all proposals until its transfer timed out, if no voter took over.
+        it("that fails doesn't keep proposals waiting for the next attempt", async () => {
+            group = await TestGroup.start(names);
+            const leader = await group.waitForLeader();
+            group.ignoresElections = true;
+            const transfer = leader.replica.transferLeadership(3000);
+            for (const name of [leader.name, follower(leader)]) {
+                await group.propose(name, `at ${name}`, 1000);
+            }
+            expect(leader.machine.commands.length).toEqual(2);
+            group.ignoresElections = false;
+            await transfer;
+            expect(leader.replica.state.role).toEqual("follower");
+        });
     });
 
     describe("a quorum read", () => {
