RPC servers destroy connections that their peers never close

Callers and operators: a process that was asked to stop could stay alive for ever; restarting.test.js hung once that way, with an agent that had left and one connection in FIN-WAIT-2. Cause: after a graceful close, an HTTP/2 session only ends its half of the connection, and destroying the session doesn't change that; the server waits for a peer that may be frozen or gone. Change: after the grace period the sockets are destroyed. Test: rpc.test.ts with a peer that never closes, in the state that was seen: before, the server was still open after 2 s (grace period 50 ms). Which peer kept the connection in the run that hung is not known.

--- a/packages/rpc/src/servers.ts
+++ b/packages/rpc/src/servers.ts
@@ -4,7 +4,7 @@
 import { Failure, FailureCode, listenBacklog } from "@winchpath/core";
 import { once } from "node:events";
 import { createServer, type ServerHttp2Session } from "node:http2";
-import { type AddressInfo } from "node:net";
+import { type AddressInfo, type Socket } from "node:net";
 import { type RpcOptions, serverInterceptor } from "./interceptors.js";
 
 /** Maximum message size in bytes; a snapshot of the control state must fit. */
@@ -19,8 +19,13 @@
 /** A listening RPC server. */
 export class RpcServer {
     private readonly sessions = new Set<ServerHttp2Session>();
+    private readonly sockets = new Set<Socket>();
 
     private constructor(private readonly server: ReturnType<typeof createServer>) {
+        server.on("connection", (socket: Socket) => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
         server.on("session", session => {
             this.sessions.add(session);
             session.once("close", () => this.sessions.delete(session));
@@ -51,13 +56,18 @@
         return (this.server.address() as AddressInfo).port;
     }
 
-    /** Stops listening, waits up to `graceMs` for running calls, then destroys the remaining sessions. */
+    /** Stops listening, waits up to `graceMs` for running calls, then destroys the remaining sessions and connections. */
     public async close(graceMs: number): Promise<void> {
         const closed = once(this.server, "close");
         this.server.close();
         this.sessions.forEach(session => session.close());
-        const timer = setTimeout(() => this.sessions.forEach(session => session.destroy()), graceMs);
+        const timer = setTimeout(() => this.destroyAll(), graceMs);
         await closed;
         clearTimeout(timer);
     }
+    private destroyAll(): void {
+        this.sessions.forEach(session => session.destroy());
+        // A session that was closed gracefully waits for its peer to close the connection, also after `destroy`.
+        this.sockets.forEach(socket => socket.destroy());
+    }
 }
--- a/packages/rpc/src/tests/rpc.test.ts
+++ b/packages/rpc/src/tests/rpc.test.ts
@@ -1,12 +1,19 @@
 import { Code, ConnectError } from "@connectrpc/connect";
+import { withTimeout } from "@winchpath/core";
 import { Timeline, TimelineService, timelineService } from "@winchpath/timeline";
 import { expect } from "earl";
 import { once } from "node:events";
 import { connect } from "node:http2";
+import { connect as connectSocket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { isSessionClosedError, RpcClients, RpcServer } from "../index.js";
 
 const key = "a key of some length";
+/** A client's connection preface, with an empty SETTINGS frame. */
+const http2Preface = Buffer.concat([
+    Buffer.from("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
+    Buffer.from([0, 0, 0, 4, 0, 0, 0, 0, 0]),
+]);
 
 describe("RPC between processes", () => {
     const serverTimeline = new Timeline({ process: "server", host: "s", dataCentre: "d" });
@@ -72,4 +79,21 @@
         expect(serverTimeline.list().at(-1)!.clock > 1001n).toEqual(true);
         expect(timeline.tick() > 1002n).toEqual(true);
     });
+
+    // Guards against a stopping process that stayed alive: one connection whose peer never closed it (FIN-WAIT-2).
+    it("closes within its grace period if a peer never closes its connection", async () => {
+        const other = await RpcServer.listen({ host: "127.0.0.1", port: 0 }, () => undefined, {
+            key,
+            timeline: serverTimeline,
+        });
+        const peer = connectSocket({ port: other.port, host: "127.0.0.1", allowHalfOpen: true });
+        peer.write(http2Preface);
+        await once(peer, "data");
+        try {
+            await withTimeout(other.close(50), 2000, "closing the server");
+        }
+        finally {
+            peer.destroy();
+        }
+    });
 });
