A stopping process ends operators' watches after a second

Operators and callers: an entry that was asked to stop stayed alive for as long as somebody watched it (the same class as connections that a peer never closes: a close that waits for others without a bound). Cause: the operators' server closed idle connections only, and a watch is never idle. Change: the remaining connections are closed after a second. Test: operators.test.ts; before, the server was still open after 2 s.

--- a/packages/operators/src/servers.ts
+++ b/packages/operators/src/servers.ts
@@ -54,6 +54,13 @@
     return app;
 }
 
+/** Stops listening, waits up to `graceMs` for running requests, then closes all connections, such as those of watches. */
+export async function closeOperatorServer(app: ReturnType<typeof createOperatorServer>, graceMs: number): Promise<void> {
+    const timer = setTimeout(() => app.server.closeAllConnections(), graceMs);
+    await app.close();
+    clearTimeout(timer);
+}
+
 type App = ReturnType<typeof createApp>;
 
 function createApp() {
--- a/packages/operators/src/tests/operators.test.ts
+++ b/packages/operators/src/tests/operators.test.ts
@@ -1,8 +1,18 @@
+import { withTimeout } from "@winchpath/core";
 import { Catalogue, type ChangeItem, Declarations, kinds, type Resource } from "@winchpath/declarations";
 import { type AcceleratorView } from "@winchpath/placement";
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { dryRunChange, modelStatus, openApiDocument, type WatchLine, watchLines } from "../index.js";
+import {
+    closeOperatorServer,
+    createOperatorServer,
+    dryRunChange,
+    modelStatus,
+    openApiDocument,
+    type OperatorServerOptions,
+    type WatchLine,
+    watchLines,
+} from "../index.js";
 
 const gibibyte = 2 ** 30;
 
@@ -112,3 +122,16 @@
         expect(Object.keys(schemas["Model"].properties).includes("minReplicas")).toEqual(true);
     });
 });
+
+// Guards against a stopping process that stayed alive for as long as an operator watched it.
+describe("closeOperatorServer", () => {
+    it("ends a watch after the grace period", async () => {
+        const options = { declarations: new Declarations(), key: undefined } as unknown as OperatorServerOptions;
+        const app = createOperatorServer(options);
+        const url = await app.listen({ host: "127.0.0.1", port: 0 });
+        const watch = await fetch(`${url}/apis/v1/watch`);
+        const ended = watch.text().then(() => "whole", () => "cut");
+        await withTimeout(closeOperatorServer(app, 50), 2000, "closing the server");
+        expect(await ended).toEqual("cut");
+    });
+});
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -13,7 +13,7 @@
 } from "@winchpath/consensus";
 import { type EventFields, eventLoop, type LogFields, logger, Metrics, sleep } from "@winchpath/core";
 import { CatalogueCache, Declarations, type Model } from "@winchpath/declarations";
-import { createOperatorServer } from "@winchpath/operators";
+import { closeOperatorServer, createOperatorServer } from "@winchpath/operators";
 import {
     acceleratorViews,
     DemandTracker,
@@ -52,6 +52,8 @@
 const leadershipTransferTimeoutMs = 5000;
 /** Timeout for committing a quarantine command before it is retried. */
 const quarantineTimeoutMs = 1000;
+/** Time for requests of operators to end; watches never do. */
+const operatorCloseTimeoutMs = 1000;
 /** How often idle connections are closed while running requests drain. */
 const drainPollMs = 50;
 /** A host without contact to a leader for this long reports not ready, since its declarations may be stale. */
@@ -143,7 +145,7 @@
         this.handler.close();
         this.stopping.abort();
         await this.replica.stop();
-        await this.operatorListener.close();
+        await closeOperatorServer(this.operatorListener, operatorCloseTimeoutMs);
         this.clients.close();
         await this.rpcServer.close(loadBalancerDelayMs);
     }
