--- a/packages/testing/src/deployments/processes.ts
+++ b/packages/testing/src/deployments/processes.ts
@@ -9,6 +9,14 @@
 const cliScript = fileURLToPath(import.meta.resolve("winchpath")).replace(/index\.js$/, "main.js");
 const mockScript = fileURLToPath(new URL("../standins/main.js", import.meta.url));
 
+/** Children that are still running; they must not outlive the tests that started them. */
+const runningChildren = new Set<ChildProcess>();
+const interruptSignals = ["SIGTERM", "SIGINT", "SIGHUP"] as const;
+const exitCodeInterrupted = 130;
+
+process.once("exit", () => runningChildren.forEach(child => child.kill("SIGKILL")));
+interruptSignals.forEach(signal => process.once(signal, () => process.exit(exitCodeInterrupted)));
+
 export class TestProcess {
     public output = "";
     private exited = false;
@@ -24,7 +32,9 @@
         };
         child.stdout?.on("data", appendOutput);
         child.stderr?.on("data", appendOutput);
+        runningChildren.add(child);
         child.once("exit", code => {
+            runningChildren.delete(child);
             this.exited = true;
             if (!this.exitExpected) {
                 process.stderr.write(`${name} exited unexpectedly with code ${code}: ${this.output}\n`);
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./deployments/controlhistories.js";
 export * from "./deployments/deployments.js";
 export * from "./deployments/ports.js";
 export * from "./deployments/processes.js";
--- a/packages/testing/src/tests/restarting.test.ts
+++ b/packages/testing/src/tests/restarting.test.ts
@@ -5,18 +5,27 @@
     type ChatResult,
     createBooking,
     type Deployment,
+    describeControlHistory,
     type EntryHost,
     sendChat,
     type ServiceStats,
 } from "../index.js";
 import { expectNoFailedRequests, startRedundantDeployment, TrafficGenerator } from "./trafficgenerators.js";
 
+/** The part of a test's context that the type definitions lack. */
+interface TestOutcome {
+    readonly passed: boolean;
+}
+
 describe("a planned stop", () => {
     let deployment: Deployment;
     let traffic: TrafficGenerator | undefined;
-    afterEach(async () => {
-        await traffic?.stop();
-        await deployment.stop();
+    afterEach(async t => {
+        if (!(t as unknown as TestOutcome).passed) {
+            console.error(await describeControlHistory(deployment));
+        }
+        // The deployment goes first: callers may wait for a process that has stopped answering.
+        await Promise.all([traffic?.stop(), deployment.stop()]);
     });
 
     /** Starts a chat that takes more than three seconds; returns after its first token. */
--- a/packages/testing/src/tests/trafficgenerators.ts
+++ b/packages/testing/src/tests/trafficgenerators.ts
@@ -58,6 +58,9 @@
     private async runCaller(caller: number): Promise<void> {
         for (let number = 0; !this.isStopped; number++) {
             const entry = await this.pickReadyEntry();
+            if (entry === undefined) {
+                return;
+            }
             const id = `${caller}-${number}`;
             try {
                 await this.sendRequest(entry, caller, id);
@@ -77,8 +80,9 @@
         }
     }
 
-    private async pickReadyEntry(): Promise<EntryHost> {
-        for (;;) {
+    /** Returns undefined once the traffic is stopped. */
+    private async pickReadyEntry(): Promise<EntryHost | undefined> {
+        while (!this.isStopped) {
             const entry = this.deployment.entries[this.nextEntryIndex++ % this.deployment.entries.length];
             const res = await fetch(`${entry.operatorsUrl}/readyz`).catch(() => undefined);
             if (res?.ok) {
@@ -86,6 +90,7 @@
             }
             await sleep(20);
         }
+        return undefined;
     }
 }
 
