The own interface holds a request until crashes under it are decided

Callers: a client that returns at once, while the crashes under its first call are not decided yet, crashed two more upstreams with each call, as at the platform's entries (the same fault: decisions that come after the next attempt). Change: as there: one retry before the decision, then the request waits for it, two seconds at most; copies of a suspected request run one at a time at each entry. Not over all entries: decisions are replicated to each, there is no leader to ask for a trial.

--- a/packages/operators/src/servers.ts
+++ b/packages/operators/src/servers.ts
@@ -55,7 +55,10 @@
 }
 
 /** Stops listening, waits up to `graceMs` for running requests, then closes all connections, such as those of watches. */
-export async function closeOperatorServer(app: ReturnType<typeof createOperatorServer>, graceMs: number): Promise<void> {
+export async function closeOperatorServer(
+    app: ReturnType<typeof createOperatorServer>,
+    graceMs: number,
+): Promise<void> {
     const timer = setTimeout(() => app.server.closeAllConnections(), graceMs);
     await app.close();
     clearTimeout(timer);
--- a/packages/quarantine/src/crashmonitors.ts
+++ b/packages/quarantine/src/crashmonitors.ts
@@ -80,6 +80,11 @@
         this.wake.notify();
     }
 
+    /** Whether no crash is undecided. */
+    public get isIdle(): boolean {
+        return this.pending.size === 0 && this.writing.size === 0;
+    }
+
     /** Whether a reported crash has been neither recorded nor dismissed yet. */
     public isUndecided(upstream: string): boolean {
         return this.pending.has(upstream) || this.writing.has(upstream);
--- a/packages/requests/src/executions.ts
+++ b/packages/requests/src/executions.ts
@@ -79,6 +79,7 @@
         else if (result.tag === "broken" && result.upstreamEnd !== "") {
             quarantine.recordCrash(this.job, { upstreamEnd: result.upstreamEnd, sentAt });
         }
+        quarantine.endTrial(this.job);
         return result;
     }
 
@@ -126,6 +127,7 @@
     /** Waits for a replica that has not failed this request since its latest report. */
     public async admit(): Promise<RoutedReplica> {
         const { job, attemptedReplicas } = this;
+        await this.dependencies.quarantine.admit(job, this.upstreamCrashes);
         this.throwIfQuarantined();
         try {
             const replica = await this.dependencies.queues.forTarget(job.resource).admit(job, attemptedReplicas);
--- a/packages/requests/src/requestquarantines.ts
+++ b/packages/requests/src/requestquarantines.ts
@@ -1,8 +1,9 @@
 /** Quarantine of requests that crash upstreams, for the project's own HTTP interface; the state is replicated to every process. */
-import { type EventLog, type Metrics, steadyNow } from "@winchpath/core";
+import { type EventLog, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import {
     CrashMonitor,
     fingerprintOf,
+    maxTrialMs,
     type QuarantineCommand,
     type QuarantineResult,
     type QuarantineState,
@@ -11,6 +12,14 @@
 import { type Job } from "./jobs.js";
 import { ProblemCode, RequestFailure } from "./problems.js";
 
+/**
+ * A request is held for at most this long until a crash under it is decided, in milliseconds; a decision takes 100 to 200 ms
+ * while the control group has a leader.
+ */
+const maxHoldMs = 2000;
+/** Interval at which held requests are checked, in milliseconds. */
+const holdCheckMs = 25;
+
 export interface RequestQuarantineDependencies {
     readonly book: () => QuarantineState;
     /** Commits a command; resolves once it is applied in this process. */
@@ -19,6 +28,12 @@
     readonly metrics: Pick<Metrics, "count">;
 }
 
+interface RunningTrial {
+    readonly requestId: string;
+    /** Monotonic time. */
+    readonly endsAt: number;
+}
+
 /** A run of a request during which the upstream crashed. */
 export interface CrashedRun {
     /** Crash identifier reported by the agent. */
@@ -30,6 +45,10 @@
 export class RequestQuarantine {
     private readonly crashMonitor: CrashMonitor;
     private readonly recentSuccesses = new RecentSuccesses();
+    /** Requests that were retried before a crash under them was decided. */
+    private readonly retried = new Set<string>();
+    /** Running attempts of suspected requests, by fingerprint. */
+    private readonly trials = new Map<string, RunningTrial>();
 
     public constructor(private readonly dependencies: RequestQuarantineDependencies) {
         // The agent has already confirmed the crash.
@@ -56,6 +75,59 @@
         return this.findListed(job) !== undefined;
     }
 
+    /**
+     * Waits until another attempt can't crash an upstream before the previous crash is known: until the crashes that this
+     * process has observed under the request are decided, and while another copy runs here if it is suspected. One retry
+     * doesn't wait for a decision, for the sake of requests that ran beside the cause. `crashes`: number of upstreams that
+     * have crashed under this job.
+     */
+    public async admit(job: Job, crashes: number): Promise<void> {
+        if (this.crashMonitor.isIdle && this.dependencies.book().isEmpty) {
+            this.retried.clear();
+            return;
+        }
+        const fingerprint = this.fingerprint(job);
+        if (fingerprint === undefined || this.takeRetry(fingerprint, crashes)) {
+            return;
+        }
+        const until = Math.min(steadyNow() + maxHoldMs, steadyNow() + job.deadline - Date.now());
+        while (this.mustWait(fingerprint) && steadyNow() < until && !job.signal.aborted) {
+            await sleep(holdCheckMs, job.signal);
+        }
+        if (this.standing(fingerprint) === "suspected") {
+            this.trials.set(fingerprint, { requestId: job.requestId, endsAt: steadyNow() + maxTrialMs });
+        }
+    }
+
+    /** Ends the trial of a suspected request, after its outcome was recorded. */
+    public endTrial({ requestId }: Job): void {
+        for (const [fingerprint, trial] of this.trials) {
+            if (trial.requestId === requestId) {
+                this.trials.delete(fingerprint);
+            }
+        }
+    }
+
+    /** Takes the one retry that is allowed before the crash under it is decided. */
+    private takeRetry(fingerprint: string, crashes: number): boolean {
+        const isAllowed = crashes === 1 && this.crashMonitor.hasUndecidedCrash(fingerprint)
+            && !this.retried.has(fingerprint) && this.standing(fingerprint) === undefined;
+        if (isAllowed) {
+            this.retried.add(fingerprint);
+        }
+        return isAllowed;
+    }
+
+    private mustWait(fingerprint: string): boolean {
+        const trial = this.trials.get(fingerprint);
+        return this.crashMonitor.hasUndecidedCrash(fingerprint)
+            || (this.standing(fingerprint) === "suspected" && trial !== undefined && trial.endsAt > steadyNow());
+    }
+
+    private standing(fingerprint: string) {
+        return this.dependencies.book().find(fingerprint)?.standing;
+    }
+
     public recordCrash(job: Job, { upstreamEnd, sentAt }: CrashedRun): void {
         const fingerprint = this.fingerprint(job);
         if (fingerprint === undefined || this.recentSuccesses.has(fingerprint)) {
--- a/packages/requests/src/tests/requestquarantines.test.ts
+++ b/packages/requests/src/tests/requestquarantines.test.ts
@@ -28,21 +28,26 @@
     }
 
     public async ask(entry: number, body: string, changes: Partial<Job> = {}) {
+        const result = await this.askAtOnce(entry, body, changes);
+        await this.settle();
+        return result;
+    }
+
+    /** As {@link ask}, without time for the crash to be decided. */
+    public askAtOnce(entry: number, body: string, changes: Partial<Job> = {}) {
         const job = createJob(this.agents, {
             requestId: `${Math.random()}`,
             bodyFor: () => Buffer.from(body),
             ...changes,
         });
-        const result = await ask(this.handlers[entry], job);
-        await this.settle();
-        return result;
+        return ask(this.handlers[entry], job);
     }
 
     public stop(): void {
         this.stopped.abort();
     }
 
-    private async settle(): Promise<void> {
+    public async settle(): Promise<void> {
         const stepMs = 50;
         for (let passed = 0; passed < settleMs; passed += stepMs) {
             this.t.mock.timers.tick(stepMs);
@@ -88,4 +93,21 @@
         expect((await entries.ask(0, "other")).text).toEqual(responseText);
         entries.stop();
     });
+
+    // Guards against a client that returns before the crashes under its first call are decided: each call crashed two more.
+    it("crashes one upstream more at most if its client returns at once", async t => {
+        const entries = new TwoEntries(t);
+        await entries.askAtOnce(0, crashingBody);
+        expect(entries.crashingRuns).toEqual(2);
+        const returns = Promise.all([0, 0, 0].map(entry => entries.askAtOnce(entry, crashingBody)));
+        for (let rounds = 0; rounds < 10; rounds++) {
+            await entries.settle();
+        }
+        const statuses = (await returns).map(problemOf);
+        expect(entries.crashingRuns).toBeLessThanOrEqual(4);
+        await entries.ask(0, crashingBody);
+        expect(entries.crashingRuns).toBeLessThanOrEqual(4);
+        expect(statuses.length).toEqual(3);
+        entries.stop();
+    });
 });
