--- a/packages/forwarding/src/quarantines.ts
+++ b/packages/forwarding/src/quarantines.ts
@@ -55,7 +55,7 @@
         const entry = this.quarantineEntry(request);
         if (entry?.standing !== "barred") {
             return request.trial !== undefined && request.trial.expiresAt <= steadyNow()
-                ? suspectedRefusal("trial-expired")
+                ? suspectedRefusal("trial-expired", this.fingerprint(request))
                 : undefined;
         }
         return this.barredRefusal(entry);
@@ -98,11 +98,11 @@
                     return this.barredRefusal(entry!);
                 }
                 if (decision === undefined && steadyNow() >= unansweredUntil) {
-                    return suspectedRefusal("no-leader");
+                    return suspectedRefusal("no-leader", fingerprint);
                 }
             }
             if (remainingMs(request) - holdCheckMs <= minAttemptMs) {
-                return suspectedRefusal("held");
+                return suspectedRefusal("held", fingerprint);
             }
             await sleep(holdCheckMs, request.abortSignal);
         }
@@ -193,8 +193,11 @@
     }
 }
 
-function suspectedRefusal(reason: string): Refusal {
-    const details = { held: reason };
+/** Why a suspected request is refused: it was held too long, no leader answered, or its trial expired before it was sent. */
+type HoldEnd = "held" | "no-leader" | "trial-expired";
+
+function suspectedRefusal(holdEnd: HoldEnd, fingerprint: string | undefined): Refusal {
+    const details = { holdEnd, fingerprint };
     return { kind: "refused", response: LocalResponse.suspected, retryAfterMs: suspectedRetryMs, details };
 }
 
--- a/packages/winchpath/src/explanations.ts
+++ b/packages/winchpath/src/explanations.ts
@@ -153,6 +153,10 @@
             return `upstreams crashed each time they ran an identical request (${String(values.occasions)} times): ${
                 formatCrashedUpstreams(state)
             }; all entries refuse it`;
+        case "suspected":
+            return `upstreams have crashed while they ran an identical request, which therefore runs one at a time; ${
+                describeHold(values.holdEnd)
+            }; crashed: ${formatCrashedUpstreams(state)}`;
         case "no-upstream":
             return "the service had no upstream that accepts requests";
         case "stopping":
@@ -167,6 +171,17 @@
     }
 }
 
+function describeHold(holdEnd: unknown): string {
+    switch (holdEnd) {
+        case "no-leader":
+            return "no leader answered whether this copy may run";
+        case "trial-expired":
+            return "the permission to run it expired before an upstream was free";
+        default:
+            return "another copy was running, or its crash was undecided, until this one had no time left";
+    }
+}
+
 function formatModel(values: Readonly<Record<string, unknown>>): string {
     return `${String(values.model)}${values.adapter === undefined ? "" : `/${String(values.adapter)}`}`;
 }
--- a/packages/winchpath/src/tests/explanations.test.ts
+++ b/packages/winchpath/src/tests/explanations.test.ts
@@ -65,6 +65,13 @@
         fingerprint: "f1",
         occasions: 3,
     }),
+    line(2080, "entry", "f1", "request.own-answer", {
+        request: "q10",
+        status: 503,
+        reason: "suspected",
+        fingerprint: "f2",
+        holdEnd: "no-leader",
+    }),
     "{\"level\":30,\"time\":2100,\"event\":\"cut sh",
     "no log line",
 ].join("\n");
@@ -96,6 +103,11 @@
             "q8",
             "upstreams crashed each time they ran an identical request (3 times): u3, u5; all entries refuse it",
         ],
+        [
+            "a suspected request",
+            "q10",
+            "runs one at a time; no leader answered whether this copy may run; crashed: u3, u4",
+        ],
         ["a request before the first configuration", "q4", "the entry had not received a configuration yet"],
     ];
     for (const [description, request, cause] of causes) {
