Only a suspected request is refused for an expired trial

Found when the diff was read: a request that the leader had granted without a lease (not suspected any more) would have been refused after ten seconds in the queue, since its trial counted as expired. Test: quarantine.test.ts. The own interface forgets taken retries whenever no crash is undecided, also while requests are listed.

--- a/packages/fleet/src/crashreports.ts
+++ b/packages/fleet/src/crashreports.ts
@@ -217,15 +217,13 @@
 
     private get hasUnreported(): boolean {
         return this.succeededFingerprints.size > 0 || this.endedTrials.length > 0
-            || this.observations.some(observation => this.isUnreported(observation));
+            || this.observations.some(observation => !this.isAccepted(observation));
     }
 
-    /** Whether the followed leader lacks the latest about a crash. */
-    private isUnreported(observation: CrashObservation): boolean {
-        return !this.isAccepted(observation);
-    }
-
-    /** A new leader needs the latest crashes again: the previous one may not have recorded them. */
+    /**
+     * Whether the followed leader knows all about a crash. A new one needs the latest crashes again: the previous leader may
+     * not have recorded them.
+     */
     private isAccepted({ acceptedEpoch, endedAt }: CrashObservation): boolean {
         return acceptedEpoch !== undefined
             && (acceptedEpoch === this.leaderEpoch || steadyNow() - endedAt >= repeatToNewLeaderMs);
@@ -237,9 +235,8 @@
 
     private async report({ entry, clients, leader }: LeaderConnection): Promise<void> {
         const { url, epoch } = leader();
-        const sent = this.observations.filter(observation => this.isUnreported(observation));
-        const { succeededFingerprints } = this;
-        const { endedTrials } = this;
+        const sent = this.observations.filter(observation => !this.isAccepted(observation));
+        const { succeededFingerprints, endedTrials } = this;
         this.succeededFingerprints = new Set();
         this.endedTrials = [];
         const versions = sent.map(({ version }) => version);
--- a/packages/forwarding/src/quarantines.ts
+++ b/packages/forwarding/src/quarantines.ts
@@ -61,12 +61,14 @@
     /** Returns the refusal of a quarantined request; undefined if it may be forwarded. */
     public refusal(request: InboundRequest): Refusal | undefined {
         const entry = this.quarantineEntry(request);
-        if (entry?.standing !== "barred") {
-            return request.trial !== undefined && request.trial.expiresAt <= steadyNow()
-                ? suspectedRefusal("trial-expired", this.fingerprint(request))
-                : undefined;
+        switch (entry?.standing) {
+            case "barred":
+                return this.barredRefusal(entry);
+            case "suspected":
+                return hasExpiredTrial(request) ? suspectedRefusal("trial-expired", entry.fingerprint) : undefined;
+            case undefined:
+                return undefined;
         }
-        return this.barredRefusal(entry);
     }
 
     private barredRefusal({ fingerprint, occasions }: Pick<ListedRequest, "fingerprint" | "occasions">): Refusal {
@@ -221,10 +223,15 @@
     }
 }
 
+/** Whether another copy may run by now, as far as the leader knows. */
+function hasExpiredTrial({ trial }: InboundRequest): boolean {
+    return trial !== undefined && trial.expiresAt <= steadyNow();
+}
+
 /** Why a suspected request is refused: it was held too long, no leader answered, or its trial expired before it was sent. */
 type HoldEnd = "held" | "no-leader" | "trial-expired";
 
-function suspectedRefusal(holdEnd: HoldEnd, fingerprint: string | undefined): Refusal {
+function suspectedRefusal(holdEnd: HoldEnd, fingerprint: string): Refusal {
     const details = { holdEnd, fingerprint };
     return { kind: "refused", response: LocalResponse.suspected, retryAfterMs: suspectedRetryMs, details };
 }
--- a/packages/forwarding/src/tests/quarantine.test.ts
+++ b/packages/forwarding/src/tests/quarantine.test.ts
@@ -1,7 +1,9 @@
+import { steadyNow } from "@winchpath/core";
 import { type Route } from "@winchpath/declarations";
 import { type ListedRequest } from "@winchpath/quarantine";
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
+import { type CrashReports, type InboundRequest, Quarantine } from "../index.js";
 import { completeResponse, type RawUpstream, type ReceivedRequest, type TestEntry, TestSetup } from "./testservers.js";
 
 const body = "crashes upstreams";
@@ -36,6 +38,12 @@
         })!;
     }
 
+    /** The part of a request that identifies it. */
+    function requestOf({ method, body: text }: typeof testRequest): InboundRequest {
+        const identity = { method, host: "h.example", url: "/a/b?c=%41", body: Buffer.from(text), grant: undefined };
+        return identity as unknown as InboundRequest;
+    }
+
     let position = 0;
     function list(standing: ListedRequest["standing"]): void {
         position += 1;
@@ -172,6 +180,19 @@
             expect([entry.startedTrials.length, entry.endedTrials]).toEqual([1, entry.startedTrials]);
         });
 
+        it("rejects them once their trial has expired, but not requests that are no longer suspected", async () => {
+            await start({}, respondOk);
+            const quarantine = new Quarantine(entry.view, {} as CrashReports);
+            const expired = { id: "t", expiresAt: steadyNow() - 1 };
+            const request = { ...requestOf(testRequest), trial: expired };
+            expect(quarantine.refusal(request)).toEqual(undefined);
+            list("suspected");
+            expect(quarantine.refusal(request)?.details?.holdEnd).toEqual("trial-expired");
+            expect(quarantine.refusal({ ...request, trial: { id: "t", expiresAt: steadyNow() + 1000 } })).toEqual(
+                undefined,
+            );
+        });
+
         it("waits for a trial", async () => {
             const [only] = await start({}, respondOk);
             list("suspected");
--- a/packages/requests/src/requestquarantines.ts
+++ b/packages/requests/src/requestquarantines.ts
@@ -82,15 +82,17 @@
      * have crashed under this job.
      */
     public async admit(job: Job, crashes: number): Promise<void> {
-        if (this.crashMonitor.isIdle && this.dependencies.book().isEmpty) {
+        if (this.crashMonitor.isIdle) {
             this.retried.clear();
-            return;
+            if (this.dependencies.book().isEmpty) {
+                return;
+            }
         }
         const fingerprint = this.fingerprint(job);
         if (fingerprint === undefined || this.takeRetry(fingerprint, crashes)) {
             return;
         }
-        const until = Math.min(steadyNow() + maxHoldMs, steadyNow() + job.deadline - Date.now());
+        const until = steadyNow() + Math.min(maxHoldMs, job.deadline - Date.now());
         while (this.mustWait(fingerprint) && steadyNow() < until && !job.signal.aborted) {
             await sleep(holdCheckMs, job.signal);
         }
