The log line of an attempt says how its response was framed and how it ended

Cause: three explanations of the incident (an end inside an event, a reset that wasn't noticed, an end that looked whole) leave the same line, outcome `answered`. Change: framing, reset and the bytes of an unfinished event stand on `request.attempt`. No decision changes.

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -12,6 +12,7 @@
 import { type HeaderCodec, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
 import { slowReaderReason } from "./hostguards.js";
 import { type InboundRequest, remainingMs } from "./inboundrequests.js";
+import { framingOf, type ResponseFraming } from "./responseframings.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 
 /**
@@ -51,6 +52,15 @@
     /** The client left; `sent`: whether the request had been sent; `reason`: set if this process ended the response. */
     | { readonly kind: "caller-gone"; readonly sent: boolean; readonly reason?: typeof slowReaderReason; };
 
+/** What is known about the end of a response when it is read. */
+export interface ResponseEndFacts {
+    readonly framing: ResponseFraming;
+    /** Whether the connection was reset. */
+    readonly wasReset: boolean;
+    /** Bytes after the last complete event of a stream; 0 for other responses. */
+    readonly unfinishedBytes: number;
+}
+
 /** Settings and callbacks of an attempt. */
 export interface AttemptOptions {
     readonly codec: HeaderCodec;
@@ -73,6 +83,8 @@
     readonly onResponseHead: (metadata: ResponseMetadata) => void;
     /** Called when a valid response has started. */
     readonly onResponseStart: () => void;
+    /** Called when the HTTP client reports the end of the response. */
+    readonly onResponseEnd: (facts: ResponseEndFacts) => void;
     /** Called with the time between two consecutive events of a stream, in milliseconds. */
     readonly onPause: (ms: number) => void;
 }
@@ -213,6 +225,11 @@
         if (this.settled) {
             return;
         }
+        this.options.onResponseEnd({
+            framing: framingOf(this.request.method, this.status, this.headers),
+            wasReset: this.endpoint.resetDetector.wasReset,
+            unfinishedBytes: this.splitter.remainder.length,
+        });
         if (!this.hasExplicitLength() && this.endpoint.resetDetector.wasReset) {
             const kind = this.forwarding ? "broken" : "unknown";
             this.settle({ kind, reason: "connection reset before the end of the response", lost: true });
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -5,7 +5,7 @@
 import { type EjectionTracker } from "@winchpath/routing";
 import { type ServerResponse } from "node:http";
 import { type Refusal } from "./admissioncontrollers.js";
-import { attempt, type AttemptOutcome, headTimeoutReason } from "./attempts.js";
+import { attempt, type AttemptOutcome, headTimeoutReason, type ResponseEndFacts } from "./attempts.js";
 import { type EndpointTable } from "./endpointtables.js";
 import { type ForwarderDependencies } from "./forwarders.js";
 import { type ResponseMetadata } from "./headercodecs.js";
@@ -62,6 +62,7 @@
         const key = itemKeyOf(request);
         const startedAt = steadyNow();
         let responseMetadata: ResponseMetadata | undefined;
+        let responseEnd: ResponseEndFacts | undefined;
         let firstByteMs: number | undefined;
         let longestPauseMs = 0;
         let sentDelayMs = 0;
@@ -104,6 +105,7 @@
                     }
                     this.deps.signals.handle(request, endpoint, metadata, startedAt);
                 },
+                onResponseEnd: facts => responseEnd = facts,
                 onResponseStart: () => {
                     firstByteMs = Math.round(ageMs(request));
                     tracked.markPromptRead();
@@ -128,6 +130,9 @@
                 reason: "reason" in outcome ? outcome.reason : undefined,
                 firstMs: firstByteMs,
                 longestPauseMs: longestPauseMs === 0 ? undefined : Math.round(longestPauseMs),
+                framing: responseEnd?.framing,
+                wasReset: responseEnd?.wasReset || undefined,
+                unfinishedBytes: responseEnd?.unfinishedBytes || undefined,
                 ...prompt?.logFields,
                 // Identifies the request in crash reports.
                 fingerprint: isConnectionLost(outcome) ? this.deps.quarantine.fingerprint(request) : undefined,
