--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -364,15 +364,16 @@
 export class TestSetup {
     private constructor(public readonly entry: TestEntry, public readonly upstreams: readonly RawUpstream[]) {}
 
-    /** `connections`: maximum connections to an upstream. */
+    /** `connections`: maximum connections to an upstream; `slack`: retries allowed beyond a share of the requests. */
     public static async start(
         route: Partial<Route>,
         handlers: readonly RequestHandler[],
         connections?: number,
+        slack?: number,
     ): Promise<TestSetup> {
         const defaults = TestEntry.configuration([testRoute(route)]);
         const services = connections === undefined ? defaults.services : [{ name: "s", maxConnections: connections }];
-        const entry = new TestEntry({ ...defaults, services });
+        const entry = new TestEntry({ ...defaults, services }, slack);
         await entry.start();
         const upstreams = await Promise.all(handlers.map(handler => RawUpstream.start(handler)));
         entry.setUpstreams(...upstreams.map(({ address }, index) => ({ id: `u${index}`, address })));
