Event streams with CR line ends are forwarded event by event

Callers of such a stream got nothing until it ended, since only LF and CRLF were recognized as line ends.

--- a/packages/forwarding/src/eventsplitters.ts
+++ b/packages/forwarding/src/eventsplitters.ts
@@ -31,17 +31,27 @@
 /** Returns the offset after the last blank line, which terminates an event. */
 function endOfLastEvent(bytes: Buffer): number {
     for (let index = bytes.length - 1; index > 0; index--) {
-        if (bytes[index] !== lineFeed) {
-            continue;
-        }
-        const before = bytes[index - 1] === carriageReturn ? index - 2 : index - 1;
-        if (before >= 0 && bytes[before] === lineFeed) {
+        if (isLineEnd(bytes[index]) && endsLine(bytes, startOfLineEnd(bytes, index) - 1)) {
             return index + 1;
         }
     }
     return 0;
 }
 
+/** Lines end with LF, CRLF or CR. */
+function isLineEnd(byte: number): boolean {
+    return byte === lineFeed || byte === carriageReturn;
+}
+
+/** Offset of the first byte of the line end whose last byte is at `index`. */
+function startOfLineEnd(bytes: Buffer, index: number): number {
+    return bytes[index] === lineFeed && bytes[index - 1] === carriageReturn ? index - 1 : index;
+}
+
+function endsLine(bytes: Buffer, index: number): boolean {
+    return index >= 0 && isLineEnd(bytes[index]);
+}
+
 function lastIdIn(whole: Buffer): string | undefined {
     const ids = [...whole.toString("latin1").matchAll(/^id: ?([^\r\n]*)\r?$/gm)];
     return ids.at(-1)?.[1];
