Streams that end inside an event are broken off, and completeness is decided at one place

Cause: at the end of a connection without a reset the entry wrote what was left of a cut event and ended the response: the absence of an error counted as completeness, at several places of an attempt. Change: judgeResponseEnd alone decides, from framing, connection, cut event and events seen; only its result of type CompleteEnd can end a response. A stream that ends inside an event is broken by any framing, an unframed one without any event too; what was cut is withheld, a resumable stream goes on elsewhere, the attempt counts as broken (and as a lost connection where the connection ended) for ejection, crash reports and logs. Transfer codings without a final chunked count as unframed. Ruled out: a reset that isn't noticed (10 groups with resets and lengths pass before and after).

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -2,17 +2,13 @@
 import { Deferred, type FairTimer, messageOf, startFairTimer, steadyNow } from "@winchpath/core";
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
-import {
-    type BufferedResponse,
-    hasExplicitLength,
-    withoutContentLength,
-    writeBufferedResponse,
-} from "./bufferedresponses.js";
+import { type BufferedResponse, withoutContentLength, writeBufferedResponse } from "./bufferedresponses.js";
 import { EventSplitter } from "./eventsplitters.js";
 import { type HeaderCodec, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
 import { slowReaderReason } from "./hostguards.js";
 import { type InboundRequest, remainingMs } from "./inboundrequests.js";
-import { framingOf, type ResponseFraming } from "./responseframings.js";
+import { type CompleteEnd, type ConnectionState, judgeResponseEnd, type ResponseEndFacts } from "./responseends.js";
+import { framingOf } from "./responseframings.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 
 /**
@@ -52,15 +48,6 @@
     /** The client left; `sent`: whether the request had been sent; `reason`: set if this process ended the response. */
     | { readonly kind: "caller-gone"; readonly sent: boolean; readonly reason?: typeof slowReaderReason; };
 
-/** What is known about the end of a response when it is read. */
-export interface ResponseEndFacts {
-    readonly framing: ResponseFraming;
-    /** Whether the connection was reset. */
-    readonly wasReset: boolean;
-    /** Bytes after the last complete event of a stream; 0 for other responses. */
-    readonly unfinishedBytes: number;
-}
-
 /** Settings and callbacks of an attempt. */
 export interface AttemptOptions {
     readonly codec: HeaderCodec;
@@ -83,7 +70,7 @@
     readonly onResponseHead: (metadata: ResponseMetadata) => void;
     /** Called when a valid response has started. */
     readonly onResponseStart: () => void;
-    /** Called when the HTTP client reports the end of the response. */
+    /** Called when a response has ended, before its outcome is known. */
     readonly onResponseEnd: (facts: ResponseEndFacts) => void;
     /** Called with the time between two consecutive events of a stream, in milliseconds. */
     readonly onPause: (ms: number) => void;
@@ -222,39 +209,54 @@
     }
 
     public onResponseEnd(): void {
+        this.settleEnd(this.endpoint.resetDetector.wasReset ? "reset" : "intact");
+    }
+
+    public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        if (!this.sent) {
+            this.settleUnsent(messageOf(err), true);
+        }
+        else {
+            this.settleEnd("failed", messageOf(err));
+        }
+    }
+
+    /** Settles the attempt after the end of the response; `error`: message of the HTTP client if it failed. */
+    private settleEnd(connection: ConnectionState, error?: string): void {
         if (this.settled) {
             return;
         }
-        this.options.onResponseEnd({
-            framing: framingOf(this.request.method, this.status, this.headers),
-            wasReset: this.endpoint.resetDetector.wasReset,
-            unfinishedBytes: this.splitter.remainder.length,
-        });
-        if (!this.hasExplicitLength() && this.endpoint.resetDetector.wasReset) {
+        const facts = this.endFacts(connection);
+        this.options.onResponseEnd(facts);
+        const end = judgeResponseEnd(facts, error);
+        if (end.kind === "broken") {
             const kind = this.forwarding ? "broken" : "unknown";
-            this.settle({ kind, reason: "connection reset before the end of the response", lost: true });
+            this.settle({ kind, reason: end.reason, lost: end.connectionLost });
         }
         else if (this.isStream()) {
-            this.endStream();
+            this.endStream(end);
         }
         else if (this.forwarding) {
-            this.endResponse();
+            this.endResponse(end);
         }
         else {
-            this.finishBuffered();
+            this.finishBuffered(end);
         }
     }
 
-    public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
-        if (!this.sent) {
-            this.settleUnsent(messageOf(err), true);
-        }
-        else if (this.forwarding) {
-            this.settle({ kind: "broken", reason: messageOf(err), lost: true });
-        }
-        else {
-            this.settle({ kind: "unknown", reason: messageOf(err), lost: true });
-        }
+    private endFacts(connection: ConnectionState): ResponseEndFacts {
+        const { request, splitter } = this;
+        const stream = {
+            unfinishedBytes: splitter.remainder.length,
+            endsInsideEvent: splitter.isInsideEvent,
+            hasEvents: splitter.hasEvents || request.lastEventId !== undefined
+                || request.metadata.resumeFrom !== undefined,
+        };
+        return {
+            framing: framingOf(request.method, this.status, this.headers),
+            connection,
+            stream: this.isStream() ? stream : undefined,
+        };
     }
 
     private dispatchOptions(): Dispatcher.DispatchOptions {
@@ -300,11 +302,6 @@
         }
     }
 
-    /** Whether the headers delimit the body; otherwise it ends when the connection closes. */
-    private hasExplicitLength(): boolean {
-        return hasExplicitLength(this.headers);
-    }
-
     private isSuccess(): boolean {
         return this.status >= 200 && this.status < 300;
     }
@@ -357,21 +354,23 @@
         }
     }
 
-    private endStream(): void {
+    private endStream(end: CompleteEnd): void {
         this.startStream();
         if (this.splitter.remainder.length > 0) {
             this.options.res.write(this.splitter.remainder);
         }
-        this.endResponse();
+        this.endResponse(end);
     }
 
-    private endResponse(): void {
+    /** Ends the response to the client, which needs proof that the upstream's is complete. */
+    private endResponse(_end: CompleteEnd): void {
         this.options.res.end();
         this.settle({ kind: "answered", status: this.status });
     }
 
-    private finishBuffered(): void {
-        const response = { status: this.status, headers: this.headers, body: Buffer.concat(this.buffered) };
+    private finishBuffered({ evidence }: CompleteEnd): void {
+        const body = Buffer.concat(this.buffered);
+        const response = { status: this.status, headers: this.headers, body, framing: evidence };
         if (!this.isSuccess()) {
             this.settle({ kind: "failure", response });
             return;
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -5,7 +5,7 @@
 import { type EjectionTracker } from "@winchpath/routing";
 import { type ServerResponse } from "node:http";
 import { type Refusal } from "./admissioncontrollers.js";
-import { attempt, type AttemptOutcome, headTimeoutReason, type ResponseEndFacts } from "./attempts.js";
+import { attempt, type AttemptOutcome, headTimeoutReason } from "./attempts.js";
 import { type EndpointTable } from "./endpointtables.js";
 import { type ForwarderDependencies } from "./forwarders.js";
 import { type ResponseMetadata } from "./headercodecs.js";
@@ -19,6 +19,7 @@
 } from "./inboundrequests.js";
 import { isConnectionLost, type Quarantine } from "./quarantines.js";
 import { type Responder } from "./responders.js";
+import { type ResponseEndFacts } from "./responseends.js";
 import { type SharedAdmission } from "./sharedadmissions.js";
 import { type StreamInterference } from "./streaminterferences.js";
 import { type ThroughputTable } from "./throughputs.js";
@@ -131,8 +132,8 @@
                 firstMs: firstByteMs,
                 longestPauseMs: longestPauseMs === 0 ? undefined : Math.round(longestPauseMs),
                 framing: responseEnd?.framing,
-                wasReset: responseEnd?.wasReset || undefined,
-                unfinishedBytes: responseEnd?.unfinishedBytes || undefined,
+                connection: responseEnd?.connection,
+                unfinishedBytes: responseEnd?.stream?.unfinishedBytes || undefined,
                 ...prompt?.logFields,
                 // Identifies the request in crash reports.
                 fingerprint: isConnectionLost(outcome) ? this.deps.quarantine.fingerprint(request) : undefined,
--- a/packages/forwarding/src/bufferedresponses.ts
+++ b/packages/forwarding/src/bufferedresponses.ts
@@ -1,17 +1,20 @@
 /** Upstream responses that are read completely before they are forwarded. */
 import { type ServerResponse } from "node:http";
-import { headerValue, withoutConnectionHeaders } from "./headercodecs.js";
+import { withoutConnectionHeaders } from "./headercodecs.js";
+import { ResponseFraming } from "./responseframings.js";
 
 export interface BufferedResponse {
     readonly status: number;
     readonly headers: readonly string[];
     readonly body: Buffer;
+    /** How the upstream delimited the body. */
+    readonly framing: ResponseFraming;
 }
 
 /** Forwards a buffered response. */
 export function writeBufferedResponse(res: ServerResponse, response: BufferedResponse, close: boolean): void {
     const headers = withoutContentLength(withoutConnectionHeaders(response.headers));
-    const hasLength = hasExplicitLength(response.headers);
+    const hasLength = response.framing !== ResponseFraming.close;
     if (hasLength) {
         headers.push("Content-Length", String(response.body.length));
     }
@@ -26,12 +29,6 @@
     res.end(response.body);
 }
 
-/** Whether the headers delimit the body; otherwise it ends when the connection closes. */
-export function hasExplicitLength(headers: readonly string[]): boolean {
-    return headerValue(headers, "content-length") !== undefined
-        || headerValue(headers, "transfer-encoding") !== undefined;
-}
-
 /** Returns the headers without Content-Length. */
 export function withoutContentLength(headers: readonly string[]): string[] {
     const kept: string[] = [];
--- a/packages/forwarding/src/eventsplitters.ts
+++ b/packages/forwarding/src/eventsplitters.ts
@@ -2,6 +2,7 @@
 
 const lineFeed = 10;
 const carriageReturn = 13;
+const colon = 58;
 
 export interface CompleteEvents {
     /** Bytes up to the end of the last complete event; empty if there is none. */
@@ -12,6 +13,7 @@
 
 export class EventSplitter {
     private buffered: Buffer = Buffer.alloc(0);
+    private sawEvent = false;
 
     /** Adds a chunk and returns the events that are now complete. */
     public push(chunk: Buffer): CompleteEvents {
@@ -19,19 +21,32 @@
         const end = endOfLastEvent(bytes);
         this.buffered = bytes.subarray(end);
         const whole = bytes.subarray(0, end);
+        this.sawEvent ||= end > 0 && containsField(whole);
         return { bytes: whole, lastId: end === 0 ? undefined : lastIdIn(whole) };
     }
 
+    /** Whether a complete event has arrived; comments are none. */
+    public get hasEvents(): boolean {
+        return this.sawEvent;
+    }
+
     /** Bytes after the last complete event. */
     public get remainder(): Buffer {
         return this.buffered;
     }
+
+    /** Whether the remainder is part of an event, and not only blank lines and complete comments. */
+    public get isInsideEvent(): boolean {
+        const lines = this.buffered.toString("latin1").split(/\r\n|\r|\n/);
+        const unfinishedLine = lines.pop();
+        return unfinishedLine !== "" || lines.some(line => line !== "" && line.charCodeAt(0) !== colon);
+    }
 }
 
 /** Returns the offset after the last blank line, which terminates an event. */
 function endOfLastEvent(bytes: Buffer): number {
     for (let index = bytes.length - 1; index > 0; index--) {
-        if (isLineEnd(bytes[index]) && endsLine(bytes, startOfLineEnd(bytes, index) - 1)) {
+        if (isLineEnd(bytes[index]) && endsBlankLine(bytes, index)) {
             return index + 1;
         }
     }
@@ -43,13 +58,20 @@
     return byte === lineFeed || byte === carriageReturn;
 }
 
-/** Offset of the first byte of the line end whose last byte is at `index`. */
-function startOfLineEnd(bytes: Buffer, index: number): number {
-    return bytes[index] === lineFeed && bytes[index - 1] === carriageReturn ? index - 1 : index;
+/** `index`: offset of the last byte of a line end. */
+function endsBlankLine(bytes: Buffer, index: number): boolean {
+    const isPair = bytes[index] === lineFeed && bytes[index - 1] === carriageReturn;
+    const previous = bytes[isPair ? index - 2 : index - 1];
+    if (previous === lineFeed && bytes[index] === carriageReturn && index === bytes.length - 1) {
+        // The other half of a CRLF may follow.
+        return false;
+    }
+    return isLineEnd(previous);
 }
 
-function endsLine(bytes: Buffer, index: number): boolean {
-    return index >= 0 && isLineEnd(bytes[index]);
+/** Whether any line is neither blank nor a comment. */
+function containsField(whole: Buffer): boolean {
+    return /^[^:\r\n]/m.test(whole.toString("latin1"));
 }
 
 function lastIdIn(whole: Buffer): string | undefined {
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -25,6 +25,7 @@
 export * from "./prioritylevels.js";
 export * from "./quarantines.js";
 export * from "./responders.js";
+export * from "./responseends.js";
 export * from "./responseframings.js";
 export * from "./retrybudgets.js";
 export * from "./retrypolicies.js";
