--- /dev/null
+++ b/packages/streamorigins/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./origins.js";
