Unframed responses count as broken off if their upstream ended with the connection

What callers saw: a response with neither length nor chunks whose upstream crashed between two events (or anywhere in a plain body) came as complete, since a crash closes connections like a regular end. Change: before such a response counts as complete, the entry looks whether another of its connections to the upstream is still open, and if none is, whether the address refuses connections. Not for draining upstreams, which finish their responses and end. Not knowable: a live process that closes regularly between two events, or one that is back at its address within a round trip; such a response ends as complete.

--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -7,8 +7,14 @@
 import { type HeaderCodec, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
 import { slowReaderReason } from "./hostguards.js";
 import { type InboundRequest, remainingMs } from "./inboundrequests.js";
-import { type CompleteEnd, type ConnectionState, judgeResponseEnd, type ResponseEndFacts } from "./responseends.js";
-import { framingOf } from "./responseframings.js";
+import {
+    type CompleteEnd,
+    type ConnectionState,
+    judgeResponseEnd,
+    type ResponseEnd,
+    type ResponseEndFacts,
+} from "./responseends.js";
+import { framingOf, ResponseFraming } from "./responseframings.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 
 /**
@@ -70,6 +76,11 @@
     readonly onResponseHead: (metadata: ResponseMetadata) => void;
     /** Called when a valid response has started. */
     readonly onResponseStart: () => void;
+    /**
+     * Whether the process of the upstream has ended although it was not draining. Asked after a response that ended with its
+     * connection, which a crash closes as well.
+     */
+    readonly hasUpstreamEnded: () => Promise<boolean>;
     /** Called when a response has ended, before its outcome is known. */
     readonly onResponseEnd: (facts: ResponseEndFacts) => void;
     /** Called with the time between two consecutive events of a stream, in milliseconds. */
@@ -98,6 +109,8 @@
     /** Whether no connection was free when the attempt began. */
     private waitedForConnection = false;
     private settled = false;
+    /** Whether the response has ended, so that nothing is left to abort. */
+    private ended = false;
     private status = 0;
     private headers: readonly string[] = [];
     private metadata: ResponseMetadata | undefined;
@@ -209,7 +222,7 @@
     }
 
     public onResponseEnd(): void {
-        this.settleEnd(this.endpoint.resetDetector.wasReset ? "reset" : "intact");
+        this.settleEnd(this.endpoint.connections.wasReset ? "reset" : "intact");
     }
 
     public onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
@@ -226,9 +239,27 @@
         if (this.settled) {
             return;
         }
+        this.ended = true;
         const facts = this.endFacts(connection);
         this.options.onResponseEnd(facts);
         const end = judgeResponseEnd(facts, error);
+        if (end.kind === "complete" && end.evidence === ResponseFraming.close) {
+            void this.settleConfirmedEnd(facts);
+        }
+        else {
+            this.settleJudgedEnd(end);
+        }
+    }
+
+    /** Settles the attempt after a response that ended with its connection, once it is known whether the upstream did too. */
+    private async settleConfirmedEnd(facts: ResponseEndFacts): Promise<void> {
+        const upstreamEnded = await this.options.hasUpstreamEnded();
+        if (!this.settled) {
+            this.settleJudgedEnd(judgeResponseEnd({ ...facts, upstreamEnded }));
+        }
+    }
+
+    private settleJudgedEnd(end: ResponseEnd): void {
         if (end.kind === "broken") {
             const kind = this.forwarding ? "broken" : "unknown";
             this.settle({ kind, reason: end.reason, lost: end.connectionLost });
@@ -393,7 +424,9 @@
     /** Settles the attempt and closes the connection, since the rest of the response must not be read. */
     private abort(outcome: AttemptOutcome): void {
         this.settle(outcome);
-        this.controller?.abort(new AttemptAborted(outcome.kind));
+        if (!this.ended) {
+            this.controller?.abort(new AttemptAborted(outcome.kind));
+        }
     }
 
     private settle(outcome: AttemptOutcome): void {
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -106,6 +106,8 @@
                     }
                     this.deps.signals.handle(request, endpoint, metadata, startedAt);
                 },
+                hasUpstreamEnded: async () =>
+                    !this.deps.view.availability.isDraining(endpoint.id) && await endpoint.hasEnded(),
                 onResponseEnd: facts => responseEnd = facts,
                 onResponseStart: () => {
                     firstByteMs = Math.round(ageMs(request));
--- a/packages/forwarding/src/connectors.ts
+++ b/packages/forwarding/src/connectors.ts
@@ -1,4 +1,4 @@
-/** Opens connections to upstreams and tells resets from regular closes. */
+/** Opens connections to upstreams, tells resets from regular closes and knows which connections are open. */
 import { startFairTimer } from "@winchpath/core";
 import { connect, type Socket } from "node:net";
 import { type buildConnector } from "undici";
@@ -16,10 +16,16 @@
  */
 const keepAliveProbeDelayMs = 1000;
 
-/** Detects connections that were reset by the upstream. */
-export class ResetDetector {
+/** Detects connections that were reset by the upstream, and counts the open ones. */
+export class ConnectionMonitor {
+    private readonly open = new Set<Socket>();
     private resetting = false;
 
+    /** Whether any connection is open, as far as the ends of connections have been read. */
+    public get hasOpenConnection(): boolean {
+        return this.open.size > 0;
+    }
+
     /** Whether the connection that is emitting its end event was reset. */
     public get wasReset(): boolean {
         return this.resetting;
@@ -27,6 +33,8 @@
 
     /** Registers listeners that run before those of undici. */
     public attach(socket: Socket): void {
+        this.open.add(socket);
+        socket.once("close", () => this.open.delete(socket));
         socket.prependListener("error", (err: NodeJS.ErrnoException) => {
             if (err.code === resetErrorCode) {
                 err.code = truncatedErrorCode;
@@ -35,6 +43,7 @@
         // A reset that arrives together with data is reported as a regular end. The socket has no remote address after
         // a reset, but still has one after a regular close.
         socket.prependListener("end", () => {
+            this.open.delete(socket);
             this.resetting = socket.remoteAddress === undefined;
             process.nextTick(() => {
                 this.resetting = false;
@@ -44,7 +53,7 @@
 }
 
 /** Opens connections; `timeoutMs`: time to establish one, as far as answers to it have been read. */
-export function upstreamConnector(timeoutMs: number, resetDetector: ResetDetector): buildConnector.connector {
+export function upstreamConnector(timeoutMs: number, monitor: ConnectionMonitor): buildConnector.connector {
     return ({ hostname, port }, callback) => {
         const socket = connect({
             host: hostname,
@@ -62,7 +71,7 @@
         socket.once("connect", () => {
             timer.cancel();
             socket.off("error", onError);
-            resetDetector.attach(socket);
+            monitor.attach(socket);
             callback(noError, socket);
         });
     };
--- a/packages/forwarding/src/responseends.ts
+++ b/packages/forwarding/src/responseends.ts
@@ -16,6 +16,8 @@
     readonly connection: ConnectionState;
     /** State of an event stream; undefined for other responses. */
     readonly stream: StreamEndFacts | undefined;
+    /** Whether the upstream's process has ended as well, although it was not draining; undefined if nobody has asked. */
+    readonly upstreamEnded?: boolean;
 }
 
 export interface StreamEndFacts {
@@ -45,7 +47,8 @@
 export type ResponseEnd = CompleteEnd | BrokenEnd;
 
 /** `error`: message of the HTTP client if the connection failed. */
-export function judgeResponseEnd({ framing, connection, stream }: ResponseEndFacts, error = ""): ResponseEnd {
+export function judgeResponseEnd(facts: ResponseEndFacts, error = ""): ResponseEnd {
+    const { framing, connection, stream, upstreamEnded } = facts;
     const endsWithConnection = framing === ResponseFraming.close;
     if (connection === "failed") {
         return { kind: "broken", reason: error, connectionLost: true };
@@ -59,6 +62,9 @@
     if (endsWithConnection && stream?.hasEvents === false) {
         return broken("the connection closed before the first event", endsWithConnection);
     }
+    if (endsWithConnection && upstreamEnded) {
+        return broken("the upstream ended with the connection", endsWithConnection);
+    }
     return { kind: "complete", evidence: framing };
 }
 
--- a/packages/forwarding/src/tests/responseends.test.ts
+++ b/packages/forwarding/src/tests/responseends.test.ts
@@ -132,6 +132,80 @@
     }
 });
 
+// Guards against responses that a crash cut where neither their framing nor their events show it.
+describe("a response that ends with its connection", () => {
+    const events = threeEvents(lineEnds.LF);
+    let setup: TestSetup;
+
+    afterEach(() => setup.stop());
+
+    /** Sends part of an unframed response, and ends the whole upstream with its connection. */
+    const respondAndCrash = (text: string) => ({ id, socket }: ReceivedRequest) => {
+        const upstream = setup.upstreams.find(({ received }) => received.at(-1)?.socket === socket)!;
+        socket.write(encodeHead(id, "close", 0) + text, () => upstream.stop());
+    };
+    const respondWhole = (text: string) => ({ id, socket }: ReceivedRequest) => {
+        socket.write(encodeHead(id, "length", text.length) + text);
+    };
+    const respondUnframed = (text: string) => ({ id, socket }: ReceivedRequest) => {
+        socket.end(encodeHead(id, "close", 0) + text);
+    };
+
+    it("is broken off if its upstream ended between two events", async () => {
+        setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [respondAndCrash(events[0])]);
+        const { status, body, whole } = await setup.entry.call("q1");
+        expect({ status, body, whole }).toEqual({ status: 200, body: events[0], whole: false });
+    });
+
+    it("goes on elsewhere if its upstream ended between two events of a resumable stream", async () => {
+        let count = 0;
+        const respond = (received: ReceivedRequest) =>
+            count++ === 0 ? respondAndCrash(events[0])(received) : respondWhole(events.slice(1).join(""))(received);
+        setup = await TestSetup.start({ kind: "streaming", resumable: true }, [respond, respond]);
+        const { body, whole } = await setup.entry.call("q1");
+        expect({ body, whole }).toEqual({ body: events.join(""), whole: true });
+        expect(setup.entry.crashReports.length).toEqual(1);
+    });
+
+    it("is retried if its upstream ended and it may be repeated, and is rejected otherwise", async () => {
+        let count = 0;
+        const respond = (received: ReceivedRequest) =>
+            count++ === 0 ? respondAndCrash("ha")(received) : respondWhole("half")(received);
+        setup = await TestSetup.start({ kind: "safe" }, [respond, respond]);
+        expect((await setup.entry.call("q1")).body).toEqual("half");
+        await setup.stop();
+        setup = await TestSetup.start({ kind: "unsafe" }, [respondAndCrash("ha")]);
+        expect((await setup.entry.call("q1", { method: "POST" })).status).toEqual(502);
+    });
+
+    it("is complete if its upstream was draining, since that finishes its responses before it ends", async () => {
+        const respond = ({ id, socket }: ReceivedRequest) => {
+            const head = encodeHead(id, "close", 0).replace("X-Id", "X-Leaving: 1\r\nX-Id");
+            socket.write(head + events.join(""), () => setup.upstreams[0].stop());
+        };
+        setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [respond]);
+        const { body, whole } = await setup.entry.call("q1");
+        expect({ body, whole }).toEqual({ body: events.join(""), whole: true });
+    });
+
+    it("is complete if its upstream lives on, which an open connection proves without a probe", async () => {
+        const respond = (received: ReceivedRequest) =>
+            (received.id === "long" ? () => undefined : respondUnframed(events.join("")))(received);
+        setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [respond]);
+        expect((await setup.entry.call("q1")).whole).toEqual(true);
+        // The request's connection, and a probe.
+        expect(setup.upstreams[0].connectionCount).toEqual(2);
+        const long = setup.entry.open("long");
+        long.on("error", () => undefined).end();
+        while (setup.upstreams[0].received.length < 2) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        expect((await setup.entry.call("q2")).whole).toEqual(true);
+        expect(setup.upstreams[0].connectionCount).toEqual(4);
+        long.destroy();
+    });
+});
+
 function endsOfEvents(events: readonly string[]): number[] {
     return events.map((_, index) => events.slice(0, index + 1).join("").length);
 }
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -79,6 +79,8 @@
 /** An HTTP/1.1 server whose responses are raw bytes. */
 export class RawUpstream {
     public readonly received: ReceivedRequest[] = [];
+    /** Connections that were ever opened to it. */
+    public connectionCount = 0;
     private readonly sockets = new Set<Socket>();
 
     private constructor(private readonly server: Server) {}
@@ -103,6 +105,7 @@
     }
 
     private serve(socket: Socket, handler: (received: ReceivedRequest, count: number) => void): void {
+        this.connectionCount += 1;
         this.sockets.add(socket);
         socket.on("close", () => this.sockets.delete(socket));
         socket.on("error", () => undefined);
--- a/packages/forwarding/src/upstreamendpoints.ts
+++ b/packages/forwarding/src/upstreamendpoints.ts
@@ -1,8 +1,9 @@
 /** Connections of an entry to one upstream, and an estimate of the upstream's load. */
-import { steadyNow } from "@winchpath/core";
+import { eventLoop, steadyNow } from "@winchpath/core";
 import { type Upstream } from "@winchpath/fleet";
+import { refusesConnections } from "@winchpath/quarantine";
 import { Pool } from "undici";
-import { ResetDetector, upstreamConnector } from "./connectors.js";
+import { ConnectionMonitor, upstreamConnector } from "./connectors.js";
 import { type ReportedLoad } from "./headercodecs.js";
 
 /** Timeout for establishing a connection, in milliseconds; round trips take a few at most. */
@@ -30,7 +31,7 @@
 
 export class UpstreamEndpoint {
     public readonly id: string;
-    public readonly resetDetector = new ResetDetector();
+    public readonly connections = new ConnectionMonitor();
     private running = 0;
     private runningTokens = 0;
     private runningBytes = 0;
@@ -45,8 +46,7 @@
     private current: Upstream;
     private openedPool: Pool | undefined;
 
-    /** `connections`: maximum number of open connections. */
-    public constructor(upstream: Upstream, private readonly connections: number) {
+    public constructor(upstream: Upstream, private readonly maxConnections: number) {
         this.id = upstream.id;
         this.current = upstream;
     }
@@ -171,6 +171,15 @@
         this.unreadTokens.set(priority, (this.unreadTokens.get(priority) ?? 0) + tokens);
     }
 
+    /**
+     * Whether the upstream's process has ended. A process that ends closes all its connections at once, so it is running if
+     * one of this entry's is open; otherwise its address is probed.
+     */
+    public async hasEnded(): Promise<boolean> {
+        await eventLoop.inputRead();
+        return !this.connections.hasOpenConnection && await refusesConnections(this.current.address);
+    }
+
     /** Closes the connections once running requests have ended. */
     public close(): void {
         this.closePool();
@@ -183,9 +192,9 @@
 
     private openPool(): Pool {
         return new Pool(`http://${this.current.address}`, {
-            connections: this.connections,
+            connections: this.maxConnections,
             pipelining: 1,
-            connect: upstreamConnector(connectTimeoutMs, this.resetDetector),
+            connect: upstreamConnector(connectTimeoutMs, this.connections),
             keepAliveTimeout: keepAliveMs,
             keepAliveMaxTimeout: keepAliveMs * 10,
             keepAliveTimeoutThreshold: keepAliveMarginMs,
