--- a/packages/forwarding/src/bufferedresponses.ts
+++ b/packages/forwarding/src/bufferedresponses.ts
@@ -13,20 +13,25 @@
 
 /** Forwards a buffered response. */
 export function writeBufferedResponse(res: ServerResponse, response: BufferedResponse, close: boolean): void {
-    const headers = withoutContentLength(withoutConnectionHeaders(response.headers));
-    const hasLength = response.framing !== ResponseFraming.close;
-    if (hasLength) {
-        headers.push("Content-Length", String(response.body.length));
+    const { status, framing, body } = response;
+    const headers = withoutConnectionHeaders(response.headers);
+    if (close || framing === ResponseFraming.close) {
+        headers.push("Connection", "close");
     }
-    else {
+    if (framing === ResponseFraming.none) {
+        // Its length, if any, is that of a body that is not sent.
+        res.writeHead(status, headers).end();
+        return;
+    }
+    const withoutLength = withoutContentLength(headers);
+    if (framing === ResponseFraming.close) {
         // The body may be truncated, so it is forwarded without a length, as it was received.
         res.useChunkedEncodingByDefault = false;
     }
-    if (close || !hasLength) {
-        headers.push("Connection", "close");
+    else {
+        withoutLength.push("Content-Length", String(body.length));
     }
-    res.writeHead(response.status, headers);
-    res.end(response.body);
+    res.writeHead(status, withoutLength).end(body);
 }
 
 /** Returns the headers without Content-Length. */
--- a/packages/forwarding/src/tests/forwarding.test.ts
+++ b/packages/forwarding/src/tests/forwarding.test.ts
@@ -61,6 +61,15 @@
         });
     });
 
+    // Guards against heads that state a length of 0 for a body that is only not sent.
+    it("forwards the response to a HEAD request with the length that its upstream states", async () => {
+        await entryFor({}, ({ id, socket }) => {
+            socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\n`);
+        });
+        const { status, headers, whole } = await entry.call("q1", { method: "HEAD" });
+        expect([status, headers["content-length"], whole]).toEqual([200, "5", true]);
+    });
+
     describe("refuses", () => {
         it("unmatched requests with 404", async () => {
             await entryFor({ prefix: "/x/" }, respondOk);
