Responses to HTTP/1.0 clients are reset when they are broken off

Callers of HTTP/1.0 saw every cut as complete: they get no chunks, and the entry closed their connection regularly. A large unframed body stays in chunks, with a test: clients may take a reset for the end of an unframed body (Node's client does), so that passing it on unframed, tried and given up, hides cuts.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./brokenresponses.js";
 export * from "./clocks.js";
 export * from "./debuglogs.js";
 export * from "./departures.js";
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -284,7 +284,7 @@
                 || request.metadata.resumeFrom !== undefined,
         };
         return {
-            framing: framingOf(request.method, this.status, this.headers),
+            framing: this.framing,
             connection,
             stream: this.isStream() ? stream : undefined,
         };
@@ -333,6 +333,10 @@
         }
     }
 
+    private get framing(): ResponseFraming {
+        return framingOf(this.request.method, this.status, this.headers);
+    }
+
     private isSuccess(): boolean {
         return this.status >= 200 && this.status < 300;
     }
@@ -363,6 +367,10 @@
         }
     }
 
+    /**
+     * Starts a response before its end is known. Where the upstream states no length it is sent in chunks, also if the upstream
+     * sends none, so that it can be broken off visibly: many clients take even a reset for the end of a body without framing.
+     */
     private startResponse(headers: readonly string[]): void {
         this.forwarding = true;
         if (this.request.responseStarted) {
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -1,5 +1,6 @@
 /** HTTP listener for clients. Reads and validates requests and passes them to the forwarder. */
 import {
+    breakOffResponse,
     type EventLog,
     eventLoop,
     listenBacklog,
@@ -144,7 +145,7 @@
         }
         catch (err) {
             this.deps.log.warn("request.crashed", { error: err instanceof Error ? err.stack : String(err) });
-            res.destroy();
+            breakOffResponse(res);
         }
         finally {
             this.active -= 1;
--- a/packages/forwarding/src/hostguards.ts
+++ b/packages/forwarding/src/hostguards.ts
@@ -1,5 +1,5 @@
 /** Acts on the load of this entry's host: counts what it holds, and sheds load where the host lacks resources. */
-import { type EventLog, type Metrics } from "@winchpath/core";
+import { breakOffResponse, type EventLog, type Metrics } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { type HostCapacityReport } from "@winchpath/fleet";
 import {
@@ -92,7 +92,7 @@
             takenBytes: () => (res.socket?.bytesWritten ?? 0) - (res.socket?.writableLength ?? 0),
             end: () => {
                 clientAbort.abort(slowReaderReason);
-                res.destroy();
+                breakOffResponse(res);
             },
         });
         res.once("close", () => held.release());
--- a/packages/forwarding/src/responders.ts
+++ b/packages/forwarding/src/responders.ts
@@ -1,5 +1,5 @@
 /** Sends final responses and records logs and metrics of requests. */
-import { type EventLog, eventLoop, type Metrics } from "@winchpath/core";
+import { breakOffResponse, type EventLog, eventLoop, type Metrics } from "@winchpath/core";
 import { type FleetView } from "@winchpath/fleet";
 import { type ServerResponse } from "node:http";
 import { type BufferedResponse, writeBufferedResponse } from "./bufferedresponses.js";
@@ -91,7 +91,7 @@
     private abort(request: InboundRequest, res: ServerResponse): void {
         this.recordMetrics(request, "cut");
         this.logEvent(request, "cut", this.viewFields());
-        res.destroy();
+        breakOffResponse(res);
     }
 
     private viewFields(): LogFields {
--- a/packages/forwarding/src/tests/responseends.test.ts
+++ b/packages/forwarding/src/tests/responseends.test.ts
@@ -1,5 +1,8 @@
 /** Guards against responses that their upstream broke off and that reach callers as complete. */
 import { expect } from "earl";
+import { once } from "node:events";
+import { type IncomingMessage } from "node:http";
+import { connect } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import {
     type ConnectionEnd,
@@ -132,6 +135,50 @@
     }
 });
 
+// Guards against cut responses that look complete because nothing but the end of the connection delimits them.
+describe("a response without framing, or to a client without chunks,", () => {
+    const events = threeEvents(lineEnds.LF);
+    /** Larger than what an entry reads before it forwards a response. */
+    const largeBody = "x".repeat(300 * 1024);
+    let setup: TestSetup;
+
+    afterEach(() => setup.stop());
+
+    /** Sends a request as an HTTP/1.0 client; resolves to the response and to how the connection ended. */
+    function callHttp10(id: string): Promise<{ readonly text: string; readonly end: ConnectionEnd; }> {
+        return new Promise(resolve => {
+            const socket = connect(setup.entry.listener.port, "127.0.0.1");
+            const chunks: Buffer[] = [];
+            socket.on("data", chunk => chunks.push(chunk));
+            socket.on("end", () => resolve({ text: Buffer.concat(chunks).toString(), end: "FIN" }));
+            socket.on("error", () => resolve({ text: Buffer.concat(chunks).toString(), end: "reset" }));
+            socket.write(`GET / HTTP/1.0\r\nHost: h.example\r\nX-Id: ${id}\r\n\r\n`);
+        });
+    }
+
+    it("is reset at an HTTP/1.0 client if its upstream breaks it off", async () => {
+        const respond = ({ id, socket }: ReceivedRequest) => {
+            const body = encodeBody("chunked", events);
+            const sent = id === "whole" ? body : body.slice(0, -20);
+            socket.write(encodeHead(id, "chunked", 0) + sent, () => socket.end());
+        };
+        setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [respond]);
+        expect((await callHttp10("whole")).end).toEqual("FIN");
+        expect((await callHttp10("cut")).end).toEqual("reset");
+    });
+
+    it("is sent in chunks if it is too large to be read first, so that a reset is visible", async () => {
+        const respond = ({ id, socket }: ReceivedRequest) => void socket.write(encodeHead(id, "close", 0) + largeBody);
+        setup = await TestSetup.start({ kind: "safe", maxAttempts: 1 }, [respond]);
+        const req = setup.entry.open("q1").end();
+        const [res] = await once(req, "response") as [IncomingMessage];
+        res.on("error", () => undefined).resume();
+        setup.upstreams[0].received[0].socket.resetAndDestroy();
+        await new Promise(resolve => res.on("close", resolve));
+        expect(res.complete).toEqual(false);
+    });
+});
+
 // Guards against responses that a crash cut where neither their framing nor their events show it.
 describe("a response that ends with its connection", () => {
     const events = threeEvents(lineEnds.LF);
