The judgement of a response's end moves to packages/core

responseends, responseframings, eventsplitters and the reset detector are needed by the agent too, whose client has the same blind spots. The files are moved unchanged but for imports; forwarding exports the same names.

--- a/packages/forwarding/src/responseframings.ts
+++ b/packages/core/src/responseframings.ts
@@ -1,5 +1,5 @@
 /** How the body of a response is delimited (RFC 9112, section 6.3). */
-import { headerValue, type RawHeaders } from "./headercodecs.js";
+import { headerValue, type RawHeaders } from "./rawheaders.js";
 
 export const ResponseFraming = {
     /** The response has no body. */
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -1,14 +1,23 @@
 /** A single attempt to send a request to one upstream. */
-import { Deferred, type FairTimer, messageOf, startFairTimer, steadyNow } from "@winchpath/core";
+import {
+    type CompleteEnd,
+    type ConnectionState,
+    Deferred,
+    EventSplitter,
+    type FairTimer,
+    framingOf,
+    judgeResponseEnd,
+    messageOf,
+    type ResponseEndFacts,
+    startFairTimer,
+    steadyNow,
+} from "@winchpath/core";
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
 import { type BufferedResponse, withoutContentLength, writeBufferedResponse } from "./bufferedresponses.js";
-import { EventSplitter } from "./eventsplitters.js";
 import { type HeaderCodec, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
 import { slowReaderReason } from "./hostguards.js";
 import { type InboundRequest, remainingMs } from "./inboundrequests.js";
-import { type CompleteEnd, type ConnectionState, judgeResponseEnd, type ResponseEndFacts } from "./responseends.js";
-import { framingOf } from "./responseframings.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 
 /**
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -1,6 +1,6 @@
 /** Sends attempts to upstreams, and records their load, timing and signals. */
 import { type PermitDecision } from "@winchpath/availability";
-import { eventLoop, steadyNow } from "@winchpath/core";
+import { eventLoop, type ResponseEndFacts, steadyNow } from "@winchpath/core";
 import { type EngineSpec } from "@winchpath/declarations";
 import { type EjectionTracker } from "@winchpath/routing";
 import { type ServerResponse } from "node:http";
@@ -19,7 +19,6 @@
 } from "./inboundrequests.js";
 import { isConnectionLost, type Quarantine } from "./quarantines.js";
 import { type Responder } from "./responders.js";
-import { type ResponseEndFacts } from "./responseends.js";
 import { type SharedAdmission } from "./sharedadmissions.js";
 import { type StreamInterference } from "./streaminterferences.js";
 import { type ThroughputTable } from "./throughputs.js";
--- a/packages/forwarding/src/bufferedresponses.ts
+++ b/packages/forwarding/src/bufferedresponses.ts
@@ -1,7 +1,7 @@
 /** Upstream responses that are read completely before they are forwarded. */
+import { ResponseFraming } from "@winchpath/core";
 import { type ServerResponse } from "node:http";
 import { withoutConnectionHeaders } from "./headercodecs.js";
-import { ResponseFraming } from "./responseframings.js";
 
 export interface BufferedResponse {
     readonly status: number;
--- a/packages/forwarding/src/connectors.ts
+++ b/packages/forwarding/src/connectors.ts
@@ -1,48 +1,14 @@
-/** Opens connections to upstreams and tells resets from regular closes. */
-import { startFairTimer } from "@winchpath/core";
-import { connect, type Socket } from "node:net";
+/** Opens connections to upstreams. */
+import { type ResetDetector, startFairTimer } from "@winchpath/core";
+import { connect } from "node:net";
 import { type buildConnector } from "undici";
 
-/**
- * undici treats a response without a length as complete if the connection fails with ECONNRESET. Under any other code
- * it reports an error.
- */
-const resetErrorCode = "ECONNRESET";
-const truncatedErrorCode = "UPSTREAM_RESET";
-
 /**
  * Idle time before TCP keep-alive probes start, in milliseconds. Node.js sends ten probes one second apart, so that a
  * dead connection is closed after about eleven seconds.
  */
 const keepAliveProbeDelayMs = 1000;
 
-/** Detects connections that were reset by the upstream. */
-export class ResetDetector {
-    private resetting = false;
-
-    /** Whether the connection that is emitting its end event was reset. */
-    public get wasReset(): boolean {
-        return this.resetting;
-    }
-
-    /** Registers listeners that run before those of undici. */
-    public attach(socket: Socket): void {
-        socket.prependListener("error", (err: NodeJS.ErrnoException) => {
-            if (err.code === resetErrorCode) {
-                err.code = truncatedErrorCode;
-            }
-        });
-        // A reset that arrives together with data is reported as a regular end. The socket has no remote address after
-        // a reset, but still has one after a regular close.
-        socket.prependListener("end", () => {
-            this.resetting = socket.remoteAddress === undefined;
-            process.nextTick(() => {
-                this.resetting = false;
-            });
-        });
-    }
-}
-
 /** Opens connections; `timeoutMs`: time to establish one, as far as answers to it have been read. */
 export function upstreamConnector(timeoutMs: number, resetDetector: ResetDetector): buildConnector.connector {
     return ({ hostname, port }, callback) => {
--- a/packages/forwarding/src/headercodecs.ts
+++ b/packages/forwarding/src/headercodecs.ts
@@ -1,7 +1,7 @@
 /** Header-independent request and response metadata. A codec maps it to the headers of a platform. */
+import { headerValue, headerValues, type RawHeaders } from "@winchpath/core";
 
-/** Headers as a flat list of alternating names and values, as in Node.js. */
-export type RawHeaders = readonly string[];
+export { headerValue, headerValues, type RawHeaders };
 
 /** A segment of a prompt that several requests may share. */
 export interface PromptPart {
@@ -127,17 +127,3 @@
     }
     return kept;
 }
-
-/** Returns the first value of a header; `name` is in lower case. */
-export function headerValue(headers: RawHeaders, name: string): string | undefined {
-    return headerValues(headers, name).next().value ?? undefined;
-}
-
-/** Returns all values of a header; `name` is in lower case. */
-export function* headerValues(headers: RawHeaders, name: string): Generator<string, void> {
-    for (let index = 0; index < headers.length; index += 2) {
-        if (headers[index].toLowerCase() === name) {
-            yield headers[index + 1];
-        }
-    }
-}
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,3 +1,16 @@
+export {
+    type BrokenEnd,
+    type CompleteEnd,
+    type CompleteEvents,
+    type ConnectionState,
+    EventSplitter,
+    framingOf,
+    judgeResponseEnd,
+    type ResponseEnd,
+    type ResponseEndFacts,
+    ResponseFraming,
+    type StreamEndFacts,
+} from "@winchpath/core";
 export * from "./activefeatures.js";
 export * from "./admissioncontrollers.js";
 export * from "./attempts.js";
@@ -8,7 +21,6 @@
 export * from "./connectiongates.js";
 export * from "./endpointtables.js";
 export * from "./enginecapacities.js";
-export * from "./eventsplitters.js";
 export * from "./failurecosts.js";
 export * from "./fairshares.js";
 export * from "./forwarders.js";
@@ -25,8 +37,6 @@
 export * from "./prioritylevels.js";
 export * from "./quarantines.js";
 export * from "./responders.js";
-export * from "./responseends.js";
-export * from "./responseframings.js";
 export * from "./retrybudgets.js";
 export * from "./retrypolicies.js";
 export * from "./routetables.js";
--- a/packages/forwarding/src/upstreamendpoints.ts
+++ b/packages/forwarding/src/upstreamendpoints.ts
@@ -1,8 +1,8 @@
 /** Connections of an entry to one upstream, and an estimate of the upstream's load. */
-import { steadyNow } from "@winchpath/core";
+import { ResetDetector, steadyNow } from "@winchpath/core";
 import { type Upstream } from "@winchpath/fleet";
 import { Pool } from "undici";
-import { ResetDetector, upstreamConnector } from "./connectors.js";
+import { upstreamConnector } from "./connectors.js";
 import { type ReportedLoad } from "./headercodecs.js";
 
 /** Timeout for establishing a connection, in milliseconds; round trips take a few at most. */
