The agent decides from evidence whether a response of its upstream is complete

What callers saw: at the own interface, a response that its upstream had broken off could reach its caller as complete, and be stored for an idempotency key. Cause: the agent recorded a response as finished when reading it ended without an error. undici takes an unframed response whose connection was reset for complete, and nothing compared the end with the events or with the state of the upstream's process. Change: RunEndJudge decides, by judgeResponseEnd of packages/core from framing, reset and events, and for an unframed body that ended regularly by whether the process has ended while it wasn't leaving. A broken end takes the path of a read error: RunBroken with the crash id if the process has ended, FenceOutcome.BROKEN, so that readers that attach get it too, entries retry or fail, eject and count crashes as for any broken run, and idempotency keys store nothing. Fakes of the tests name a framing and no reset; no expectation changed.

--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -1,6 +1,6 @@
 /** In-memory agents and upstreams with fault injection. */
 import { create } from "@bufbuild/protobuf";
-import { Metrics, silentLog } from "@winchpath/core";
+import { Metrics, ResponseFraming, silentLog } from "@winchpath/core";
 import { QuarantineState } from "@winchpath/quarantine";
 import { type RoutedReplica, Router } from "@winchpath/routing";
 import { Timeline } from "@winchpath/timeline";
@@ -64,12 +64,18 @@
         this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
         this.crashed = id === crashingBody;
         const pieces = this.faults.truncations.shift() ?? Number.POSITIVE_INFINITY;
-        const headers = { "content-type": "text/event-stream" };
+        const rest = {
+            status: 200,
+            headers: { "content-type": "text/event-stream" },
+            framing: ResponseFraming.chunked,
+            wasReset: () => false,
+            discard: async () => undefined,
+        };
         if (this.crashed) {
-            return { status: 200, headers, body: bodyOf(1, ""), discard: async () => undefined };
+            return { ...rest, body: bodyOf(1, "") };
         }
         const prefix = this.faults.varied ? `run ${this.runs.get(id)}: ` : "";
-        return { status: 200, headers, body: bodyOf(pieces, prefix), discard: async () => undefined };
+        return { ...rest, body: bodyOf(pieces, prefix) };
     }
 
     public async hasEnded() {
--- a/packages/upstream/src/agents.ts
+++ b/packages/upstream/src/agents.ts
@@ -73,6 +73,7 @@
             req => this.admit(req),
             dependencies.timeline,
             () => this.announceLeaving("announced in the upstream's response"),
+            () => this.leavingSince !== undefined,
         );
         this.reporter = new Reporter(dependencies.clients, this, this.cfg.reportEvery, this.stopping.signal);
     }
--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -16,6 +16,7 @@
     RunHeadSchema,
     type RunRequest,
 } from "./gen/winchpath/upstream/v1/upstream_pb.js";
+import { RunEndJudge } from "./runends.js";
 import { refusedChunk, responseNotRetained, type RunRecord, type RunRefusal } from "./runrecords.js";
 import { RunTable } from "./runtables.js";
 import { NotConnectedError, type Upstream, type UpstreamResponse } from "./upstreams.js";
@@ -56,6 +57,8 @@
         private readonly timeline: Timeline,
         /** Called when a response announces that the upstream is leaving. */
         private readonly onLeaving: () => void = () => undefined,
+        /** Whether the upstream is leaving, so that the end of its process is no crash. */
+        private readonly isLeaving: () => boolean = () => false,
     ) {
         this.crashes = new CrashTracker(upstream);
     }
@@ -122,7 +125,7 @@
                 body: req.body,
                 signal: record.abort.signal,
             });
-            await this.receive(record, response);
+            await this.receive(record, response, startedAt);
         }
         catch (err) {
             await this.recordFailure(record, req, err, { startedAt, timedOut: timedOut() });
@@ -132,7 +135,7 @@
         }
     }
 
-    private async receive(record: RunRecord, response: UpstreamResponse): Promise<void> {
+    private async receive(record: RunRecord, response: UpstreamResponse, startedAt: number): Promise<void> {
         this.applySignals(response);
         if (response.headers[notStartedHeader] !== undefined) {
             const message = `the upstream did not start it (${response.status})`;
@@ -141,11 +144,20 @@
             return;
         }
         record.setHead(create(RunHeadSchema, { status: response.status, headers: toHeaders(response.headers) }));
+        const judge = new RunEndJudge(response);
         let bytes = 0;
         for await (const chunk of response.body) {
             bytes += chunk.length;
+            judge.push(chunk);
             await record.append(chunk);
         }
+        const responseEnd = await judge.judge(async () => ({
+            isLeaving: this.isLeaving(),
+            crashId: await this.crashes.crashIdFor(startedAt),
+        }));
+        if (responseEnd.kind === "broken") {
+            throw new BrokenResponseError(responseEnd.reason);
+        }
         const end = create(RunEndSchema, { bodyBytes: BigInt(bytes) });
         record.finish(FenceOutcome.FINISHED, { end });
     }
@@ -197,6 +209,9 @@
     }
 }
 
+/** The response ended without an error, but is incomplete. */
+class BrokenResponseError extends Error {}
+
 function isEndToEnd(header: Header): boolean {
     return !hopByHopHeaders.has(header.name.toLowerCase());
 }
--- a/packages/upstream/src/tests/responseends.test.ts
+++ b/packages/upstream/src/tests/responseends.test.ts
@@ -218,5 +218,12 @@
             raw.beforeEnd = () => raw.stopListening();
             expect((await last("r")).end?.bodyBytes).toEqual(3n);
         });
+
+        it("is recorded as finished if the upstream was leaving", async () => {
+            runner = new Runner(upstream, () => undefined, timeline, () => undefined, () => true);
+            raw.cuts.set("r", { ...cut, sentBytes: 3 });
+            raw.beforeEnd = () => raw.stopListening();
+            expect((await last("r")).end?.bodyBytes).toEqual(3n);
+        });
     });
 });
--- a/packages/upstream/src/tests/responsesignals.test.ts
+++ b/packages/upstream/src/tests/responsesignals.test.ts
@@ -1,4 +1,5 @@
 import { create } from "@bufbuild/protobuf";
+import { ResponseFraming } from "@winchpath/core";
 import { Timeline } from "@winchpath/timeline";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it, mock } from "node:test";
@@ -22,7 +23,14 @@
 
     public async send() {
         this.runs += 1;
-        return { status: this.status, headers: this.headers, body: emptyBody(), discard: async () => undefined };
+        return {
+            status: this.status,
+            headers: this.headers,
+            body: emptyBody(),
+            framing: ResponseFraming.length,
+            wasReset: () => false,
+            discard: async () => undefined,
+        };
     }
 
     public async hasEnded() {
--- a/packages/upstream/src/tests/runners.test.ts
+++ b/packages/upstream/src/tests/runners.test.ts
@@ -1,4 +1,5 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { ResponseFraming } from "@winchpath/core";
 import { Timeline } from "@winchpath/timeline";
 import { expect } from "earl";
 import { describe, it } from "node:test";
@@ -34,7 +35,14 @@
     public async send(req: { signal: AbortSignal; }) {
         this.runs += 1;
         req.signal.addEventListener("abort", () => this.aborted = true);
-        return { status: 200, headers: {}, body: this.body(), discard: async () => undefined };
+        return {
+            status: 200,
+            headers: {},
+            body: this.body(),
+            framing: ResponseFraming.length,
+            wasReset: () => false,
+            discard: async () => undefined,
+        };
     }
 
     public async hasEnded() {
--- a/packages/upstream/src/upstreams.ts
+++ b/packages/upstream/src/upstreams.ts
@@ -1,7 +1,8 @@
 /** The agent's client for its upstream. */
-import { messageOf, safeParse } from "@winchpath/core";
+import { framingOf, messageOf, ResetDetector, type ResponseFraming, safeParse } from "@winchpath/core";
 import { refusesConnections } from "@winchpath/quarantine";
-import { Agent, type Dispatcher, request } from "undici";
+import { Socket } from "node:net";
+import { Agent, buildConnector, DecoratorHandler, type Dispatcher, request } from "undici";
 import { type EngineOrder, EngineState } from "./engineschemas.js";
 
 const orderTimeoutMs = 1000;
@@ -18,6 +19,10 @@
     /** Header values by lower-case name. */
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
     readonly body: AsyncIterable<Uint8Array>;
+    /** How the upstream delimited the body. */
+    readonly framing: ResponseFraming;
+    /** Whether the connection was reset when the body ended; known once the body has been read. */
+    readonly wasReset: () => boolean;
     /** Reads and drops the body, so that the connection can be reused. */
     discard(): Promise<void>;
 }
@@ -47,7 +52,9 @@
 
 /** An upstream reached over HTTP. */
 export class HttpUpstream implements Upstream {
+    private readonly resetDetector = new ResetDetector();
     private readonly dispatcher = new Agent({
+        connect: connectorFor(this.resetDetector),
         connections: maxConnections,
         pipelining: 1,
         bodyTimeout: 0,
@@ -85,15 +92,23 @@
     }
 
     public async send(req: UpstreamRequest): Promise<UpstreamResponse> {
+        const connectionEnd = new ConnectionEnd(this.resetDetector);
         try {
             const res = await request(this.url + req.path, {
-                dispatcher: this.dispatcher,
+                dispatcher: this.dispatcher.compose(connectionEnd.interceptor),
                 method: req.method as Dispatcher.HttpMethod,
                 headers: req.headers,
                 body: req.body.length === 0 ? undefined : req.body,
                 signal: req.signal,
             });
-            return { status: res.statusCode, headers: res.headers, body: res.body, discard: () => res.body.dump() };
+            return {
+                status: res.statusCode,
+                headers: res.headers,
+                body: res.body,
+                framing: framingOf(req.method, res.statusCode, Object.entries(res.headers).flatMap(toRawHeader)),
+                wasReset: () => connectionEnd.wasReset,
+                discard: () => res.body.dump(),
+            };
         }
         catch (err) {
             if (isConnectFailure(err)) {
@@ -112,6 +127,40 @@
     }
 }
 
+/** Records whether the connection of one request was reset when its response ended. */
+class ConnectionEnd {
+    public wasReset = false;
+
+    public constructor(private readonly resetDetector: ResetDetector) {}
+
+    /** Reads the detector in the turn of the event loop in which the response ends. */
+    public readonly interceptor: Dispatcher.DispatcherComposeInterceptor = dispatch => (options, handler) => {
+        const observed: Dispatcher.DispatchHandler = new DecoratorHandler(handler);
+        const onResponseEnd = observed.onResponseEnd?.bind(observed);
+        observed.onResponseEnd = (controller, trailers) => {
+            this.wasReset = this.resetDetector.wasReset;
+            onResponseEnd?.(controller, trailers);
+        };
+        return dispatch(options, observed);
+    };
+}
+
+function connectorFor(resetDetector: ResetDetector): buildConnector.connector {
+    const connect = buildConnector({});
+    return (options, callback) =>
+        connect(options, (...result: Parameters<buildConnector.Callback>) => {
+            const [, socket] = result;
+            if (socket instanceof Socket) {
+                resetDetector.attach(socket);
+            }
+            callback(...result);
+        });
+}
+
+function toRawHeader([name, value]: [string, string | string[] | undefined]): string[] {
+    return value === undefined ? [] : [name, String(value)];
+}
+
 function isConnectFailure(err: unknown): boolean {
     const code = (err as { code?: string; }).code;
     return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT";
