Test: a broken response is neither stored nor returned for an idempotency key

Three cases at the entry with an unframed response that is reset after its last byte: duplicates at once and one after the other, and a retry of a repeatable request.

--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -34,6 +34,8 @@
     readonly truncations: number[];
     /** Whether the agent restarts without its state at the next fence call. */
     readonly restarts: boolean[];
+    /** Whether the response has no framing and its connection is reset after the last byte. */
+    readonly resets?: boolean[];
     /** Every run returns a different response. */
     readonly varied?: boolean;
 }
@@ -64,11 +66,12 @@
         this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
         this.crashed = id === crashingBody;
         const pieces = this.faults.truncations.shift() ?? Number.POSITIVE_INFINITY;
+        const isReset = this.faults.resets?.shift() === true;
         const rest = {
             status: 200,
             headers: { "content-type": "text/event-stream" },
-            framing: ResponseFraming.chunked,
-            wasReset: () => false,
+            framing: isReset ? ResponseFraming.close : ResponseFraming.chunked,
+            wasReset: () => isReset,
             discard: async () => undefined,
         };
         if (this.crashed) {
