A stream is whole only if its last event is the end marker

What callers saw: a chat completion stream passed as complete if the text "data: [DONE]" stood anywhere in its last 64 bytes: as text of another event, without the line end and blank line that end it, or before further events; and a valid marker without the space after the colon was taken for a broken stream, which cost a retry. Cause: the entry searched for bytes, not for an event. Change: endmarkers.ts decides by lines (LF, CRLF, CR): the last event with data is the marker, and a blank line has ended it. The fakes' varied runs differ by a comment in place of text before "data:", which made their markers invalid; no expectation changed.

--- a/packages/requests/src/responseprogress.ts
+++ b/packages/requests/src/responseprogress.ts
@@ -1,5 +1,6 @@
 /** Tracks how much of a response the client has received, so that a retry can continue from there. */
 import { createHash, type Hash } from "node:crypto";
+import { endsWithMarker } from "./endmarkers.js";
 
 /** Number of final bytes searched for the end marker. */
 const tailBytes = 64;
@@ -21,9 +22,9 @@
         this.tail = Buffer.concat([this.tail, bytes.subarray(-tailBytes)]).subarray(-tailBytes);
     }
 
-    /** Whether the last bytes sent to the client contain `marker`. */
-    public endsWith(marker: Buffer): boolean {
-        return this.tail.includes(marker);
+    /** Whether the stream that was sent to the client ends with its end marker. */
+    public get endsWithMarker(): boolean {
+        return endsWithMarker(this.tail, this.sentBytes === this.tail.length);
     }
 
     /** Creates a filter for the response of a retry. */
--- a/packages/requests/src/responsereaders.ts
+++ b/packages/requests/src/responsereaders.ts
@@ -3,8 +3,6 @@
 import { type Job, type ResponseEvent } from "./jobs.js";
 import { type ReplayFilter, type ResponseProgress } from "./responseprogress.js";
 
-const endMarker = Buffer.from("data: [DONE]");
-
 export type AttemptResult =
     /** The client has the complete response. */
     | { readonly tag: "whole"; }
@@ -97,7 +95,7 @@
         if (bodyBytes !== this.receivedBytes || !this.replay.done) {
             return brokenResult(`${this.receivedBytes} of ${bodyBytes} bytes came`);
         }
-        if (this.needsEndMarker && !this.progress.endsWith(endMarker)) {
+        if (this.needsEndMarker && !this.progress.endsWithMarker) {
             return brokenResult("the stream ended without its end mark");
         }
         return { tag: "whole" };
--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -77,7 +77,7 @@
         if (this.crashed) {
             return { ...rest, body: bodyOf(1, "") };
         }
-        const prefix = this.faults.varied ? `run ${this.runs.get(id)}: ` : "";
+        const prefix = this.faults.varied ? `: run ${this.runs.get(id)}\n` : "";
         return { ...rest, body: bodyOf(pieces, prefix) };
     }
 
