A dropped response without a body is refused, not returned without its head

What callers saw: a duplicate that attached to a finished attempt whose response had no body and was no longer retained got 502 upstream-lost with an unknown outcome, as the agent sent the end without the head and the entry took it for the whole response. Cause: whether a response is retained was decided by the reader's offset, which is 0 before and after an empty body. Change: a record whose response was dropped refuses readers that have no byte of the body, so that the entry reports that the answer is lost.

--- a/packages/upstream/src/runrecords.ts
+++ b/packages/upstream/src/runrecords.ts
@@ -39,6 +39,7 @@
     public endedAt: number | undefined;
     public readonly abort = new AbortController();
     private head: RunHead | undefined;
+    private isDropped = false;
     private result: RunResult | undefined;
     private body: Uint8Array[] = [];
     /** Offset of the first retained byte. */
@@ -89,6 +90,7 @@
         this.body = [];
         this.startOffset = this.endOffset;
         this.head = undefined;
+        this.isDropped = true;
     }
 
     /** Streams the response as it arrives, starting at `offset` of the body. */
@@ -122,7 +124,8 @@
     /** Returns what is available to a reader now, or undefined if there is nothing new. */
     private nextChunk(reader: symbol, headSent: boolean): RunChunk | undefined {
         const position = this.positions.get(reader)!;
-        if (position < this.startOffset) {
+        // A reader that has no byte of the body may not have the head either.
+        if (position < this.startOffset || (this.isDropped && position === 0)) {
             return responseNotRetained();
         }
         const body = this.readFrom(position);
