A crash that was found while judging a response is the crash that is reported

What callers saw: none of it directly; the entry's crash decisions and its bound of crashes for a request missed a crash if the upstream's process had restarted between two probes of its address. Cause: the agent probed once to judge an unframed end and again to report the broken run. Change: the judgement carries the crash id. Before: 1 of 34 tests of upstream's responseends fails, after: 34 of 34; packages/upstream and packages/requests 107 of 107.

--- a/packages/upstream/src/runends.ts
+++ b/packages/upstream/src/runends.ts
@@ -1,5 +1,6 @@
 /** Decides whether the response to a run is complete, for the agent. */
 import {
+    type BrokenEnd,
     EventSplitter,
     judgeResponseEnd,
     type ResponseEnd,
@@ -18,6 +19,11 @@
     readonly isLeaving: boolean;
 }
 
+/** The upstream's process ended with the response. */
+export interface CrashedEnd extends BrokenEnd {
+    readonly crashId: string;
+}
+
 /** Follows the body of one response and judges its end. */
 export class RunEndJudge {
     private readonly splitter: EventSplitter | undefined;
@@ -31,7 +37,7 @@
     }
 
     /** Judges a body that was read without an error; `readProcess` is called if only the end of the connection delimits it. */
-    public async judge(readProcess: () => Promise<ProcessState>): Promise<ResponseEnd> {
+    public async judge(readProcess: () => Promise<ProcessState>): Promise<ResponseEnd | CrashedEnd> {
         const { framing } = this.response;
         const connection = this.response.wasReset() ? "reset" : "intact";
         const end = judgeResponseEnd({ framing, connection, stream: this.streamFacts() });
@@ -43,6 +49,7 @@
             kind: "broken",
             reason: "the upstream's process ended with the response",
             connectionLost: true,
+            crashId,
         };
     }
 
--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -1,7 +1,16 @@
 /** Runs requests at the upstream and streams the responses to their readers. */
 import { create } from "@bufbuild/protobuf";
 import { BackoffTracker } from "@winchpath/availability";
-import { eventLoop, messageOf, Notifier, retryAfterMs, sleep, startFairTimer, steadyNow } from "@winchpath/core";
+import {
+    type BrokenEnd,
+    eventLoop,
+    messageOf,
+    Notifier,
+    retryAfterMs,
+    sleep,
+    startFairTimer,
+    steadyNow,
+} from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import { CrashTracker } from "./crashtrackers.js";
 import { leavingHeader, notStartedHeader } from "./engineschemas.js";
@@ -16,7 +25,7 @@
     RunHeadSchema,
     type RunRequest,
 } from "./gen/winchpath/upstream/v1/upstream_pb.js";
-import { RunEndJudge } from "./runends.js";
+import { type CrashedEnd, RunEndJudge } from "./runends.js";
 import { refusedChunk, responseNotRetained, type RunRecord, type RunRefusal } from "./runrecords.js";
 import { RunTable } from "./runtables.js";
 import { NotConnectedError, type Upstream, type UpstreamResponse } from "./upstreams.js";
@@ -156,7 +165,7 @@
             crashId: await this.crashes.crashIdFor(startedAt),
         }));
         if (responseEnd.kind === "broken") {
-            throw new BrokenResponseError(responseEnd.reason);
+            throw new BrokenResponseError(responseEnd);
         }
         const end = create(RunEndSchema, { bodyBytes: BigInt(bytes) });
         record.finish(FenceOutcome.FINISHED, { end });
@@ -203,14 +212,24 @@
         const message = messageOf(err);
         this.timeline.record("request.broken", { requestId: req.requestId, resource: req.resource, detail: message });
         const abortedByAgent = timedOut || record.abort.signal.aborted;
-        const upstreamEnd = abortedByAgent ? "" : await this.crashes.crashIdFor(startedAt);
+        // The process may have restarted since the response was judged.
+        const knownCrash = err instanceof BrokenResponseError ? err.crashId : undefined;
+        const upstreamEnd = abortedByAgent ? "" : knownCrash ?? await this.crashes.crashIdFor(startedAt);
         const broken = create(RunBrokenSchema, { message, timedOut, upstreamEnd });
         record.finish(FenceOutcome.BROKEN, { broken });
     }
 }
 
 /** The response ended without an error, but is incomplete. */
-class BrokenResponseError extends Error {}
+class BrokenResponseError extends Error {
+    /** Set if it is known that the upstream's process has ended. */
+    public readonly crashId: string | undefined;
+
+    public constructor(end: BrokenEnd | CrashedEnd) {
+        super(end.reason);
+        this.crashId = "crashId" in end ? end.crashId : undefined;
+    }
+}
 
 function isEndToEnd(header: Header): boolean {
     return !hopByHopHeaders.has(header.name.toLowerCase());
--- a/packages/upstream/src/tests/responseends.test.ts
+++ b/packages/upstream/src/tests/responseends.test.ts
@@ -213,6 +213,14 @@
             expect({ end, isCrash: (broken?.upstreamEnd ?? "") !== "" }).toEqual({ end: undefined, isCrash: true });
         });
 
+        it("is recorded as broken with the crash if the process has restarted since", async () => {
+            const probes = [true];
+            upstream.hasEnded = async () => probes.shift() ?? false;
+            raw.cuts.set("r", cut);
+            const { broken } = await last("r");
+            expect((broken?.upstreamEnd ?? "") !== "").toEqual(true);
+        });
+
         it("is recorded as finished if its length says so", async () => {
             raw.cuts.set("r", { ...cut, framing: "length", sentBytes: 3 });
             raw.beforeEnd = () => raw.stopListening();
