--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -1,20 +1,25 @@
 /** A single attempt to send a request to one upstream. */
-import { Deferred, type FairTimer, messageOf, startFairTimer, steadyNow } from "@winchpath/core";
-import { type ServerResponse } from "node:http";
-import { type Dispatcher } from "undici";
-import { type BufferedResponse, withoutContentLength, writeBufferedResponse } from "./bufferedresponses.js";
-import { EventSplitter } from "./eventsplitters.js";
-import { type HeaderCodec, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
-import { slowReaderReason } from "./hostguards.js";
-import { type InboundRequest, remainingMs } from "./inboundrequests.js";
 import {
     type CompleteEnd,
     type ConnectionState,
+    Deferred,
+    EventSplitter,
+    type FairTimer,
+    framingOf,
     judgeResponseEnd,
+    messageOf,
     type ResponseEnd,
     type ResponseEndFacts,
-} from "./responseends.js";
-import { framingOf, ResponseFraming } from "./responseframings.js";
+    ResponseFraming,
+    startFairTimer,
+    steadyNow,
+} from "@winchpath/core";
+import { type ServerResponse } from "node:http";
+import { type Dispatcher } from "undici";
+import { type BufferedResponse, withoutContentLength, writeBufferedResponse } from "./bufferedresponses.js";
+import { type HeaderCodec, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
+import { slowReaderReason } from "./hostguards.js";
+import { type InboundRequest, remainingMs } from "./inboundrequests.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 
 /**
--- a/packages/forwarding/src/connectors.ts
+++ b/packages/forwarding/src/connectors.ts
@@ -1,54 +1,28 @@
-/** Opens connections to upstreams, tells resets from regular closes and knows which connections are open. */
-import { startFairTimer } from "@winchpath/core";
+/** Opens connections to upstreams, and knows which ones are open. */
+import { ResetDetector, startFairTimer } from "@winchpath/core";
 import { connect, type Socket } from "node:net";
 import { type buildConnector } from "undici";
 
-/**
- * undici treats a response without a length as complete if the connection fails with ECONNRESET. Under any other code
- * it reports an error.
- */
-const resetErrorCode = "ECONNRESET";
-const truncatedErrorCode = "UPSTREAM_RESET";
-
 /**
  * Idle time before TCP keep-alive probes start, in milliseconds. Node.js sends ten probes one second apart, so that a
  * dead connection is closed after about eleven seconds.
  */
 const keepAliveProbeDelayMs = 1000;
 
-/** Detects connections that were reset by the upstream, and counts the open ones. */
-export class ConnectionMonitor {
+/** Tells resets from regular closes, and knows whether any connection is open. */
+export class ConnectionMonitor extends ResetDetector {
     private readonly open = new Set<Socket>();
-    private resetting = false;
 
     /** Whether any connection is open, as far as the ends of connections have been read. */
     public get hasOpenConnection(): boolean {
         return this.open.size > 0;
     }
 
-    /** Whether the connection that is emitting its end event was reset. */
-    public get wasReset(): boolean {
-        return this.resetting;
-    }
-
-    /** Registers listeners that run before those of undici. */
-    public attach(socket: Socket): void {
+    public override attach(socket: Socket): void {
+        super.attach(socket);
         this.open.add(socket);
+        socket.prependListener("end", () => this.open.delete(socket));
         socket.once("close", () => this.open.delete(socket));
-        socket.prependListener("error", (err: NodeJS.ErrnoException) => {
-            if (err.code === resetErrorCode) {
-                err.code = truncatedErrorCode;
-            }
-        });
-        // A reset that arrives together with data is reported as a regular end. The socket has no remote address after
-        // a reset, but still has one after a regular close.
-        socket.prependListener("end", () => {
-            this.open.delete(socket);
-            this.resetting = socket.remoteAddress === undefined;
-            process.nextTick(() => {
-                this.resetting = false;
-            });
-        });
     }
 }
 
--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -1,6 +1,6 @@
 /** In-memory agents and upstreams with fault injection. */
 import { create } from "@bufbuild/protobuf";
-import { Metrics, silentLog } from "@winchpath/core";
+import { Metrics, ResponseFraming, silentLog } from "@winchpath/core";
 import { QuarantineState } from "@winchpath/quarantine";
 import { type RoutedReplica, Router } from "@winchpath/routing";
 import { Timeline } from "@winchpath/timeline";
@@ -34,6 +34,8 @@
     readonly truncations: number[];
     /** Whether the agent restarts without its state at the next fence call. */
     readonly restarts: boolean[];
+    /** Whether the response has no framing and its connection is reset after the last byte. */
+    readonly resets?: boolean[];
     /** Every run returns a different response. */
     readonly varied?: boolean;
 }
@@ -64,12 +66,19 @@
         this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
         this.crashed = id === crashingBody;
         const pieces = this.faults.truncations.shift() ?? Number.POSITIVE_INFINITY;
-        const headers = { "content-type": "text/event-stream" };
+        const isReset = this.faults.resets?.shift() === true;
+        const rest = {
+            status: 200,
+            headers: { "content-type": "text/event-stream" },
+            framing: isReset ? ResponseFraming.close : ResponseFraming.chunked,
+            wasReset: () => isReset,
+            discard: async () => undefined,
+        };
         if (this.crashed) {
-            return { status: 200, headers, body: bodyOf(1, ""), discard: async () => undefined };
+            return { ...rest, body: bodyOf(1, "") };
         }
-        const prefix = this.faults.varied ? `run ${this.runs.get(id)}: ` : "";
-        return { status: 200, headers, body: bodyOf(pieces, prefix), discard: async () => undefined };
+        const prefix = this.faults.varied ? `: run ${this.runs.get(id)}\n` : "";
+        return { ...rest, body: bodyOf(pieces, prefix) };
     }
 
     public async hasEnded() {
--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -1,7 +1,16 @@
 /** Runs requests at the upstream and streams the responses to their readers. */
 import { create } from "@bufbuild/protobuf";
 import { BackoffTracker } from "@winchpath/availability";
-import { eventLoop, messageOf, Notifier, retryAfterMs, sleep, startFairTimer, steadyNow } from "@winchpath/core";
+import {
+    type BrokenEnd,
+    eventLoop,
+    messageOf,
+    Notifier,
+    retryAfterMs,
+    sleep,
+    startFairTimer,
+    steadyNow,
+} from "@winchpath/core";
 import { type Timeline } from "@winchpath/timeline";
 import { CrashTracker } from "./crashtrackers.js";
 import { leavingHeader, notStartedHeader } from "./engineschemas.js";
@@ -16,6 +25,7 @@
     RunHeadSchema,
     type RunRequest,
 } from "./gen/winchpath/upstream/v1/upstream_pb.js";
+import { type CrashedEnd, RunEndJudge } from "./runends.js";
 import { refusedChunk, responseNotRetained, type RunRecord, type RunRefusal } from "./runrecords.js";
 import { RunTable } from "./runtables.js";
 import { NotConnectedError, type Upstream, type UpstreamResponse } from "./upstreams.js";
@@ -56,6 +66,8 @@
         private readonly timeline: Timeline,
         /** Called when a response announces that the upstream is leaving. */
         private readonly onLeaving: () => void = () => undefined,
+        /** Whether the upstream is leaving, so that the end of its process is no crash. */
+        private readonly isLeaving: () => boolean = () => false,
     ) {
         this.crashes = new CrashTracker(upstream);
     }
@@ -122,7 +134,7 @@
                 body: req.body,
                 signal: record.abort.signal,
             });
-            await this.receive(record, response);
+            await this.receive(record, response, startedAt);
         }
         catch (err) {
             await this.recordFailure(record, req, err, { startedAt, timedOut: timedOut() });
@@ -132,7 +144,7 @@
         }
     }
 
-    private async receive(record: RunRecord, response: UpstreamResponse): Promise<void> {
+    private async receive(record: RunRecord, response: UpstreamResponse, startedAt: number): Promise<void> {
         this.applySignals(response);
         if (response.headers[notStartedHeader] !== undefined) {
             const message = `the upstream did not start it (${response.status})`;
@@ -141,11 +153,20 @@
             return;
         }
         record.setHead(create(RunHeadSchema, { status: response.status, headers: toHeaders(response.headers) }));
+        const judge = new RunEndJudge(response);
         let bytes = 0;
         for await (const chunk of response.body) {
             bytes += chunk.length;
+            judge.push(chunk);
             await record.append(chunk);
         }
+        const responseEnd = await judge.judge(async () => ({
+            isLeaving: this.isLeaving(),
+            crashId: await this.crashes.crashIdFor(startedAt),
+        }));
+        if (responseEnd.kind === "broken") {
+            throw new BrokenResponseError(responseEnd);
+        }
         const end = create(RunEndSchema, { bodyBytes: BigInt(bytes) });
         record.finish(FenceOutcome.FINISHED, { end });
     }
@@ -191,12 +212,25 @@
         const message = messageOf(err);
         this.timeline.record("request.broken", { requestId: req.requestId, resource: req.resource, detail: message });
         const abortedByAgent = timedOut || record.abort.signal.aborted;
-        const upstreamEnd = abortedByAgent ? "" : await this.crashes.crashIdFor(startedAt);
+        // The process may have restarted since the response was judged.
+        const knownCrash = err instanceof BrokenResponseError ? err.crashId : undefined;
+        const upstreamEnd = abortedByAgent ? "" : knownCrash ?? await this.crashes.crashIdFor(startedAt);
         const broken = create(RunBrokenSchema, { message, timedOut, upstreamEnd });
         record.finish(FenceOutcome.BROKEN, { broken });
     }
 }
 
+/** The response ended without an error, but is incomplete. */
+class BrokenResponseError extends Error {
+    /** Set if it is known that the upstream's process has ended. */
+    public readonly crashId: string | undefined;
+
+    public constructor(end: BrokenEnd | CrashedEnd) {
+        super(end.reason);
+        this.crashId = "crashId" in end ? end.crashId : undefined;
+    }
+}
+
 function isEndToEnd(header: Header): boolean {
     return !hopByHopHeaders.has(header.name.toLowerCase());
 }
