Waiting requests keep their place when their wait is renewed

What callers saw: callers who had waited longest were served after later ones. Cause: a waiting request checks every 100 ms (20 to 80 ms where capacity is shared) whether to keep waiting. For that it left the queue, and it was inserted anew behind all equal requests. So the order among equal ones was that of their last checks, and rotated. The queue now numbers requests at their first arrival and orders equal ones by that number; a request that is assigned again keeps it too (a retry, a decline, a postponement).

--- a/packages/forwarding/src/tests/waitpolicies.test.ts
+++ b/packages/forwarding/src/tests/waitpolicies.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { LaxityOrder, LoadWaitPolicy, WaitPolicy, WaitQueue } from "../index.js";
+import { LaxityOrder, LoadWaitPolicy, PriorityOrder, WaitPolicy, WaitQueue } from "../index.js";
 import { recordedWaits } from "./recordedwaits.js";
 import { testRoute } from "./testservers.js";
 import { testRequest, type WaitInput, waitInput } from "./waitinputs.js";
@@ -100,6 +100,30 @@
         expect(served).toEqual(["first", "second"]);
     });
 
+    // Guards against requests that fall behind later ones each time they check whether to keep waiting.
+    it("is by arrival among equal requests, also between the renewals of their waits", async t => {
+        t.mock.timers.enable({ apis: ["setTimeout"] });
+        const queue = new WaitQueue<ReturnType<typeof testRequest>, string>(new PriorityOrder());
+        const served: string[] = [];
+        let open = false;
+        const wait = async (name: string) => {
+            const request = testRequest(testRoute({}), 0);
+            const tryServe = () => open ? (served.push(name), name) : undefined;
+            while (await queue.wait(request, 100, request.abortSignal, tryServe) === undefined) {}
+        };
+        const waits = ["first", "second", "third"].map(name => {
+            const waiting = wait(name);
+            t.mock.timers.tick(40);
+            return waiting;
+        });
+        await new Promise(resolve => setImmediate(resolve));
+        expect(queue.size).toEqual(3);
+        open = true;
+        queue.retryAll();
+        await Promise.all(waits);
+        expect(served).toEqual(["first", "second", "third"]);
+    });
+
     it("ends a wait that is cancelled", async () => {
         const queue = new WaitQueue<ReturnType<typeof testRequest>, string>(order);
         const request = testRequest(testRoute({}), 0);
--- a/packages/forwarding/src/upstreamassigners.ts
+++ b/packages/forwarding/src/upstreamassigners.ts
@@ -68,6 +68,7 @@
     /** Selects an upstream, waiting for one as long as that is useful. */
     public async assign(request: InboundRequest): Promise<Assignment> {
         const key = itemKeyOf(request);
+        this.waitQueue.arrived(request);
         let waitReported = false;
         let waitedLong = false;
         let endWait: (() => void) | undefined;
--- a/packages/forwarding/src/waitqueues.ts
+++ b/packages/forwarding/src/waitqueues.ts
@@ -31,13 +31,18 @@
 
 interface Waiter<R, T> {
     readonly request: R;
+    /** Number of the request in order of arrival. */
+    readonly arrival: number;
     /** Returns the awaited value once it is available. */
     readonly tryAcquire: () => T | undefined;
     readonly done: Deferred<T | undefined>;
 }
 
-export class WaitQueue<R, T> {
+export class WaitQueue<R extends object, T> {
     private waiters: Waiter<R, T>[] = [];
+    /** Kept between waits, since a request that waits again keeps its place. */
+    private readonly arrivals = new WeakMap<R, number>();
+    private arrivalCount = 0;
     private retrying = false;
 
     public constructor(private readonly order: WaitOrder<R>) {}
@@ -46,6 +51,16 @@
         return this.waiters.length;
     }
 
+    /** Records the arrival of a request that may wait later, unless it is recorded already; returns its number. */
+    public arrived(request: R): number {
+        let arrival = this.arrivals.get(request);
+        if (arrival === undefined) {
+            arrival = this.arrivalCount++;
+            this.arrivals.set(request, arrival);
+        }
+        return arrival;
+    }
+
     /** Waits until `tryAcquire` returns a value; resolves to undefined after `ms` or when `abortSignal` is aborted. */
     public async wait(
         request: R,
@@ -56,7 +71,7 @@
         if (abortSignal.aborted) {
             return undefined;
         }
-        const waiter: Waiter<R, T> = { request, tryAcquire, done: new Deferred() };
+        const waiter: Waiter<R, T> = { request, arrival: this.arrived(request), tryAcquire, done: new Deferred() };
         const remove = () => this.remove(waiter);
         this.insert(waiter);
         const timer = setTimeout(remove, ms);
@@ -99,10 +114,15 @@
     }
 
     private insert(waiter: Waiter<R, T>): void {
-        const index = this.waiters.findIndex(other => this.order.compare(other.request, waiter.request) > 0);
+        const index = this.waiters.findIndex(other => this.isAfter(other, waiter));
         this.waiters.splice(index === -1 ? this.waiters.length : index, 0, waiter);
     }
 
+    private isAfter(a: Waiter<R, T>, b: Waiter<R, T>): boolean {
+        const compared = this.order.compare(a.request, b.request);
+        return compared > 0 || (compared === 0 && a.arrival > b.arrival);
+    }
+
     private remove(waiter: Waiter<R, T>): void {
         this.waiters = this.waiters.filter(other => other !== waiter);
         waiter.done.resolve(undefined);
