A postponed request keeps its place, and one that was not executed keeps its account's order

What callers saw: a request that was postponed because the process was behind, with nothing of it sent, was served after later ones. Cause: the end of a postponed attempt offered its capacity to all waiting requests before the request was assigned again, two turns of the event loop later. It then entered the queue anew: behind the others in order of arrival, and with a new place behind the waiting requests of its own account. So did a request that an upstream declined or that wasn't sent (no free connection, upstream no longer accepts requests), as far as the order of accounts goes. Now: a postponed request is assigned again at once, and departures are read between this and sending, as before. Its capacity is offered once it has taken what it needs. Where the work of a request is returned, it keeps its virtual work, its priority and the time since it waits. A declined upstream's capacity is offered to others, since the request can't use it. Ruled out: a retry after a failure keeps its arrival only; its work was done, and the test asserts that it waits as new. Evidence: the tests of waitingplaces.test.ts, without load; before: noisy3 and quiet1 were sent before noisy2, which was postponed; noisy1 behind quiet1 after its work was returned.

--- a/packages/accounts/src/accountshares.ts
+++ b/packages/accounts/src/accountshares.ts
@@ -187,11 +187,18 @@
         }
     }
 
-    /** Records that a request waits for capacity; `lacksCapacity`: because upstreams are full, not to keep a share. */
-    public enter({ service, account, work, priority }: ShareRequest, lacksCapacity: boolean): WaitTicket {
+    /**
+     * Records that a request waits for capacity; `lacksCapacity`: because upstreams are full, not to keep a share; `tag`:
+     * place of a request that was assigned before and was not sent.
+     */
+    public enter(
+        { service, account, work, priority }: ShareRequest,
+        lacksCapacity: boolean,
+        tag?: number,
+    ): WaitTicket {
         const shares = this.serviceOf(service);
         shares.recordWait();
-        const ticket = shares.clock.enter(account, work);
+        const ticket = shares.clock.enter(account, work, tag);
         const usage = this.usageOf(service, account);
         if (usage === undefined) {
             return ticket;
@@ -233,16 +240,20 @@
         shares.clock.serve(account, work, ticket);
     }
 
-    /** Takes back the work of a request that the upstream did not execute. */
-    public returned({ service, account, work }: ShareRequest): void {
+    /**
+     * Takes back the work of a request that the upstream did not execute. Returns the virtual work at which the account
+     * then continues, undefined if the account isn't configured.
+     */
+    public returned({ service, account, work }: ShareRequest): number | undefined {
         const shares = this.services.get(service);
         const usage = shares?.usage.get(account);
         if (shares === undefined || usage === undefined) {
-            return;
+            return undefined;
         }
         usage.addReturned(work);
         usage.bucket?.take(-work);
         shares.clock.advance(account, -work / this.weightOf(account));
+        return shares.clock.positionOf(account);
     }
 
     /** Records that a request was rejected because all upstreams were full. */
--- a/packages/accounts/src/virtualclocks.ts
+++ b/packages/accounts/src/virtualclocks.ts
@@ -25,6 +25,11 @@
         return this.waiting.size;
     }
 
+    /** Virtual work at which the account continues, apart from its waiting requests. */
+    public positionOf(account: string): number {
+        return Math.max(this.time, this.counters.get(account) ?? 0);
+    }
+
     /** Virtual work at which the next request of the account starts, behind those that are already waiting. */
     public nextTag(account: string): number {
         let waitingWork = 0;
@@ -34,8 +39,9 @@
         return this.positionOf(account) + waitingWork / this.weightOf(account);
     }
 
-    public enter(account: string, work: number): WaitTicket {
-        const ticket = { account, work, tag: this.nextTag(account) };
+    /** `tag`: of a request that returns to the queue; otherwise it is placed behind those of its account. */
+    public enter(account: string, work: number, tag = this.nextTag(account)): WaitTicket {
+        const ticket = { account, work, tag };
         this.waiting.add(ticket);
         return ticket;
     }
@@ -72,8 +78,4 @@
     public remove(account: string): void {
         this.counters.delete(account);
     }
-
-    private positionOf(account: string): number {
-        return Math.max(this.time, this.counters.get(account) ?? 0);
-    }
 }
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -38,7 +38,10 @@
     readonly sharedAdmission: Pick<SharedAdmission, "admitted" | "loadReported">;
     /** Returns why the request must not be sent any more; checked once a connection is available. */
     readonly denial: (request: InboundRequest) => Refusal | undefined;
-    /** Called once an attempt has ended, so that waiting requests can use its capacity. */
+    /**
+     * Called once an attempt has ended, so that waiting requests can use its capacity; not if it was postponed, since the
+     * request goes first.
+     */
     readonly onCapacityFreed: () => void;
 }
 
@@ -67,6 +70,7 @@
         let firstByteMs: number | undefined;
         let longestPauseMs = 0;
         let sentDelayMs = 0;
+        let isPostponed = false;
         const tracked = endpoint.track(
             request.priority,
             unsharedPromptTokens(request),
@@ -115,6 +119,7 @@
                     this.deps.metrics.histogram("first_byte", { route: request.route.name }).record(ageMs(request));
                 },
             });
+            isPostponed = outcome.kind === "postponed";
             if (firstByteMs === undefined && timedOutWithoutResponse(outcome)) {
                 // The connection may be dead, and so may the idle ones of the same pool.
                 endpoint.renewConnections();
@@ -149,7 +154,9 @@
             tracked.finish();
             prompt?.finish();
             meter.ended(key);
-            this.deps.onCapacityFreed();
+            if (!isPostponed) {
+                this.deps.onCapacityFreed();
+            }
         }
     }
 
--- a/packages/forwarding/src/fairshares.ts
+++ b/packages/forwarding/src/fairshares.ts
@@ -31,8 +31,18 @@
     readonly since: number;
 }
 
+/** Place of a request when it was last assigned to an upstream. */
+interface AssignedPlace {
+    tag: number;
+    /** Undefined if it did not wait. */
+    readonly waited: WaitingRequest | undefined;
+    /** Whether the upstream did not execute it, so that it keeps its place. */
+    isReturned: boolean;
+}
+
 export class FairShares implements WaitOrder<InboundRequest> {
     private readonly waiting = new Map<InboundRequest, WaitingRequest>();
+    private readonly assigned = new WeakMap<InboundRequest, AssignedPlace>();
     /** Requests that have been counted as demand. */
     private readonly counted = new WeakSet<InboundRequest>();
     private lessUrgentCount = 0;
@@ -78,7 +88,7 @@
             return false;
         }
         return this.withShares(request, (shares, { service, account, priority }) => {
-            const tag = shares.nextTag(service, account);
+            const tag = this.returnedPlace(request)?.tag ?? shares.nextTag(service, account);
             for (const [other, { ticket, priority: otherPriority }] of this.waiting) {
                 const competes = other.service === service && other.metadata.model === request.metadata.model
                     && ticket.account !== account;
@@ -115,8 +125,10 @@
         }
         this.withShares(request, (shares, facts) => {
             this.recordDemand(request, shares, facts);
-            const ticket = shares.enter(facts, !shares.isHeld(facts));
-            this.waiting.set(request, { ticket, priority: this.priorityOf(request), since: steadyNow() });
+            const place = this.returnedPlace(request);
+            const ticket = shares.enter(facts, !shares.isHeld(facts), place?.tag);
+            const { priority, since } = place?.waited ?? { priority: this.priorityOf(request), since: steadyNow() };
+            this.waiting.set(request, { ticket, priority, since });
         });
     }
 
@@ -133,7 +145,11 @@
     public served(request: InboundRequest): void {
         this.withShares(request, (shares, facts) => {
             this.recordDemand(request, shares, facts);
-            shares.served(facts, this.waiting.get(request)?.ticket);
+            const waited = this.waiting.get(request);
+            const tag = waited?.ticket.tag ?? this.returnedPlace(request)?.tag
+                ?? shares.nextTag(facts.service, facts.account);
+            this.assigned.set(request, { tag, waited, isReturned: false });
+            shares.served(facts, waited?.ticket);
             const { service, account, work } = facts;
             this.metrics.count("account_work_total", { service, account }, Math.round(work));
         });
@@ -141,7 +157,13 @@
 
     /** Takes back the work of a request that the upstream did not execute. */
     public returned(request: InboundRequest): void {
-        this.withShares(request, (shares, facts) => shares.returned(facts));
+        const position = this.withShares(request, (shares, facts) => shares.returned(facts));
+        const place = this.assigned.get(request);
+        if (place !== undefined && position !== undefined) {
+            // The position is lower if a new period of contention has begun since.
+            place.tag = Math.min(place.tag, position);
+            place.isReturned = true;
+        }
     }
 
     /** Records that a request is rejected while all upstreams are full; returns the response if it is due to its share. */
@@ -161,6 +183,12 @@
         });
     }
 
+    /** Place of a request that was assigned to an upstream, which did not execute it. */
+    private returnedPlace(request: InboundRequest): AssignedPlace | undefined {
+        const place = this.assigned.get(request);
+        return place?.isReturned ? place : undefined;
+    }
+
     /**
      * Counts a request as demand once it waits for capacity, is sent, or is rejected for lack of capacity. Those that are rejected because their
      * model isn't loaded, for example, don't compete for capacity.
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -154,30 +154,32 @@
         this.retryPolicy.recordRequest(request);
         this.deps.meter.arrived(itemKeyOf(request), promptEquivalentTokens(request));
         this.sharedAdmission.arrived(request);
+        let isPostponed = false;
         for (let attemptIndex = 0;; attemptIndex++) {
-            if (attemptIndex > 0) {
+            if (attemptIndex > 0 && !isPostponed) {
                 await eventLoop.departuresRead();
             }
-            const assignment = await this.assign(request);
-            if (eventLoop.isBehind) {
+            const assigning = this.assign(request);
+            if (isPostponed && this.assigner.isWaiting(request)) {
+                this.assigner.retryAll();
+            }
+            const assignment = await assigning;
+            if (isPostponed || eventLoop.isBehind) {
                 await eventLoop.departuresRead();
             }
-            if (request.abortSignal.aborted) {
-                if (assignment.kind === "upstream") {
-                    this.fairShares.returned(request);
-                }
-                this.quarantine.endTrial(request);
-                this.responder.recordClientGone(request, attemptIndex === 0 ? "queue" : "between-attempts");
-                this.refundIfNotRun(request);
-                return;
+            const sending = request.abortSignal.aborted || assignment.kind === "refused"
+                ? undefined
+                : this.attemptSender.send(request, assignment, res, attemptIndex);
+            if (isPostponed) {
+                // Its capacity is offered to others once the request has taken what it needs.
+                this.assigner.retryAll();
             }
-            if (assignment.kind === "refused") {
-                this.quarantine.endTrial(request);
-                this.refuse(request, res, assignment);
-                this.refundIfNotRun(request);
+            if (sending === undefined || assignment.kind === "refused") {
+                this.endWithoutAttempt(request, res, assignment, attemptIndex);
                 return;
             }
-            const outcome = await this.attemptSender.send(request, assignment, res, attemptIndex);
+            const outcome = await sending;
+            isPostponed = outcome.kind === "postponed";
             if (this.handleOutcome(request, assignment.endpoint, outcome, res) === "done") {
                 this.refundIfNotRun(request);
                 return;
@@ -185,6 +187,25 @@
         }
     }
 
+    private endWithoutAttempt(
+        request: InboundRequest,
+        res: ServerResponse,
+        assignment: Assignment,
+        attemptIndex: number,
+    ): void {
+        if (request.abortSignal.aborted && assignment.kind === "upstream") {
+            this.fairShares.returned(request);
+        }
+        this.quarantine.endTrial(request);
+        if (request.abortSignal.aborted) {
+            this.responder.recordClientGone(request, attemptIndex === 0 ? "queue" : "between-attempts");
+        }
+        else if (assignment.kind === "refused") {
+            this.refuse(request, res, assignment);
+        }
+        this.refundIfNotRun(request);
+    }
+
     /** Selects an upstream, unless the request must wait for a decision about crashes under it and is refused then. */
     private async assign(request: InboundRequest): Promise<Assignment> {
         const refusal = this.quarantine.needsAdmission(request) ? await this.quarantine.admit(request) : undefined;
--- a/packages/forwarding/src/upstreamassigners.ts
+++ b/packages/forwarding/src/upstreamassigners.ts
@@ -60,6 +60,10 @@
         return this.waitQueue.size;
     }
 
+    public isWaiting(request: InboundRequest): boolean {
+        return this.waitQueue.has(request);
+    }
+
     /** Lets waiting requests try again. */
     public retryAll(): void {
         this.waitQueue.retryAll();
--- a/packages/forwarding/src/waitqueues.ts
+++ b/packages/forwarding/src/waitqueues.ts
@@ -51,6 +51,10 @@
         return this.waiters.length;
     }
 
+    public has(request: R): boolean {
+        return this.waiters.some(waiter => waiter.request === request);
+    }
+
     /** Records the arrival of a request that may wait later, unless it is recorded already; returns its number. */
     public arrived(request: R): number {
         let arrival = this.arrivals.get(request);
