The request of an unsent attempt still waits if the process is suspended

What was seen: "is returned if the client left before the connection was available" failed in 1 of 42 copies beside 20 busy processes: res.writeHead is not a function. Cause, of the test: its request waits for an upstream for a fifth of the objective of 1 s. A process that is suspended for longer refuses it, rightly, and the test's response has no methods. The objective is 10 s now; what is expected of the work is unchanged.

--- a/packages/forwarding/src/tests/fairshares.test.ts
+++ b/packages/forwarding/src/tests/fairshares.test.ts
@@ -167,7 +167,9 @@
     async function chargedWork(unsent: AttemptOutcome, leavesEarly: boolean): Promise<number | undefined> {
         const outcomes: AttemptOutcome[] = leavesEarly ? [] : [unsent];
         const shares = new AccountShares(() => undefined);
-        const configuration = { ...TestEntry.configuration([testRoute({ timeoutMs: 20_000 })]), accounts };
+        // With this objective the first request still waits if the process is suspended before the upstream appears.
+        const route = testRoute({ objectiveMs: 10_000, timeoutMs: 20_000 });
+        const configuration = { ...TestEntry.configuration([route]), accounts };
         const entry = new TestEntry(configuration, 10, undefined, {
             accountShares: shares,
             isCapacityContended: true,
@@ -179,7 +181,7 @@
         const grant = { account: "noisy", digest: keyDigest("noisy"), priority: undefined };
         const client = new AbortController();
         const res = {} as ServerResponse;
-        const request = testRequest(testRoute({ timeoutMs: 20_000 }), 0);
+        const request = testRequest(route, 0);
         const plain = { ...request, metadata: { ...request.metadata, model: "" }, grant };
         const first = { ...plain, attemptedUpstreams: [], abortSignal: client.signal };
         const served = entry.forwarder.serve(first, res);
