--- a/packages/forwarding/src/upstreamassigners.ts
+++ b/packages/forwarding/src/upstreamassigners.ts
@@ -60,6 +60,10 @@
         return this.waitQueue.size;
     }
 
+    public isWaiting(request: InboundRequest): boolean {
+        return this.waitQueue.has(request);
+    }
+
     /** Lets waiting requests try again. */
     public retryAll(): void {
         this.waitQueue.retryAll();
@@ -68,6 +72,7 @@
     /** Selects an upstream, waiting for one as long as that is useful. */
     public async assign(request: InboundRequest): Promise<Assignment> {
         const key = itemKeyOf(request);
+        this.waitQueue.arrived(request);
         let waitReported = false;
         let waitedLong = false;
         let endWait: (() => void) | undefined;
