Upstreams carry their software version, and a changed one makes another incarnation

Cause: the software version that a worker announces was dropped at decoding, so nothing could tell versions apart, and a worker that came back under its id with another version was taken for the same run where its start time is unknown. Ended runs are remembered by version where start times don't order them.

--- a/packages/fleet/src/announcementbatchers.ts
+++ b/packages/fleet/src/announcementbatchers.ts
@@ -5,6 +5,7 @@
  */
 import { type EventLog, messageOf, sleep, steadyNow } from "@winchpath/core";
 import { type Announcement, type HeldModel } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type NamedStart } from "./incarnations.js";
 
 /** Interval at which unchanged announcements are sent to the leader as a batch, in milliseconds. */
 export const batchIntervalMs = 250;
@@ -27,7 +28,7 @@
     readonly sequence: bigint;
 }
 
-interface ForwardedAnnouncement {
+interface ForwardedAnnouncement extends NamedStart {
     readonly leaderUrl: string;
     readonly content: string;
     sequence: bigint;
@@ -44,7 +45,7 @@
 
     /** Resolves once the leader knows the content; unchanged announcements are only queued for the next batch. */
     public async announce(announcement: Announcement): Promise<void> {
-        const { id } = announcement.upstream!;
+        const { id, name, born } = announcement.upstream!;
         const content = serializeContent(announcement);
         const { leaderUrl } = this.leader;
         const known = this.forwarded.get(id);
@@ -58,13 +59,17 @@
         }
         await this.leader.announce(announcement);
         this.lastContactAt = steadyNow();
-        this.forwarded.set(id, { leaderUrl, content, sequence: announcement.sequence });
+        this.forwarded.set(id, { name, born, leaderUrl, content, sequence: announcement.sequence });
     }
 
-    /** Drops an upstream that has left, or whose next announcement must be forwarded in full. */
-    public forget(id: string): void {
-        this.forwarded.delete(id);
-        this.pending.delete(id);
+    /** Drops an upstream that has left: all runs of its name up to `born`, or all if that is unknown (0). */
+    public forget({ name, born }: NamedStart): void {
+        for (const [id, run] of this.forwarded) {
+            if (run.name === name && (born === 0n || run.born <= born)) {
+                this.forwarded.delete(id);
+                this.pending.delete(id);
+            }
+        }
     }
 
     /** Sends batches until the signal is aborted. */
@@ -99,9 +104,10 @@
 /** Serializes an announcement for comparison, without its sequence number and with durations reduced to flags. */
 function serializeContent(announcement: Announcement): string {
     const { upstream, inMemory, onDisk, remainingMs } = announcement;
-    const { service, address, dataCentre, slots, state, models, coldMs } = upstream!;
+    const { service, softwareVersion, address, dataCentre, slots, state, models, coldMs } = upstream!;
     return JSON.stringify([
         service,
+        softwareVersion,
         address,
         dataCentre,
         slots,
--- a/packages/fleet/src/announcements.ts
+++ b/packages/fleet/src/announcements.ts
@@ -4,7 +4,7 @@
 import { AnnouncementBatcher, type AnnouncementLeader, type UpstreamHeartbeat } from "./announcementbatchers.js";
 import { type Feed } from "./feeds.js";
 import { type Announcement, FleetService, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
-import { type Incarnation, incarnationId } from "./incarnations.js";
+import { type NamedStart } from "./incarnations.js";
 import { type Registry } from "./registries.js";
 
 /** Maximum time to wait for entries to confirm a departure; callers time out after one second. */
@@ -47,7 +47,7 @@
         return unknown;
     }
 
-    public async leave(incarnation: Incarnation): Promise<void> {
+    public async leave(incarnation: NamedStart): Promise<void> {
         await this.leader().leave(incarnation, { timeoutMs: relayTimeoutMs });
     }
 
@@ -106,8 +106,8 @@
         return upstreams.filter(({ id, sequence }) => !this.registry.reaffirm(id, sequence)).map(({ id }) => id);
     }
 
-    public async leave(incarnation: Incarnation): Promise<void> {
-        this.batcher.forget(incarnationId(incarnation));
+    public async leave(incarnation: NamedStart): Promise<void> {
+        this.batcher.forget(incarnation);
         if (this.control.isLeader) {
             return this.leaveLocally(incarnation);
         }
@@ -123,7 +123,7 @@
         }
     }
 
-    public async leaveLocally({ name, born }: Incarnation): Promise<void> {
+    public async leaveLocally({ name, born }: NamedStart): Promise<void> {
         await this.confirmDeparture(this.registry.leave(name, born));
     }
 
--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -172,6 +172,7 @@
             this.log.info("upstream.known", {
                 upstream: upstream.id,
                 service: upstream.service,
+                softwareVersion: upstream.softwareVersion,
                 state: upstream.state === UpstreamState.DRAINING ? "draining" : "ready",
                 epoch,
             });
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -182,7 +182,8 @@
      */
     public leave(name: string, born = 0n): number {
         const known = this.getByName(name);
-        const departed = born === 0n && known !== undefined ? known : { name, born };
+        const isCurrent = known !== undefined && (born === 0n || born === known.born);
+        const departed = isCurrent ? known : { name, born };
         this.endedIncarnations.markEnded(departed);
         if (known === undefined || supersedes(known, departed)) {
             return this.lastPosition;
@@ -408,7 +409,12 @@
     private removePreviousIncarnation(upstream: Upstream): void {
         const known = this.getByName(upstream.name);
         if (known !== undefined && known.id !== upstream.id) {
-            this.endedIncarnations.markEnded(known);
+            if (known.born === upstream.born) {
+                this.endedIncarnations.markReplaced(known, upstream);
+            }
+            else {
+                this.endedIncarnations.markEnded(known);
+            }
             this.markReplaced(known);
             this.remove(known.id, "replaced by a restart");
         }
@@ -485,6 +491,7 @@
         service: upstream.service,
         address: upstream.address,
         dataCentre: upstream.dataCentre,
+        softwareVersion: upstream.softwareVersion,
         state: upstream.state === UpstreamState.DRAINING ? "draining" : "ready",
         models: upstream.models.map(model => model.name),
     };
--- a/packages/fleet/src/tests/incarnations.test.ts
+++ b/packages/fleet/src/tests/incarnations.test.ts
@@ -16,7 +16,7 @@
 import { createAnnouncement } from "./fixtures.js";
 
 function announcementOfRun(name: string, born: number, sequence: number, values: Partial<Upstream> = {}): Announcement {
-    const id = incarnationId({ name, born: BigInt(born) });
+    const id = incarnationId({ name, born: BigInt(born), softwareVersion: values.softwareVersion ?? "" });
     return createAnnouncement(id, sequence, {
         name,
         born: BigInt(born),
@@ -111,6 +111,50 @@
     });
 });
 
+describe("an upstream that returns with another software version", () => {
+    it("is another incarnation under the same name, whether its start time is known or not", () => {
+        for (const born of [0, 100]) {
+            const registry = new Registry(silentLog);
+            registry.announce(announcementOfRun("u", born, 1, { softwareVersion: "v1" }));
+            const [before] = idsOf(registry);
+            const { position } = registry;
+            registry.announce(announcementOfRun("u", born, 1, { softwareVersion: "v2" }));
+            const [{ upstream }] = registry.all();
+            expect([upstream.name, upstream.softwareVersion, registry.all().length]).toEqual(["u", "v2", 1]);
+            expect(registry.changesSince(position).removed).toEqual([before]);
+        }
+    });
+
+    it("may return to its earlier version, but not by a late announcement", () => {
+        const registry = new Registry(silentLog);
+        registry.announce(announcementOfRun("u", 0, 1, { softwareVersion: "v1" }));
+        registry.announce(announcementOfRun("u", 0, 1, { softwareVersion: "v2" }));
+        registry.announce(announcementOfRun("u", 0, 70, { softwareVersion: "v1" }));
+        expect(idsOf(registry)).toEqual(["u#v2"]);
+        registry.announce(announcementOfRun("u", 0, 0, { softwareVersion: "v1" }));
+        expect(idsOf(registry)).toEqual(["u#v1"]);
+    });
+
+    it("leaves as the version that it has", () => {
+        const registry = new Registry(silentLog);
+        registry.announce(announcementOfRun("u", 0, 1, { softwareVersion: "v1" }));
+        registry.leave("u");
+        registry.announce(announcementOfRun("u", 0, 1, { softwareVersion: "v1" }));
+        expect(idsOf(registry)).toEqual([]);
+        registry.announce(announcementOfRun("u", 0, 1, { softwareVersion: "v2" }));
+        expect(idsOf(registry)).toEqual(["u#v2"]);
+    });
+
+    it("replaces the earlier one at an entry", () => {
+        const view = new FleetView(() => ({}), silentLog);
+        const take = (changed: Upstream) =>
+            view.apply(create(PollResponseSchema, { epoch: "1", changed: [encodeUpstream(changed)] }));
+        take(announcementOfRun("u", 0, 1, { softwareVersion: "v1" }).upstream!);
+        take(announcementOfRun("u", 0, 1, { softwareVersion: "v2" }).upstream!);
+        expect(view.upstreams().map(({ name, softwareVersion }) => [name, softwareVersion])).toEqual([["u", "v2"]]);
+    });
+});
+
 describe("announcements and departures that are reordered, lost, duplicated or late", () => {
     const names = ["a", "b"];
     const message = record({
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -38,8 +38,8 @@
     type FeedControl,
     type Fence,
     FleetService,
-    type Incarnation,
     maxQuorumAgeMs,
+    type NamedStart,
     OrderLease,
     OutlierMonitor,
     type PlacementContext,
@@ -220,7 +220,7 @@
         return this.announcementReceiver.receive(announcement);
     }
 
-    public leave(incarnation: Incarnation): Promise<void> {
+    public leave(incarnation: NamedStart): Promise<void> {
         return this.announcementReceiver.leave(incarnation);
     }
 
--- a/packages/winchpathd/src/platformrelays.ts
+++ b/packages/winchpathd/src/platformrelays.ts
@@ -1,7 +1,7 @@
 /** Control component of a platform host without a disk: redirects clients to the leader. */
 import { ConsensusService, PeerDiscovery } from "@winchpath/consensus";
 import { type EventLog, listenBacklog } from "@winchpath/core";
-import { AnnouncementBatcher, AnnouncementRelay, FleetService, incarnationId } from "@winchpath/fleet";
+import { AnnouncementBatcher, AnnouncementRelay, FleetService } from "@winchpath/fleet";
 import { createRelayServer } from "@winchpath/platform";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
@@ -38,7 +38,7 @@
             {
                 announce: announcement => this.announcementBatcher.announce(announcement),
                 leave: incarnation => {
-                    this.announcementBatcher.forget(incarnationId(incarnation));
+                    this.announcementBatcher.forget(incarnation);
                     return announcements.leave(incarnation);
                 },
                 announcementHost: () => leaderInfo.leaderUrl === "" ? undefined : control!.host,
