The software versions of each service are replicated, and new ones held back until entries know them

Cause: entries couldn't tell soundly whether one software version serves a service, so nothing told them when streams must be recorded. Change: a replicated slice software-versions holds the versions of each service. The feed carries the set and its position; FleetView.softwareVersions and softwareVersionsConfirmedAgeMs expose them. A leader that hasn't applied its log says that it doesn't know the set.

--- a/packages/fleet/src/encodings.ts
+++ b/packages/fleet/src/encodings.ts
@@ -7,6 +7,9 @@
     type Upstream,
     UpstreamSchema,
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { type SoftwareVersionState } from "./softwareversions.js";
+
+export type SoftwareVersionSource = Pick<SoftwareVersionState, "position" | "services" | "versionsOf">;
 
 const encodedUpstreams = new WeakMap<Upstream, Uint8Array>();
 
@@ -52,6 +55,20 @@
     };
 }
 
+/** Encodes the committed software versions for an entry that holds those of `position`; undefined if they are unknown. */
+export function encodeSoftwareVersions(state: SoftwareVersionSource | undefined, position: bigint | undefined) {
+    const isListed = state !== undefined && BigInt(state.position) !== position;
+    return {
+        softwareVersionsKnown: state !== undefined,
+        softwareVersionPosition: BigInt(state?.position ?? 0),
+        softwareVersionsListed: isListed,
+        softwareVersions: !isListed ? [] : state.services().map(service => ({
+            service,
+            versions: state.versionsOf(service).map(({ version }) => version),
+        })),
+    };
+}
+
 const encodedDecisions: Readonly<Record<TrialDecision, EncodedDecision>> = {
     granted: EncodedDecision.GRANTED,
     wait: EncodedDecision.WAIT,
--- a/packages/fleet/src/feedfollowers.ts
+++ b/packages/fleet/src/feedfollowers.ts
@@ -192,6 +192,7 @@
             position: isResuming ? this.position : 0n,
             documentVersion: BigInt(this.view.version),
             quarantinePosition: isResuming ? BigInt(this.view.quarantine.position) : 0n,
+            softwareVersionPosition: isResuming ? this.view.softwareVersionPositionIn(this.epoch) : undefined,
             waitMs: pollWaitMs,
             capacity: this.options.capacity?.(),
         };
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -4,7 +4,7 @@
 import { type ConfigurationState } from "@winchpath/declarations";
 import { type QuarantineState } from "@winchpath/quarantine";
 import { AdmissionCoordinator } from "./admissioncoordinators.js";
-import { encodeQuarantine, encodeUpstream } from "./encodings.js";
+import { encodeQuarantine, encodeSoftwareVersions, encodeUpstream, type SoftwareVersionSource } from "./encodings.js";
 import { batchMs, minResponseIntervalMs } from "./feedintervals.js";
 import {
     type ConfirmRequest,
@@ -43,6 +43,8 @@
     readonly documents: Pick<ConfigurationState, "current" | "ageMs">;
     /** Requests that have crashed upstreams. */
     readonly quarantine: Pick<QuarantineState, "key" | "position" | "changesSince">;
+    /** Software versions of the upstreams; undefined unless this replica has applied all that were committed. */
+    readonly softwareVersions: SoftwareVersionSource | undefined;
     /** Models that requests at an entry are waiting for, by {@link modelMapKey}. */
     awaitedModels(entry: string): ReadonlySet<string>;
     /** Resolves once all previously accepted commands are applied on this replica. */
@@ -225,7 +227,7 @@
     /** Whether delaying the changes would misroute requests or keep them waiting. */
     private isUrgent(req: PollRequest): boolean {
         const position = Number(req.position);
-        if (this.registry.urgentPosition > position || this.hasNewerDocument(req) || this.hasNewerQuarantine(req)) {
+        if (this.registry.urgentPosition > position || this.hasNewerState(req)) {
             return true;
         }
         const awaited = this.control.awaitedModels(req.entry);
@@ -236,8 +238,20 @@
     }
 
     private hasUpdates(req: PollRequest): boolean {
-        return this.registry.position > Number(req.position) || this.hasNewerDocument(req)
-            || this.hasNewerQuarantine(req);
+        return this.registry.position > Number(req.position) || this.hasNewerState(req);
+    }
+
+    /** Whether there are changes of the replicated state, which are always urgent. */
+    private hasNewerState(req: PollRequest): boolean {
+        return this.hasNewerDocument(req) || this.hasNewerQuarantine(req) || this.hasNewerVersions(req);
+    }
+
+    /** Upstreams with a further version are held back only until entries should know of it. */
+    private hasNewerVersions(req: PollRequest): boolean {
+        const position = this.control.softwareVersions?.position;
+        // An entry that names no position may be of a version that doesn't read them; it waits for other changes.
+        return position !== undefined && req.softwareVersionPosition !== undefined
+            && position !== Number(req.softwareVersionPosition);
     }
 
     /** Always urgent: each request that passes in the meantime may crash another upstream. */
@@ -282,6 +296,10 @@
             fingerprintKey: control.quarantine.key,
             host: this.hostCapacities.grantFor(req.entry, control),
             admission: this.admission.levels(epoch),
+            ...encodeSoftwareVersions(
+                control.softwareVersions,
+                isNewEpoch ? undefined : req.softwareVersionPosition,
+            ),
             ...encodeQuarantine(control.quarantine.changesSince(isNewEpoch ? 0 : Number(req.quarantinePosition))),
         });
     }
--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -12,6 +12,7 @@
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { HostGrants } from "./hostgrants.js";
 import { supersedes } from "./incarnations.js";
+import { ReceivedSoftwareVersions } from "./receivedversions.js";
 
 /** Bound on the quarantined requests in one log line. */
 const maxLoggedRequests = 16;
@@ -34,6 +35,7 @@
     private current: { readonly version: number; readonly configuration: C; } | undefined;
     private liveEntries = 1;
     private lastResponseAt = Number.NEGATIVE_INFINITY;
+    private readonly receivedVersions = new ReceivedSoftwareVersions();
     private confirmedUntil = Number.NEGATIVE_INFINITY;
 
     /** `availability`: draining state and rate limits that upstreams have reported to this process or the leader. */
@@ -97,6 +99,25 @@
         return steadyNow() - this.confirmedUntil;
     }
 
+    /**
+     * Committed software versions of a service's upstreams; empty if unknown. Complete as of
+     * {@link softwareVersionsConfirmedAgeMs} ago. Upstreams with a further version are distributed only `versionHoldMs`
+     * after it is committed.
+     */
+    public softwareVersions(service: string): readonly string[] {
+        return this.receivedVersions.of(service);
+    }
+
+    /** Position of the software versions that were received in a leadership; undefined if none were. */
+    public softwareVersionPositionIn(epoch: string): bigint | undefined {
+        return this.receivedVersions.positionIn(epoch);
+    }
+
+    /** Age in milliseconds for which {@link softwareVersions} is known to be complete; infinite if it never was. */
+    public get softwareVersionsConfirmedAgeMs(): number {
+        return steadyNow() - this.receivedVersions.confirmedAt;
+    }
+
     /** Applies a response of the leader; `sentAt`: monotonic time at which the request was sent. */
     public apply(res: PollResponse, sentAt = Number.NEGATIVE_INFINITY): void {
         this.lastResponseAt = steadyNow();
@@ -105,6 +126,8 @@
         this.admission.apply(res, this.lastResponseAt);
         this.quarantine.setKey(res.fingerprintKey);
         this.applyQuarantine(decodeQuarantine(res));
+        // Before upstreams, so that one is never known without its version.
+        this.receivedVersions.apply(res, sentAt + res.waitedMs - res.quorumAgeMs);
         // Kept across leaders: the next one may accept a delayed announcement of such an upstream.
         res.left.forEach(id => this.availability.markDraining(id));
         res.removed.forEach(id => this.removeReported(id, res.epoch));
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -48,5 +48,7 @@
 export * from "./planstates.js";
 export * from "./rateencodings.js";
 export * from "./registries.js";
+export * from "./softwareversions.js";
 export * from "./storeloadlimiters.js";
+export * from "./versionadmissions.js";
 export * from "./workencodings.js";
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -14,6 +14,8 @@
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { EndedIncarnations, type Incarnation, supersedes } from "./incarnations.js";
 import { PendingAnnouncements } from "./pendingannouncements.js";
+import { type VersionKey } from "./softwareversions.js";
+import { reducesTraffic, upstreamLogFields } from "./upstreamchanges.js";
 
 /**
  * An upstream is removed after this long without an announcement, ten default intervals. Entries detect failures
@@ -74,6 +76,10 @@
 export class Registry {
     /** Notified after each change. */
     public readonly changed = new Notifier();
+    /** Notified when an upstream is held back. */
+    public readonly heldBackChanged = new Notifier();
+    /** Ids of upstreams that aren't distributed to entries yet. */
+    private readonly heldBackIds = new Set<string>();
     private readonly upstreams = new Map<string, UpstreamRecord>();
     /** Ids of the current incarnations by name and by address. */
     private readonly idOfName = new Map<string, string>();
@@ -92,8 +98,15 @@
     private lastPosition = 0;
     private lastUrgentPosition = 0;
 
-    /** `isKnownService`: whether the configuration declares a service. */
-    public constructor(private readonly log: EventLog, private readonly isKnownService = (_service: string) => true) {
+    /**
+     * `isKnownService`: whether the configuration declares a service. `isAdmitted`: whether upstreams with a software
+     * version may be distributed to entries.
+     */
+    public constructor(
+        private readonly log: EventLog,
+        private readonly isKnownService = (_service: string) => true,
+        private readonly isAdmitted = (_version: VersionKey) => true,
+    ) {
         this.pending = new PendingAnnouncements(log);
     }
 
@@ -120,6 +133,22 @@
         return [...this.upstreams.values()];
     }
 
+    /** Upstreams that aren't distributed to entries yet because of their software versions. */
+    public heldBack(): Upstream[] {
+        return [...this.heldBackIds].map(id => this.upstreams.get(id)!.upstream);
+    }
+
+    /** Distributes held-back upstreams whose software versions have been admitted. */
+    public releaseAdmitted(): void {
+        for (const { id, service, softwareVersion: version } of this.heldBack()) {
+            if (this.isAdmitted({ service, version })) {
+                this.heldBackIds.delete(id);
+                this.log.info("upstream.released", { upstream: id, service, softwareVersion: version });
+                this.recordChange(this.upstreams.get(id)!);
+            }
+        }
+    }
+
     /** Applies an announcement. Returns the position that entries must reach to have seen it. */
     public announce(announcement: Announcement): number {
         const upstream = announcement.upstream!;
@@ -281,7 +310,7 @@
         const departed = removed.filter(id => this.drainingIds.has(id));
         return {
             position: this.lastPosition,
-            changed: changed.map(record => record.upstream),
+            changed: changed.map(record => record.upstream).filter(({ id }) => !this.heldBackIds.has(id)),
             removed,
             departed,
             isSnapshot,
@@ -291,6 +320,7 @@
     /** Clears the registry at the start of a leadership, since its content may be stale. */
     public clear(): void {
         this.upstreams.clear();
+        this.heldBackIds.clear();
         this.idOfName.clear();
         this.idAtAddress.clear();
         this.endedIncarnations.clear();
@@ -345,16 +375,25 @@
         }
         if (isNew) {
             this.log.info("upstream.learnt", {
-                ...logFields(next),
+                ...upstreamLogFields(next),
                 inMemory: [...record.inMemory],
                 onDisk: [...record.onDisk],
             });
+            this.holdBackIfNew(next);
             this.update(record, next);
             return;
         }
         this.updateIfChanged(record, next);
     }
 
+    private holdBackIfNew({ id, service, softwareVersion: version }: Upstream): void {
+        if (!this.isAdmitted({ service, version })) {
+            this.heldBackIds.add(id);
+            this.log.info("upstream.held-back", { upstream: id, service, softwareVersion: version });
+            this.heldBackChanged.notify();
+        }
+    }
+
     private amend(id: string, change: (next: Upstream) => void): void {
         const record = this.upstreams.get(id);
         if (record !== undefined) {
@@ -369,7 +408,7 @@
             return;
         }
         if (record.upstream.state !== next.state) {
-            this.log.info("upstream.state", logFields(next));
+            this.log.info("upstream.state", upstreamLogFields(next));
         }
         this.update(record, next);
     }
@@ -377,12 +416,16 @@
     private update(record: UpstreamRecord, next: Upstream): void {
         const isUrgent = reducesTraffic(record.upstream, next);
         record.upstream = next;
-        this.lastPosition += 1;
-        record.position = this.lastPosition;
-        this.changes.add(next.id, this.lastPosition);
+        this.recordChange(record);
         if (isUrgent) {
             this.lastUrgentPosition = this.lastPosition;
         }
+    }
+
+    private recordChange(record: UpstreamRecord): void {
+        this.lastPosition += 1;
+        record.position = this.lastPosition;
+        this.changes.add(record.upstream.id, this.lastPosition);
         this.changed.notify();
     }
 
@@ -446,6 +489,7 @@
         const record = this.upstreams.get(id);
         if (record !== undefined) {
             this.upstreams.delete(id);
+            this.heldBackIds.delete(id);
             deleteIfOwned(this.idOfName, record.upstream.name, id);
             deleteIfOwned(this.idAtAddress, record.upstream.address, id);
             this.log.info("upstream.gone", { upstream: id, reason });
@@ -475,28 +519,6 @@
     }
 }
 
-/** Whether a change means that an upstream, or one of its models, must get fewer requests. */
-function reducesTraffic(before: Upstream, now: Upstream): boolean {
-    if (now.failingPercent > before.failingPercent || (now.limited && !before.limited)) {
-        return true;
-    }
-    const drains = before.state !== now.state && now.state === UpstreamState.DRAINING;
-    const wasUnloading = (name: string) => before.models.some(model => model.name === name && model.leaving);
-    return drains || now.models.some(model => model.leaving && !wasUnloading(model.name));
-}
-
-function logFields(upstream: Upstream) {
-    return {
-        upstream: upstream.id,
-        service: upstream.service,
-        address: upstream.address,
-        dataCentre: upstream.dataCentre,
-        softwareVersion: upstream.softwareVersion,
-        state: upstream.state === UpstreamState.DRAINING ? "draining" : "ready",
-        models: upstream.models.map(model => model.name),
-    };
-}
-
 /** Creates a model without adapters that is ready in `readyInMs`. */
 export function createHeldModel(name: string, readyInMs: number): HeldModel {
     return create(HeldModelSchema, { name, readyInMs: Math.round(readyInMs) });
--- a/packages/fleet/src/tests/feeds.test.ts
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -4,7 +4,15 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { PollRequestSchema, type PollResponse } from "../gen/winchpath/fleet/v1/fleet_pb.js";
-import { decodeUpstream, Feed, type FeedControl, FleetView, Registry, UpstreamState } from "../index.js";
+import {
+    decodeUpstream,
+    Feed,
+    type FeedControl,
+    FleetView,
+    Registry,
+    SoftwareVersionState,
+    UpstreamState,
+} from "../index.js";
 import { createAnnouncement } from "./fixtures.js";
 
 class TestControl implements FeedControl {
@@ -15,6 +23,7 @@
     public controlUrls = ["http://a"];
     public documents: FeedControl["documents"] = { current: undefined, ageMs: 0 };
     public readonly quarantine = new QuarantineState();
+    public softwareVersions: SoftwareVersionState | undefined = new SoftwareVersionState();
     public barriers = 0;
     public readonly awaitedNames = new Set<string>();
 
--- a/packages/fleet/src/tests/largefleets.test.ts
+++ b/packages/fleet/src/tests/largefleets.test.ts
@@ -17,6 +17,7 @@
     type ItemNeed,
     planOrders,
     Registry,
+    SoftwareVersionState,
     UpstreamState,
 } from "../index.js";
 import { createAnnouncement, createEngine, createNeed, spec } from "./fixtures.js";
@@ -35,6 +36,7 @@
     public readonly controlUrls = [];
     public readonly documents = { current: undefined, ageMs: 0 };
     public readonly quarantine = new QuarantineState();
+    public readonly softwareVersions = new SoftwareVersionState();
     public readonly awaited = new Map<string, ReadonlySet<string>>();
 
     public awaitedModels(entry: string): ReadonlySet<string> {
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -16,6 +16,7 @@
     PlacementController,
     type PollRequest,
     Registry,
+    SoftwareVersionState,
     type Upstream,
 } from "@winchpath/fleet";
 import { QuarantineState } from "@winchpath/quarantine";
@@ -45,6 +46,7 @@
     public readonly registry = new Registry(silentLog);
     public readonly documents: FeedControl["documents"];
     public readonly quarantine = new QuarantineState();
+    public readonly softwareVersions = new SoftwareVersionState();
     private readonly feed: Feed;
     private readonly demand = new DemandTracker(silentLog);
     private readonly healthWatch = new OutlierMonitor(this.registry);
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -6,10 +6,8 @@
     ConsensusService,
     consensusService,
     encodeCommand,
-    FileLogStore,
     type Replica,
-    ReplicaSupervisor,
-    RpcPeerConnector,
+    type ReplicaSupervisor,
 } from "@winchpath/consensus";
 import {
     type EventLog,
@@ -45,6 +43,10 @@
     type PlacementContext,
     PlacementController,
     Registry,
+    type SoftwareVersionCommand,
+    SoftwareVersionState,
+    VersionAdmission,
+    type VersionKey,
 } from "@winchpath/fleet";
 import {
     type ControlHandler,
@@ -57,15 +59,9 @@
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
 import { LeaderCrashDecisions } from "./crashdecisions.js";
+import { createPlatformReplica } from "./platformreplicas.js";
 import { type ReloadableSettings } from "./platformsettings.js";
 
-/** Three heartbeats fit into one election timeout; shorter intervals cost CPU time on every control host. */
-const heartbeatMs = 300;
-/** Followers start an election after this long without a heartbeat, plus a random part of up to 20 percent. */
-const electionMs = 1000;
-/** Snapshots are frequent because configuration documents, and so log entries, may be large. */
-const snapshotEvery = 64;
-const trailing = 16;
 /** Orders may be sent within this time of the last quorum contact: no other leader can have been elected yet. */
 const maxOrderQuorumAgeMs = 700;
 /** Shorter than the one second after which operators' clients try another host. */
@@ -87,6 +83,7 @@
     private readonly clients: RpcClients;
     public documents = new ConfigurationState();
     private quarantineState = new QuarantineState();
+    private softwareVersionState = new SoftwareVersionState();
     private readonly registry: Registry;
     private readonly feed: Feed;
     private readonly announcementReceiver: AnnouncementReceiver;
@@ -106,6 +103,7 @@
             readonly placement: PlacementController;
             readonly outlierMonitor: OutlierMonitor;
             readonly crashes: CrashDecisions;
+            readonly versions: VersionAdmission;
         }
         | undefined;
     private parsedConfig: { readonly version: number; readonly configuration: Configuration | undefined; } | undefined;
@@ -121,7 +119,7 @@
         const { host, dataCentre, controlAddress: control } = settings.current;
         this.timeline = new Timeline({ process: `control/${host}`, host, dataCentre }, timelineCapacity, log);
         this.clients = new RpcClients({ key: undefined, timeline: this.timeline });
-        this.registry = new Registry(log, service => this.isKnownService(service));
+        this.registry = new Registry(log, service => this.isKnownService(service), version => this.isAdmitted(version));
         this.orderLease = new OrderLease(() => settings.current.orderLeaseMs, log);
         this.demand = new DemandTracker(log);
         this.accountLimits = new AccountLimitCoordinator(settings.current.limitTolerance, log);
@@ -180,26 +178,16 @@
     }
 
     private createKeeper(): ReplicaSupervisor {
-        const { current: cfg } = this.settings;
-        return new ReplicaSupervisor({
-            identity: { host: cfg.host, url: peerUrl(cfg.peerAddress.host, cfg.peerAddress.port) },
-            store: () => new FileLogStore(cfg.dataDirectory!),
+        return createPlatformReplica({
+            settings: this.settings,
             machine: () =>
                 new CompositeStateMachine([
                     this.documents = new ConfigurationState(),
                     this.quarantineState = new QuarantineState(),
+                    this.softwareVersionState = new SoftwareVersionState(),
                 ]),
-            peers: new RpcPeerConnector(this.clients),
-            seeds: () => this.settings.current.seeds,
+            clients: this.clients,
             timeline: this.timeline,
-            options: {
-                heartbeatMs,
-                electionMs,
-                snapshotEvery,
-                trailingEntries: trailing,
-                maxVoters: 2 * cfg.toleratedFailures + 1,
-                mayFormGroup: cfg.firstStart,
-            },
             log: this.log,
         });
     }
@@ -260,6 +248,11 @@
         return this.quarantineState;
     }
 
+    /** Undefined unless this host leads and has applied the log of earlier leaders. */
+    public get softwareVersions(): SoftwareVersionState | undefined {
+        return this.replica?.readyLeadership === undefined ? undefined : this.softwareVersionState;
+    }
+
     public awaitedModels(entry: string): ReadonlySet<string> {
         return this.demand.awaitedModels(entry);
     }
@@ -380,7 +373,9 @@
         const abort = new AbortController();
         const placement = new PlacementController(this, this.registry, this.demand, this.engines, this.log);
         const crashes = this.createCrashDecisions();
-        this.leadership = { epoch, abort, placement, outlierMonitor: new OutlierMonitor(this.registry), crashes };
+        const versions = this.createVersionAdmission(Number(this.replica!.readyLeadership!.term));
+        const outlierMonitor = new OutlierMonitor(this.registry);
+        this.leadership = { epoch, abort, placement, outlierMonitor, crashes, versions };
         this.log.info("leadership.begun", { epoch });
         void this.orderLease.acquire(
             Number(this.replica!.readyLeadership!.term),
@@ -389,6 +384,7 @@
             abort.signal,
         );
         void crashes.run(abort.signal);
+        void versions.run(abort.signal);
         placement.run(abort.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
     }
 
@@ -407,6 +403,26 @@
         });
     }
 
+    private createVersionAdmission(term: number): VersionAdmission {
+        return new VersionAdmission({
+            state: () => this.softwareVersionState,
+            registry: this.registry,
+            term,
+            propose: command => this.proposeVersions(command),
+            log: this.log,
+        });
+    }
+
+    /** Nothing is admitted between leaderships; the registry is cleared when the next one begins. */
+    private isAdmitted(version: VersionKey): boolean {
+        return this.leadership?.versions.isAdmitted(version) ?? false;
+    }
+
+    private async proposeVersions(command: SoftwareVersionCommand): Promise<void> {
+        await this.keeper.require().propose(encodeCommand("software-versions", command), callTimeoutMs);
+        this.feed.wakePolls();
+    }
+
     private async proposeQuarantine(command: QuarantineCommand): Promise<QuarantineResult> {
         const { result } = await this.keeper.require().propose(encodeCommand("quarantine", command), callTimeoutMs);
         this.feed.wakePolls();
--- /dev/null
+++ b/packages/winchpathd/src/platformreplicas.ts
@@ -0,0 +1,45 @@
+/** The consensus replica of a platform host with a disk. */
+import { FileLogStore, ReplicaSupervisor, RpcPeerConnector, type StateMachine } from "@winchpath/consensus";
+import { type EventLog } from "@winchpath/core";
+import { peerUrl } from "@winchpath/platform";
+import { type RpcClients } from "@winchpath/rpc";
+import { type Timeline } from "@winchpath/timeline";
+import { type ReloadableSettings } from "./platformsettings.js";
+
+/** Three heartbeats fit into one election timeout; shorter intervals cost CPU time on every control host. */
+const heartbeatMs = 300;
+/** Followers start an election after this long without a heartbeat, plus a random part of up to 20 percent. */
+const electionMs = 1000;
+/** Snapshots are frequent because configuration documents, and so log entries, may be large. */
+const snapshotEvery = 64;
+const trailing = 16;
+export interface PlatformReplicaOptions {
+    readonly settings: ReloadableSettings;
+    /** Creates the empty replicated state, each time that the replica is opened. */
+    readonly machine: () => StateMachine;
+    readonly clients: RpcClients;
+    readonly timeline: Timeline;
+    readonly log: EventLog;
+}
+
+export function createPlatformReplica(options: PlatformReplicaOptions): ReplicaSupervisor {
+    const { settings, machine, clients, timeline, log } = options;
+    const { current: cfg } = settings;
+    return new ReplicaSupervisor({
+        identity: { host: cfg.host, url: peerUrl(cfg.peerAddress.host, cfg.peerAddress.port) },
+        store: () => new FileLogStore(cfg.dataDirectory!),
+        machine,
+        peers: new RpcPeerConnector(clients),
+        seeds: () => settings.current.seeds,
+        timeline,
+        options: {
+            heartbeatMs,
+            electionMs,
+            snapshotEvery,
+            trailingEntries: trailing,
+            maxVoters: 2 * cfg.toleratedFailures + 1,
+            mayFormGroup: cfg.firstStart,
+        },
+        log,
+    });
+}
