Tests: changed software versions are forwarded in full, and versions beyond the bound are listed later

Cause: the batcher's rule for a changed version and the set's recovery from the bound had no test. Change: three tests.

--- a/packages/fleet/src/tests/announcementbatchers.test.ts
+++ b/packages/fleet/src/tests/announcementbatchers.test.ts
@@ -48,6 +48,21 @@
         await new Promise(resolve => setImmediate(resolve));
     }
 
+    it("forwards a changed software version in full", async t => {
+        t.mock.timers.enable({ apis: ["Date", "setTimeout"], now: 1_000_000 });
+        await batcher.announce(createAnnouncement("u", 1, { softwareVersion: "v1" }));
+        await batcher.announce(createAnnouncement("u", 2, { softwareVersion: "v2" }));
+        expect(leader.announced.map(({ upstream }) => upstream!.softwareVersion)).toEqual(["v1", "v2"]);
+    });
+
+    it("forgets all runs of a name that has left, and forwards its next announcement in full", async t => {
+        t.mock.timers.enable({ apis: ["Date", "setTimeout"], now: 1_000_000 });
+        await batcher.announce(createAnnouncement("u#v1", 1, { name: "u", softwareVersion: "v1" }));
+        batcher.forget({ name: "u", born: 0n });
+        await batcher.announce(createAnnouncement("u#v1", 2, { name: "u", softwareVersion: "v1" }));
+        expect(leader.announced.length).toEqual(2);
+    });
+
     it("forwards the first announcement in full, and batches unchanged ones", async t => {
         t.mock.timers.enable({ apis: ["Date", "setTimeout"], now: 1_000_000 });
         const abort = new AbortController();
--- a/packages/fleet/src/tests/softwareversions.test.ts
+++ b/packages/fleet/src/tests/softwareversions.test.ts
@@ -348,6 +348,26 @@
         });
     });
 
+    describe("versions beyond the bound", () => {
+        it("are listed once unused ones are retired, and the set shows several versions all along", async () => {
+            const counts = new Set<number>();
+            for (let index = 0; index <= maxVersionsPerService; index++) {
+                leader.announce(`u${index}`, `v${index}`);
+            }
+            await advanceTime(versionHoldMs + 50);
+            for (let index = 0; index < maxVersionsPerService; index++) {
+                leader.registry.leave(`u${index}`);
+            }
+            for (let elapsedMs = 0; elapsedMs < versionRetentionMs + 40_000; elapsedMs += 10_000) {
+                mock.timers.tick(10_000);
+                await advanceTime(10);
+                counts.add(leader.state.versionsOf("s").length);
+            }
+            expect(leader.state.versionsOf("s").map(({ version }) => version)).toEqual([`v${maxVersionsPerService}`]);
+            expect([...counts]).toEqual([maxVersionsPerService, 3, 1]);
+        });
+    });
+
     describe("commands", () => {
         it("are ignored if they can't be decoded", () => {
             const state = new SoftwareVersionState();
