--- a/packages/streamorigins/src/localrecords.ts
+++ b/packages/streamorigins/src/localrecords.ts
@@ -79,7 +79,13 @@
             const { id, service } = stream;
             const recorded = existing.softwareVersion;
             this.metrics.count("stream_origins_conflicting_total", { at: "entry" });
-            this.log.warn("stream-origin.conflicting", { at: "entry", id, service, recorded, offered: softwareVersion });
+            this.log.warn("stream-origin.conflicting", {
+                at: "entry",
+                id,
+                service,
+                recorded,
+                offered: softwareVersion,
+            });
             return undefined;
         }
         const record = existing ?? new LocalRecord(stream.service, softwareVersion, text);
--- a/packages/streamorigins/src/recordreplicators.ts
+++ b/packages/streamorigins/src/recordreplicators.ts
@@ -37,13 +37,13 @@
     }
 
     /** Sets the members of the control group; records sent so far are sent to the replicas that they lack. */
-    public setMembers(urls: readonly string[]): void {
-        if (this.replicas.equals(urls)) {
+    public setReplicas(replicas: KeyReplicas): void {
+        if (this.replicas === replicas) {
             return;
         }
-        this.replicas = new KeyReplicas(urls);
+        this.replicas = replicas;
         for (const [url, sender] of this.senders) {
-            if (!urls.includes(url)) {
+            if (!replicas.urls.includes(url)) {
                 sender.close();
                 this.senders.delete(url);
             }
--- a/packages/streamorigins/src/recordsenders.ts
+++ b/packages/streamorigins/src/recordsenders.ts
@@ -1,15 +1,18 @@
 /** Sends an entry's records to one member of the control group. */
 import { Code, ConnectError } from "@connectrpc/connect";
-import { type EventLog, messageOf, type Metrics, sleep } from "@winchpath/core";
+import { type EventLog, messageOf, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import { type PeerClients } from "@winchpath/rpc";
 import { StreamOriginService } from "./gen/winchpath/streamorigins/v1/streamorigins_pb.js";
 import { type VersionRecord } from "./originrecordstores.js";
 import { maxBatchSize } from "./originservices.js";
-import { keyText } from "./streamkeys.js";
+import { joinKeys, keyText } from "./streamkeys.js";
 
 const callTimeoutMs = 600;
 /** Pause after a failed call, in milliseconds. */
 const retryMs = 100;
+/** Pause after a call as a multiple of its duration, so that a busy member gets fewer and larger calls. */
+const pauseFactor = 2;
+const maxPauseMs = 100;
 const maxQueuedRecords = 20_000;
 /** Records dropped at a time from a full queue; removing single ones from the front of a large map is slow. */
 const dropCount = 1000;
@@ -60,8 +63,10 @@
         const { signal } = this.stopping;
         while (this.queue.size > 0 && !signal.aborted) {
             const batch = [...this.queue.values()].slice(0, maxBatchSize);
+            const startedAt = steadyNow();
             if (await this.send(batch, signal)) {
                 this.removeSent(batch);
+                await sleep(Math.min(maxPauseMs, pauseFactor * (steadyNow() - startedAt)), signal);
             }
             else {
                 await sleep(retryMs, signal);
@@ -75,7 +80,10 @@
         this.logDropped();
         try {
             const client = this.clients.client(StreamOriginService, this.url);
-            const { storeId } = await client.record({ records: [...batch] }, { timeoutMs: callTimeoutMs, signal });
+            const { storeId } = await client.record({ versions: groupByVersion(batch) }, {
+                timeoutMs: callTimeoutMs,
+                signal,
+            });
             this.metrics.count("stream_origins_sent_total", {}, batch.length);
             this.noteStore(storeId);
             return true;
@@ -118,3 +126,13 @@
         }
     }
 }
+
+function groupByVersion(records: readonly VersionRecord[]) {
+    const keysByVersion = new Map<string, Uint8Array[]>();
+    for (const { key, softwareVersion } of records) {
+        const keys = keysByVersion.get(softwareVersion) ?? [];
+        keys.push(key);
+        keysByVersion.set(softwareVersion, keys);
+    }
+    return [...keysByVersion].map(([softwareVersion, keys]) => ({ softwareVersion, keys: joinKeys(keys) }));
+}
--- a/packages/streamorigins/src/streamoriginclients.ts
+++ b/packages/streamorigins/src/streamoriginclients.ts
@@ -3,9 +3,9 @@
 import { type PeerClients } from "@winchpath/rpc";
 import { KeyReplicas } from "./keyreplicas.js";
 import { type LocalRecord, LocalRecords } from "./localrecords.js";
+import { lookUpOrigin } from "./originlookups.js";
 import { resendIntervalMs } from "./originrecordstores.js";
 import { type StreamIdentity, type StreamOrigin, type StreamOrigins } from "./origins.js";
-import { lookUpOrigin } from "./originlookups.js";
 import { RecordFinder } from "./recordfinders.js";
 import { RecordReplicator } from "./recordreplicators.js";
 import { identityText, streamKey } from "./streamkeys.js";
@@ -33,6 +33,7 @@
     private readonly finders = new Map<string, RecordFinder>();
     /** Services with local records, each with whether its records are sent to members. */
     private readonly services = new Map<string, boolean>();
+    private replicas = new KeyReplicas([]);
     private readonly lookups = new Map<string, Promise<StreamOrigin>>();
 
     public constructor(
@@ -89,9 +90,8 @@
             }
             this.services.set(service, !isSole);
         }
-        this.replicator.setMembers(this.view.controlUrls());
+        this.updateReplicas();
         this.share(changed);
-        this.removeFinders();
         this.metrics.setGauge("stream_origins_local", this.records.size);
     }
 
@@ -113,7 +113,7 @@
             return;
         }
         services.forEach(service => this.services.set(service, true));
-        this.replicator.setMembers(this.view.controlUrls());
+        this.updateReplicas();
         this.records.values().filter(({ service }) => services.has(service)).forEach(rec => this.sendIfDue(rec));
     }
 
@@ -127,9 +127,9 @@
     private lookUp(text: string): Promise<StreamOrigin> {
         let lookup = this.lookups.get(text);
         if (lookup === undefined) {
-            const replicas = new KeyReplicas(this.view.controlUrls());
+            this.updateReplicas();
             const ask = (url: string, key: Uint8Array) => this.finder(url).find(key);
-            lookup = lookUpOrigin(streamKey(text), replicas, ask, findTimeoutMs)
+            lookup = lookUpOrigin(streamKey(text), this.replicas, ask, findTimeoutMs)
                 .finally(() => this.lookups.delete(text));
             this.lookups.set(text, lookup);
         }
@@ -145,8 +145,13 @@
         return finder;
     }
 
-    private removeFinders(): void {
+    private updateReplicas(): void {
         const urls = this.view.controlUrls();
+        if (this.replicas.equals(urls)) {
+            return;
+        }
+        this.replicas = new KeyReplicas(urls);
+        this.replicator.setReplicas(this.replicas);
         [...this.finders.keys()].filter(url => !urls.includes(url)).forEach(url => this.finders.delete(url));
     }
 }
