Control hosts serve the records of stream origins

Cause: entries have nobody to send records to or to ask. Change: the RPC server of a platform's control component has the service.

--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -55,6 +55,7 @@
 } from "@winchpath/platform";
 import { type QuarantineCommand, type QuarantineResult, QuarantineState } from "@winchpath/quarantine";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
+import { OriginRecordStore, StreamOriginService, streamOriginService } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
 import { LeaderCrashDecisions } from "./crashdecisions.js";
 import { type ReloadableSettings } from "./platformsettings.js";
@@ -90,6 +91,7 @@
     private readonly registry: Registry;
     private readonly feed: Feed;
     private readonly announcementReceiver: AnnouncementReceiver;
+    private readonly originRecords: OriginRecordStore;
     private readonly engines: PlatformEngineClient;
     private readonly httpServer;
     private readonly orderLease: OrderLease;
@@ -128,6 +130,7 @@
         this.rateLimits = this.createRateLimits();
         this.feed = new Feed(this.registry, this, log);
         this.announcementReceiver = new AnnouncementReceiver(this.registry, this.feed, this, this.clients, log);
+        this.originRecords = new OriginRecordStore(log, metrics);
         this.engines = new PlatformEngineClient(availability, {
             onLeaving: id => this.registry.markDraining(id, host),
             onRateLimit: (upstream, perSecond) => {
@@ -150,6 +153,7 @@
         this.rpcServer = await RpcServer.listen(cfg.peerAddress, router => {
             router.service(ConsensusService, consensusService(() => this.keeper.require()));
             router.service(FleetService, createFleetService(this.fleetServiceDependencies()));
+            router.service(StreamOriginService, streamOriginService(this.originRecords));
         }, { key: undefined, timeline: this.timeline });
         this.keeperStopped = this.keeper.run(this.stopping.signal);
         void this.watchReplica();
