--- a/packages/streamorigins/src/streamoriginclients.ts
+++ b/packages/streamorigins/src/streamoriginclients.ts
@@ -34,6 +34,7 @@
     /** Services with local records, each with whether its records are sent to members. */
     private readonly services = new Map<string, boolean>();
     private replicas = new KeyReplicas([]);
+    private sharesAll = false;
     private readonly lookups = new Map<string, Promise<StreamOrigin>>();
 
     public constructor(
@@ -54,7 +55,7 @@
         const { service } = stream;
         const isShared = this.services.get(service) ?? false;
         this.services.set(service, isShared);
-        if (this.soleVersion(service) === softwareVersion) {
+        if (!this.sharesAll && this.soleVersion(service) === softwareVersion) {
             return;
         }
         if (!isShared) {
@@ -84,17 +85,23 @@
     public refresh(): void {
         const changed = new Set<string>();
         for (const [service, isShared] of this.services) {
-            const isSole = this.soleVersion(service) !== undefined;
-            if (!isSole && !isShared) {
+            const needsSharing = this.sharesAll || this.soleVersion(service) === undefined;
+            if (needsSharing && !isShared) {
                 changed.add(service);
             }
-            this.services.set(service, !isSole);
+            this.services.set(service, needsSharing);
         }
         this.updateReplicas();
         this.share(changed);
         this.metrics.setGauge("stream_origins_local", this.records.size);
     }
 
+    /** Sends the records of all services from now on, because this entry can't do it once it has stopped. */
+    public prepareStop(): void {
+        this.sharesAll = true;
+        this.refresh();
+    }
+
     /** Ends sending; what was not sent yet is lost. */
     public close(): void {
         this.replicator.close();
--- a/packages/streamorigins/src/tests/streamoriginclients.test.ts
+++ b/packages/streamorigins/src/tests/streamoriginclients.test.ts
@@ -87,6 +87,18 @@
             expect(await find(other, streamOf("b"))).toEqual(notFound);
         });
 
+        it("sends all records before it stops, for a second version that may appear later", async () => {
+            served.record(streamOf("a"), "v1");
+            served.prepareStop();
+            served.refresh();
+            served.record(streamOf("b"), "v1");
+            await advanceTime(20);
+            served.close();
+            view.versions = { chat: ["v1", "v2"] };
+            expect(await find(other, streamOf("a"))).toEqual(known("v1"));
+            expect(await find(other, streamOf("b"))).toEqual(known("v1"));
+        });
+
         it("sends the record of a version that isn't in the set", async () => {
             served.record(streamOf("a"), "v9");
             await advanceTime(20);
