--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -57,6 +57,7 @@
 } from "@winchpath/platform";
 import { type QuarantineCommand, type QuarantineResult, QuarantineState } from "@winchpath/quarantine";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
+import { OriginRecordStore, StreamOriginService, streamOriginService } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
 import { LeaderCrashDecisions } from "./crashdecisions.js";
 import { createPlatformReplica } from "./platformreplicas.js";
@@ -87,6 +88,7 @@
     private readonly registry: Registry;
     private readonly feed: Feed;
     private readonly announcementReceiver: AnnouncementReceiver;
+    private readonly originRecords: OriginRecordStore;
     private readonly engines: PlatformEngineClient;
     private readonly httpServer;
     private readonly orderLease: OrderLease;
@@ -126,6 +128,7 @@
         this.rateLimits = this.createRateLimits();
         this.feed = new Feed(this.registry, this, log);
         this.announcementReceiver = new AnnouncementReceiver(this.registry, this.feed, this, this.clients, log);
+        this.originRecords = new OriginRecordStore(log, metrics);
         this.engines = new PlatformEngineClient(availability, {
             onLeaving: id => this.registry.markDraining(id, host),
             onRateLimit: (upstream, perSecond) => {
@@ -148,6 +151,7 @@
         this.rpcServer = await RpcServer.listen(cfg.peerAddress, router => {
             router.service(ConsensusService, consensusService(() => this.keeper.require()));
             router.service(FleetService, createFleetService(this.fleetServiceDependencies()));
+            router.service(StreamOriginService, streamOriginService(this.originRecords));
         }, { key: undefined, timeline: this.timeline });
         this.keeperStopped = this.keeper.run(this.stopping.signal);
         void this.watchReplica();
