Requests say which attempt of their client began the stream

Cause: a client that takes a stream up again names that attempt in a header, which was forwarded and not read. The header is still forwarded. An optional StreamOrigins of the Forwarder, not used yet. Tests that build request metadata name the new field.

--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -4,6 +4,7 @@
 import { type Configuration } from "@winchpath/declarations";
 import { type DemandMeter, type FleetView } from "@winchpath/fleet";
 import { EjectionTracker } from "@winchpath/routing";
+import { type StreamOrigins } from "@winchpath/streamorigins";
 import { type ServerResponse } from "node:http";
 import { ActiveFeatures } from "./activefeatures.js";
 import { type AdmissionController, type Refusal } from "./admissioncontrollers.js";
@@ -51,6 +52,8 @@
     readonly isCapacityContended?: boolean;
     /** Acts on the load of this host; without it no host counts as loaded. */
     readonly hostGuard?: HostGuard;
+    /** Versions that began the streams of all entries; without it, streams that clients take up again go on anywhere. */
+    readonly streamOrigins?: StreamOrigins;
     /** Whether the process is shutting down, so that responses close client connections. */
     readonly stopping: () => boolean;
     /** Sends one attempt; replaceable for simulations. */
--- a/packages/forwarding/src/headercodecs.ts
+++ b/packages/forwarding/src/headercodecs.ts
@@ -34,6 +34,8 @@
     readonly promptParts: readonly PromptPart[];
     /** Id of the event after which a stream is resumed. */
     readonly resumeFrom: string | undefined;
+    /** Id of the client's attempt that brought the first event of a resumed stream; empty if it is ambiguous. */
+    readonly resumedId: string | undefined;
 }
 
 /** Values that the entry adds to the headers of a forwarded request. */
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -35,6 +35,7 @@
         expectedOutputTokens: undefined,
         promptParts: [],
         resumeFrom: headerValue(headers, "last-event-id"),
+        resumedId: headerValue(headers, "x-resumes"),
     }),
     forwardHeaders: (headers, facts) => [
         ...withoutConnectionHeaders(headers).flatMap((part, index, all) =>
@@ -190,8 +191,10 @@
         private configuration: Configuration,
         slack = 10,
         revocation: RevocationOptions = { strict: false, withinMs: 0 },
-        overrides: Pick<ForwarderDependencies, "accountShares" | "hostGuard" | "isCapacityContended" | "sendAttempt"> =
-            {},
+        overrides: Pick<
+            ForwarderDependencies,
+            "accountShares" | "hostGuard" | "isCapacityContended" | "sendAttempt" | "streamOrigins"
+        > = {},
     ) {
         this.view = new FleetView(() => this.configuration, silentLog);
         const admissions = new AdmissionController(new Authenticator(this.view, revocation), this.limiter);
--- a/packages/forwarding/src/tests/waitinputs.ts
+++ b/packages/forwarding/src/tests/waitinputs.ts
@@ -92,6 +92,7 @@
             expectedOutputTokens: 10,
             promptParts: [{ id: "p", tokens: 100 }],
             resumeFrom: undefined,
+            resumedId: undefined,
         },
         route,
         service: "s",
--- a/packages/loadpatterns/src/loadgenerators.ts
+++ b/packages/loadpatterns/src/loadgenerators.ts
@@ -153,6 +153,7 @@
                 expectedOutputTokens: request.outputTokens,
                 promptParts: request.promptParts ?? [{ id, tokens: request.promptTokens }],
                 resumeFrom: undefined,
+                resumedId: undefined,
             },
             route: request.route,
             service: request.service,
--- a/packages/loadpatterns/src/tests/selectionscenarios.ts
+++ b/packages/loadpatterns/src/tests/selectionscenarios.ts
@@ -65,6 +65,7 @@
             expectedOutputTokens: outputTokens,
             promptParts: [{ id: `shared-${sharedTokens}`, tokens: sharedTokens }, { id, tokens: ownTokens }],
             resumeFrom: undefined,
+            resumedId: undefined,
         },
         route,
         service: "s",
