Streams go on only at the software version that began them

Cause: upstreams of several versions serve side by side, and a stream that broke off was continued by any of them, within one response and when its client took it up again, so that callers got events that don't fit together. Change: the first forwarded event binds the request to its upstream's version; a stream that its client takes up again is bound by the shared records before its first attempt. Candidates are restricted in UpstreamSelector.select, and checked again right before sending and before the first event of an attempt. Without an upstream of the version the response is broken off, or the request rejected at once with Retry-After. Bound requests stand ahead of new ones of their urgency, and wait for model loads at upstreams of their version only. The stub of attempts.test.ts gets the new method of EndpointTable; its checks are unchanged.

--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -71,11 +71,16 @@
         return this.upstreamsById.get(id)?.upstream;
     }
 
-    /** Milliseconds until the first upstream that loads a model should be ready; undefined if none loads it. */
-    public readyInMs(service: string, model: string): number | undefined {
+    /**
+     * Milliseconds until the first upstream that loads a model should be ready; undefined if none loads it.
+     *
+     * @param softwareVersion the only version of upstreams to consider; undefined for all
+     */
+    public readyInMs(service: string, model: string, softwareVersion?: string): number | undefined {
         const now = steadyNow();
         const waits = [...this.upstreamsById.values()]
             .filter(({ upstream }) => upstream.service === service && upstream.state === UpstreamState.READY)
+            .filter(({ upstream }) => softwareVersion === undefined || upstream.softwareVersion === softwareVersion)
             .flatMap(({ upstream, at }) =>
                 upstream.models
                     .filter(held => held.name === model && held.readyInMs > 0)
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -72,6 +72,8 @@
     readonly onResponseStart: () => void;
     /** Called when a response has ended, before its outcome is known. */
     readonly onResponseEnd: (facts: ResponseEndFacts) => void;
+    /** Called before the first event is forwarded; returns false if no event of this upstream may be. */
+    readonly mayForwardEvents: () => boolean;
     /** Called with the time between two consecutive events of a stream, in milliseconds. */
     readonly onPause: (ms: number) => void;
 }
@@ -315,6 +317,10 @@
         if (bytes.length === 0) {
             return;
         }
+        if (this.lastEventAt === undefined && !this.options.mayForwardEvents()) {
+            this.abort({ kind: "unknown", reason: "other software version", lost: false });
+            return;
+        }
         this.startStream();
         const now = steadyNow();
         if (this.lastEventAt !== undefined) {
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -22,6 +22,7 @@
 import { type ResponseEndFacts } from "./responseends.js";
 import { type SharedAdmission } from "./sharedadmissions.js";
 import { type StreamInterference } from "./streaminterferences.js";
+import { isOfVersion, type StreamVersions } from "./streamversions.js";
 import { type ThroughputTable } from "./throughputs.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 import { type UpstreamSignals } from "./upstreamsignals.js";
@@ -32,6 +33,7 @@
     readonly endpoints: EndpointTable;
     readonly quarantine: Quarantine;
     readonly responder: Responder;
+    readonly streamVersions: Pick<StreamVersions, "begin">;
     readonly signals: UpstreamSignals;
     readonly throughput: ThroughputTable;
     readonly interference: StreamInterference;
@@ -94,6 +96,7 @@
                     return maySend;
                 },
                 headTimeoutMs: this.headTimeoutMs(request, tracked.tokensAhead),
+                mayForwardEvents: () => this.deps.streamVersions.begin(request, endpoint),
                 onPause: ms => {
                     longestPauseMs = Math.max(longestPauseMs, ms);
                     prompt?.recordEventInterval(ms);
@@ -124,6 +127,7 @@
             this.deps.responder.logEvent(request, "attempt", {
                 upstream: endpoint.id,
                 try: attemptIndex + 1,
+                softwareVersion: this.loggedVersion(request, endpoint),
                 load: Math.round(endpoint.load),
                 viewAgeMs: Math.round(this.deps.view.ageMs),
                 sentDelayMs: sentDelayMs === 0 ? undefined : sentDelayMs,
@@ -155,11 +159,19 @@
 
     /** Checks again once a connection is available: the upstream may have set a rate limit while the request waited. */
     private maySend(request: InboundRequest, endpoint: UpstreamEndpoint, permitDecision: PermitDecision): boolean {
-        return this.deps.endpoints.isReady(endpoint) && this.deps.denial(request) === undefined
+        return this.deps.endpoints.isReady(endpoint) && isOfVersion(request, endpoint)
+            && this.deps.denial(request) === undefined
             && (permitDecision === "permitted"
                 || this.deps.view.availability.rates.acquirePermit(endpoint.id) !== "refused");
     }
 
+    /** The upstream's version if the request is bound to one, or upstreams of several serve. */
+    private loggedVersion(request: InboundRequest, { description }: UpstreamEndpoint): string | undefined {
+        const isTold = request.softwareVersion !== undefined
+            || this.deps.endpoints.hasSeveralVersions(request.service);
+        return isTold ? description.softwareVersion : undefined;
+    }
+
     /** Undefined if the request must not be repeated, or has no attempts left. */
     private headTimeoutMs(request: InboundRequest, tokensAhead: number): number | undefined {
         if (!isRepeatable(request) || request.attemptedUpstreams.length >= request.route.maxAttempts) {
--- a/packages/forwarding/src/endpointtables.ts
+++ b/packages/forwarding/src/endpointtables.ts
@@ -53,6 +53,12 @@
         );
     }
 
+    /** Whether upstreams of several software versions accept new requests of a service. */
+    public hasSeveralVersions(service: string): boolean {
+        const [first, ...others] = this.ready(service);
+        return others.some(({ description }) => description.softwareVersion !== first.description.softwareVersion);
+    }
+
     /** Whether an upstream still accepts new requests; checked right before sending. */
     public isReady(endpoint: UpstreamEndpoint): boolean {
         return this.endpoints.get(endpoint.id) === endpoint && endpoint.description.state === UpstreamState.READY
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -27,6 +27,7 @@
 import { SelectionCosts } from "./selectioncosts.js";
 import { SharedAdmission } from "./sharedadmissions.js";
 import { StreamInterference } from "./streaminterferences.js";
+import { StreamVersions } from "./streamversions.js";
 import { ThroughputTable } from "./throughputs.js";
 import { type Assignment, UpstreamAssigner } from "./upstreamassigners.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
@@ -77,6 +78,7 @@
     private readonly assigner: UpstreamAssigner;
     private readonly retryPolicy: RetryPolicy;
     private readonly responder: Responder;
+    private readonly streamVersions: StreamVersions;
     private readonly attemptSender: AttemptSender;
 
     public constructor(private readonly deps: ForwarderDependencies) {
@@ -92,6 +94,7 @@
         this.endpoints = new EndpointTable(deps.view);
         this.retryPolicy = new RetryPolicy(deps.view, deps.retryBudget, deps.metrics);
         this.responder = new Responder({ ...deps, waiting: () => this.waiting });
+        this.streamVersions = new StreamVersions({ ...deps, responder: this.responder });
         const random = deps.random ?? Math.random;
         const loadWaits = new LoadWaitPolicy(this.features, throughput, () => deps.view.configuration);
         const waitPolicy = new WaitPolicy(deps.view, this.endpoints, random, loadWaits);
@@ -116,6 +119,7 @@
             endpoints: this.endpoints,
             quarantine: this.quarantine,
             responder: this.responder,
+            streamVersions: this.streamVersions,
             signals: new UpstreamSignals({ ...deps, availability, ejections, paces }),
             throughput,
             interference,
@@ -188,8 +192,15 @@
         }
     }
 
-    /** Selects an upstream, unless the request must wait for a decision about crashes under it and is refused then. */
+    /**
+     * Selects an upstream, unless the request needs the version that began its stream, or a decision about crashes under
+     * it, and is refused then.
+     */
     private async assign(request: InboundRequest): Promise<Assignment> {
+        const unbound = this.streamVersions.needsOrigin(request) ? await this.streamVersions.bind(request) : undefined;
+        if (unbound !== undefined) {
+            return unbound;
+        }
         const refusal = this.quarantine.needsAdmission(request) ? await this.quarantine.admit(request) : undefined;
         return refusal ?? this.assigner.assign(request);
     }
@@ -284,6 +295,11 @@
     }
 
     private handleFailed(request: InboundRequest, res: ServerResponse, broken: boolean): NextStep {
+        if (request.softwareVersion !== undefined && this.assigner.select(request).kind === "version-absent") {
+            // Ended before a retry is taken from the budget.
+            this.responder.respond(request, res, LocalResponse.failed);
+            return "done";
+        }
         const resumable = !broken || (request.route.resumable && request.lastEventId !== undefined);
         if (
             isRepeatable(request) && resumable && this.quarantine.isRetryAllowed(request)
--- a/packages/forwarding/src/inboundrequests.ts
+++ b/packages/forwarding/src/inboundrequests.ts
@@ -48,6 +48,8 @@
     trial?: SuspectTrial;
     /** Id of the last event that was forwarded completely. */
     lastEventId: string | undefined;
+    /** Software version of the upstream that began the stream; undefined if no event of it is known. */
+    softwareVersion?: string;
     /** Whether part of a response has been sent to the client. */
     responseStarted: boolean;
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -34,6 +34,7 @@
 export * from "./sharedadmissions.js";
 export * from "./silences.js";
 export * from "./streaminterferences.js";
+export * from "./streamversions.js";
 export * from "./throughputs.js";
 export * from "./upstreamassigners.js";
 export * from "./upstreamendpoints.js";
--- a/packages/forwarding/src/laxityorders.ts
+++ b/packages/forwarding/src/laxityorders.ts
@@ -1,4 +1,4 @@
-/** Orders waiting requests by priority, and among equal ones by how soon they have to be sent. */
+/** Orders waiting requests by priority, then streams that go on before new ones, then by how soon they have to be sent. */
 import { type InboundRequest } from "./inboundrequests.js";
 import { type LoadWaitPolicy } from "./loadwaitpolicies.js";
 import { PriorityOrder, type WaitOrder } from "./waitqueues.js";
@@ -14,7 +14,8 @@
     public constructor(private readonly loadWaits: Pick<LoadWaitPolicy, "appliesTo" | "workMs">) {}
 
     public compare(a: InboundRequest, b: InboundRequest): number {
-        return this.priorities.compare(a, b) || this.keyOf(a) - this.keyOf(b);
+        return this.priorities.compare(a, b) || Number(isBound(b)) - Number(isBound(a))
+            || this.keyOf(a) - this.keyOf(b);
     }
 
     /** Monotonic time by which the request has to be sent to be answered by its deadline. */
@@ -29,3 +30,8 @@
         return key;
     }
 }
+
+/** Whether the request goes on with a stream, for which fewer upstreams are left than for a new one. */
+function isBound({ softwareVersion }: InboundRequest): boolean {
+    return softwareVersion !== undefined;
+}
--- a/packages/forwarding/src/localresponses.ts
+++ b/packages/forwarding/src/localresponses.ts
@@ -42,15 +42,21 @@
     suspected: { status: 503, reason: "suspected" },
     /** The request would have to wait, and this host lacks resources to hold it; not executed. */
     hostLoaded: { status: 503, reason: "host-loaded" },
+    /** The software version that began the stream is unknown; not executed. */
+    streamVersionUnknown: { status: 503, reason: "stream-version-unknown" },
+    /** As above, because the shared records can't be reached from here; not executed. */
+    streamVersionUnreachable: { status: 503, reason: "stream-version-unknown" },
+    /** No upstream of the software version that began the stream accepts requests; not executed. */
+    streamVersionAbsent: { status: 503, reason: "stream-version-absent" },
     /** The process is shutting down; not executed. */
     stopping: { status: 503, reason: "stopping" },
 } as const;
 export type LocalResponse = typeof LocalResponse[keyof typeof LocalResponse];
 
-/** Whether the client should use another entry, because this one can't verify its configuration or is loaded. */
+/** Whether the client should use another entry, because this one lacks what it needs to decide, or is loaded. */
 export function asksForAnotherEntry(response: LocalResponse): boolean {
     return response === LocalResponse.unconfirmed || response === LocalResponse.configurationUnconfirmed
-        || response === LocalResponse.hostLoaded;
+        || response === LocalResponse.hostLoaded || response === LocalResponse.streamVersionUnreachable;
 }
 
 /** Writes a generated response. `retryAfterMs` is set only if the request was not executed and may be retried. */
--- a/packages/forwarding/src/responders.ts
+++ b/packages/forwarding/src/responders.ts
@@ -66,10 +66,10 @@
         this.deps.metrics.histogram("request", { route: request.route.name, outcome }).record(ageMs(request));
     }
 
-    /** Logs an event of a request, as a warning unless it is a successful attempt. */
+    /** Logs an event of a request, as a warning unless it is a successful attempt or a stream of known origin. */
     public logEvent(request: InboundRequest, event: string, fields: LogFields): void {
         const { model, adapter } = request.metadata;
-        const failed = event !== "attempt" || fields.outcome !== "answered";
+        const succeeded = event === "attempt" ? fields.outcome === "answered" : fields.origin === "known";
         const entry = {
             request: request.id,
             route: request.route.name,
@@ -79,11 +79,11 @@
             ageMs: Math.round(ageMs(request)),
             ...fields,
         };
-        if (failed) {
-            this.deps.log.warn(`request.${event}`, entry);
+        if (succeeded) {
+            this.deps.log.info(`request.${event}`, entry);
         }
         else {
-            this.deps.log.info(`request.${event}`, entry);
+            this.deps.log.warn(`request.${event}`, entry);
         }
     }
 
--- a/packages/forwarding/src/tests/attempts.test.ts
+++ b/packages/forwarding/src/tests/attempts.test.ts
@@ -83,7 +83,7 @@
             responder: { logEvent: nothing },
             signals: { handle: nothing },
             throughput: { durationMs: () => 0 },
-            endpoints: { isReady: () => isReady },
+            endpoints: { isReady: () => isReady, hasSeveralVersions: () => false },
             view: { ageMs: 0 },
             sharedAdmission: {
                 admitted: () => events.push("admitted"),
--- a/packages/forwarding/src/upstreamselectors.ts
+++ b/packages/forwarding/src/upstreamselectors.ts
@@ -6,6 +6,7 @@
 import { type InboundRequest, isRepeatable, requiredCacheTokens, unsharedPromptTokens } from "./inboundrequests.js";
 import { type SelectionCosts } from "./selectioncosts.js";
 import { type SilenceContext, SilenceDetector } from "./silences.js";
+import { isOfVersion } from "./streamversions.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 
 /** The result of a selection. */
@@ -24,7 +25,9 @@
     /** No upstream holds the model, or all that do refuse connections. */
     | { readonly kind: "lacking"; }
     /** No upstream of the service accepts requests or connections. */
-    | { readonly kind: "none"; };
+    | { readonly kind: "none"; }
+    /** No upstream of the software version that began the stream accepts requests. */
+    | { readonly kind: "version-absent"; };
 
 export class UpstreamSelector {
     private readonly silences: SilenceDetector | undefined;
@@ -43,11 +46,12 @@
     /** `engine`: specification of the service's model engines; undefined for other services. */
     public select(
         request: InboundRequest,
-        ready: readonly UpstreamEndpoint[],
+        all: readonly UpstreamEndpoint[],
         engine: EngineSpec | undefined,
     ): Selection {
+        const ready = all.filter(endpoint => isOfVersion(request, endpoint));
         if (ready.length === 0) {
-            return { kind: "none" };
+            return { kind: request.softwareVersion === undefined ? "none" : "version-absent" };
         }
         const holders = ready.filter(endpoint => isReadyFor(endpoint, request));
         if (holders.length === 0) {
--- a/packages/forwarding/src/waitpolicies.ts
+++ b/packages/forwarding/src/waitpolicies.ts
@@ -7,6 +7,7 @@
 import { ageMs, firstEventRemainingMs, type InboundRequest, remainingMs } from "./inboundrequests.js";
 import { type LoadWaitPolicy } from "./loadwaitpolicies.js";
 import { LocalResponse } from "./localresponses.js";
+import { isOfVersion } from "./streamversions.js";
 import { type Selection } from "./upstreamselectors.js";
 
 /** Requests are refused within this share of their objective, so that a retry can still meet it. */
@@ -93,6 +94,8 @@
                 return this.waitsLong(request, reason)
                     ? Math.max(this.loadWaits!.fullWaitMs(request), earlyWaitMs(request))
                     : earlyWaitMs(request);
+            case "version-absent":
+                return 0;
             case "resting":
             case "limited":
                 // A request that cannot wait until an upstream accepts requests again is refused at once.
@@ -120,6 +123,12 @@
                 return { kind: "refused", response: LocalResponse.lacking, retryAfterMs: this.loadRetryMs(request) };
             case "none":
                 return { kind: "refused", response: LocalResponse.noUpstream, retryAfterMs: noUpstreamRetryMs };
+            case "version-absent":
+                return {
+                    kind: "refused",
+                    response: LocalResponse.streamVersionAbsent,
+                    retryAfterMs: noUpstreamRetryMs,
+                };
             case "full":
                 return { kind: "refused", response: LocalResponse.overloaded, retryAfterMs: busyRetryMs };
         }
@@ -170,7 +179,9 @@
     private readyInMs(request: InboundRequest): number | undefined {
         const { model, adapter } = request.metadata;
         // An adapter of a model that is already loaded needs no model load.
-        return adapter !== "" && this.isHeld(request) ? undefined : this.view.readyInMs(request.service, model);
+        return adapter !== "" && this.isHeld(request)
+            ? undefined
+            : this.view.readyInMs(request.service, model, request.softwareVersion);
     }
 
     /** Returns the time to load the requested model from disk; 0 for an adapter of a loaded model. */
@@ -184,8 +195,9 @@
     }
 
     private isHeld(request: InboundRequest): boolean {
-        return this.endpoints.ready(request.service).some(({ description }) =>
-            description.models.some(({ name, leaving, readyInMs }) =>
+        return this.endpoints.ready(request.service).some(endpoint =>
+            isOfVersion(request, endpoint)
+            && endpoint.description.models.some(({ name, leaving, readyInMs }) =>
                 name === request.metadata.model && !leaving && readyInMs === 0
             )
         );
