--- a/packages/forwarding/src/tests/softwareversions.test.ts
+++ b/packages/forwarding/src/tests/softwareversions.test.ts
@@ -13,6 +13,8 @@
 const route = { kind: "streaming", resumable: true, maxAttempts: 4, timeoutMs: 3000 } as const;
 /** Events of a complete stream. */
 const eventCount = 4;
+/** Time for a state to be reached, in milliseconds. */
+const waitTimeoutMs = 3000;
 
 /** Keeps the origins of streams, as all entries together would. */
 class FakeOrigins implements StreamOrigins {
@@ -336,7 +338,7 @@
             const responded = { destroyed: false, writeHead: () => undefined, end: () => undefined };
             for (const account of ["c1", "c2"]) {
                 const grant = { account } as typeof request.grant;
-                await entry.forwarder.serve({ ...request, metadata, grant }, responded as never).catch(() => undefined);
+                await entry.forwarder.serve({ ...request, metadata, grant }, responded as never);
             }
             expect(origins.finds.map(({ account }) => account)).toEqual(["c1", "c2"]);
         });
@@ -440,7 +442,9 @@
 });
 
 async function waitFor(condition: () => boolean): Promise<void> {
+    const deadline = performance.now() + waitTimeoutMs;
     while (!condition()) {
+        expect(performance.now()).toBeLessThan(deadline);
         await new Promise(resolve => setImmediate(resolve));
     }
 }
