--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -14,6 +14,7 @@
 } from "@winchpath/platform";
 import { refusesConnections } from "@winchpath/quarantine";
 import { RpcClients } from "@winchpath/rpc";
+import { StreamOriginClient } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
 import { type ReloadableSettings } from "./platformsettings.js";
 
@@ -31,6 +32,7 @@
     private readonly demandMeter: DemandMeter;
     private readonly crashReporter: CrashReporter;
     private readonly hostGuard: HostGuard;
+    private readonly streamOrigins: StreamOriginClient;
     private readonly forwarder: Forwarder;
     private readonly clientListener: ClientListener;
     private readonly authenticator: Authenticator;
@@ -82,6 +84,19 @@
         const accountShares = new AccountShares(() => this.demandMeter.reportSoon(this.fleetView.entries));
         this.demandMeter.includeShares(accountShares);
         const admissions = new AdmissionController(this.authenticator, this.accountLimiter);
+        const { fleetView } = this;
+        this.streamOrigins = new StreamOriginClient(
+            {
+                softwareVersions: service => fleetView.softwareVersions(service),
+                get softwareVersionsConfirmedAgeMs() {
+                    return fleetView.softwareVersionsConfirmedAgeMs;
+                },
+                controlUrls: () => this.controlUrls,
+            },
+            this.clients,
+            log,
+            metrics,
+        );
         this.forwarder = new Forwarder({
             view: this.fleetView,
             codec,
@@ -95,6 +110,7 @@
             accountShares,
             crashReporter: this.crashReporter,
             hostGuard: this.hostGuard,
+            streamOrigins: this.streamOrigins,
             stopping,
         });
         const confirmer = new ConfigurationConfirmer(
@@ -136,11 +152,13 @@
     public async stop(): Promise<void> {
         const startedAt = steadyNow();
         this.isStopping = true;
+        this.streamOrigins.prepareStop();
         await sleep(loadBalancerDelayMs);
         const remainingMs = this.settings.current.graceMs - shutdownReserveMs - (steadyNow() - startedAt);
         await this.clientListener.close(remainingMs);
         this.stopping.abort();
         this.forwarder.close();
+        this.streamOrigins.close();
         this.clients.close();
         await this.readinessListener.close();
     }
@@ -177,6 +195,7 @@
             this.accountLimiter.setAccounts(this.fleetView.configuration?.accounts, this.fleetView.entries);
             this.clientListener.refresh();
             this.forwarder.refresh();
+            this.streamOrigins.refresh();
         }
     }
 
