Streams are complete only with evidence of their own: resumed, id-less and framed ones

Change: an unframed response needs an event of its own; a stream isn't resumed after an event without id; only text/event-stream is split into events; all transfer codings count; a judged end is a class that only judgeResponseEnd creates; a deadline during the probe ends what is complete as far as known.

--- a/packages/core/src/eventsplitters.ts
+++ b/packages/core/src/eventsplitters.ts
@@ -7,8 +7,13 @@
 export interface CompleteEvents {
     /** Bytes up to the end of the last complete event; empty if there is none. */
     readonly bytes: Buffer;
-    /** Id of the last complete event that has one. */
-    readonly lastId: string | undefined;
+    /** Undefined if no event is complete; comments and retry times are no events. */
+    readonly lastEvent: SplitEvent | undefined;
+}
+
+export interface SplitEvent {
+    /** Undefined if the event has none, so that a stream cannot be resumed after it. */
+    readonly id: string | undefined;
 }
 
 export class EventSplitter {
@@ -21,8 +26,9 @@
         const end = endOfLastEvent(bytes);
         this.buffered = bytes.subarray(end);
         const whole = bytes.subarray(0, end);
-        this.sawEvent ||= end > 0 && containsField(whole);
-        return { bytes: whole, lastId: end === 0 ? undefined : lastIdIn(whole) };
+        const lastEvent = end === 0 ? undefined : lastEventIn(whole);
+        this.sawEvent ||= lastEvent !== undefined;
+        return { bytes: whole, lastEvent };
     }
 
     /** Whether a complete event has arrived; comments are none. */
@@ -37,7 +43,7 @@
 
     /** Whether the remainder is part of an event, and not only blank lines and complete comments. */
     public get isInsideEvent(): boolean {
-        const lines = this.buffered.toString("latin1").split(/\r\n|\r|\n/);
+        const lines = linesOf(this.buffered);
         const unfinishedLine = lines.pop();
         return unfinishedLine !== "" || lines.some(line => line !== "" && line.charCodeAt(0) !== colon);
     }
@@ -69,12 +75,27 @@
     return isLineEnd(previous);
 }
 
-/** Whether any line is neither blank nor a comment. */
-function containsField(whole: Buffer): boolean {
-    return /^[^:\r\n]/m.test(whole.toString("latin1"));
+function lastEventIn(whole: Buffer): SplitEvent | undefined {
+    let lastEvent: SplitEvent | undefined;
+    let fields = new Map<string, string>();
+    for (const line of linesOf(whole)) {
+        if (line !== "") {
+            const [, name, value] = fieldPattern.exec(line)!;
+            fields.set(name, value);
+            continue;
+        }
+        if (eventFields.some(name => fields.has(name))) {
+            lastEvent = { id: fields.get("id") };
+        }
+        fields = new Map();
+    }
+    return lastEvent;
 }
 
-function lastIdIn(whole: Buffer): string | undefined {
-    const ids = [...whole.toString("latin1").matchAll(/^id: ?([^\r\n]*)\r?$/gm)];
-    return ids.at(-1)?.[1];
+/** Name and value of a field; the name of a comment is empty. */
+const fieldPattern = /^([^:]*)(?:: ?)?(.*)$/;
+const eventFields = ["data", "event", "id"];
+
+function linesOf(bytes: Buffer): string[] {
+    return bytes.toString("latin1").split(/\r\n|\r|\n/);
 }
--- a/packages/core/src/responseends.ts
+++ b/packages/core/src/responseends.ts
@@ -25,16 +25,20 @@
     readonly unfinishedBytes: number;
     /** Whether these bytes are part of an event, and not only blank lines and comments. */
     readonly endsInsideEvent: boolean;
-    /** Whether the response contained a complete event, or continues a stream that had one. */
+    /** Whether the response contained a complete event. */
     readonly hasEvents: boolean;
 }
 
-/** The whole response has arrived, as far as can be known. */
-export interface CompleteEnd {
-    readonly kind: "complete";
-    /** What marked the end. After a regular close the body may still be truncated between two events. */
-    readonly evidence: ResponseFraming;
+/** The whole response has arrived, as far as can be known. Created by {@link judgeResponseEnd} only. */
+class JudgedComplete {
+    public readonly kind = "complete";
+    /** Keeps other objects from being taken for a judgement. */
+    protected readonly isJudged = true;
+
+    /** `evidence`: what marked the end. After a regular close the body may still be truncated between two events. */
+    public constructor(public readonly evidence: ResponseFraming) {}
 }
+export type CompleteEnd = JudgedComplete;
 
 /** The upstream broke off the response. */
 export interface BrokenEnd {
@@ -65,7 +69,7 @@
     if (endsWithConnection && upstreamEnded) {
         return broken("the upstream ended with the connection", endsWithConnection);
     }
-    return { kind: "complete", evidence: framing };
+    return new JudgedComplete(framing);
 }
 
 function broken(reason: string, connectionLost: boolean): BrokenEnd {
--- a/packages/core/src/responseframings.ts
+++ b/packages/core/src/responseframings.ts
@@ -1,5 +1,5 @@
 /** How the body of a response is delimited (RFC 9112, section 6.3). */
-import { headerValue, type RawHeaders } from "./rawheaders.js";
+import { headerValue, headerValues, type RawHeaders } from "./rawheaders.js";
 
 export const ResponseFraming = {
     /** The response has no body. */
@@ -20,8 +20,8 @@
     if (method === "HEAD" || status === statusNoContent || status === statusNotModified) {
         return ResponseFraming.none;
     }
-    const transferEncoding = headerValue(headers, "transfer-encoding");
-    if (transferEncoding !== undefined) {
+    const transferEncoding = [...headerValues(headers, "transfer-encoding")].join(",");
+    if (transferEncoding !== "") {
         // Only a final chunked coding delimits the body.
         return /(^|,)\s*chunked\s*$/i.test(transferEncoding) ? ResponseFraming.chunked : ResponseFraming.close;
     }
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -17,7 +17,7 @@
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
 import { type BufferedResponse, withoutContentLength, writeBufferedResponse } from "./bufferedresponses.js";
-import { type HeaderCodec, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
+import { type HeaderCodec, headerValue, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
 import { slowReaderReason } from "./hostguards.js";
 import { type InboundRequest, remainingMs } from "./inboundrequests.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
@@ -27,6 +27,8 @@
  */
 const maxBufferedBytes = 256 * 1024;
 
+const eventStreamType = "text/event-stream";
+
 /** Time to wait for a free connection, in milliseconds; longer than it takes to establish a new one. */
 const connectionWaitMs = 500;
 
@@ -118,6 +120,8 @@
     private settled = false;
     /** Whether the response has ended, so that nothing is left to abort. */
     private ended = false;
+    /** Set while a response that ended with its connection is being confirmed. */
+    private unconfirmedEnd: ResponseEndFacts | undefined;
     private status = 0;
     private headers: readonly string[] = [];
     private metadata: ResponseMetadata | undefined;
@@ -260,6 +264,7 @@
 
     /** Settles the attempt after a response that ended with its connection, once it is known whether the upstream did too. */
     private async settleConfirmedEnd(facts: ResponseEndFacts): Promise<void> {
+        this.unconfirmedEnd = facts;
         const upstreamEnded = await this.options.hasUpstreamEnded();
         if (!this.settled) {
             this.settleJudgedEnd(judgeResponseEnd({ ...facts, upstreamEnded }));
@@ -283,12 +288,11 @@
     }
 
     private endFacts(connection: ConnectionState): ResponseEndFacts {
-        const { request, splitter } = this;
+        const { splitter } = this;
         const stream = {
             unfinishedBytes: splitter.remainder.length,
             endsInsideEvent: splitter.isInsideEvent,
-            hasEvents: splitter.hasEvents || request.lastEventId !== undefined
-                || request.metadata.resumeFrom !== undefined,
+            hasEvents: splitter.hasEvents,
         };
         return {
             framing: this.framing,
@@ -349,11 +353,12 @@
     }
 
     private isStream(): boolean {
-        return this.isSuccess() && this.request.route.kind === "streaming";
+        const type = headerValue(this.headers, "content-type") ?? eventStreamType;
+        return this.isSuccess() && this.request.route.kind === "streaming" && type.startsWith(eventStreamType);
     }
 
     private forwardEvents(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        const { bytes, lastId } = this.splitter.push(chunk);
+        const { bytes, lastEvent } = this.splitter.push(chunk);
         if (bytes.length === 0) {
             return;
         }
@@ -367,7 +372,9 @@
             this.options.onPause(now - this.lastEventAt);
         }
         this.lastEventAt = now;
-        this.request.lastEventId = lastId ?? this.request.lastEventId;
+        if (lastEvent !== undefined) {
+            this.request.lastEventId = lastEvent.id;
+        }
         this.write(controller, bytes);
     }
 
@@ -436,6 +443,11 @@
     }
 
     private cancel(outcome: AttemptOutcome): void {
+        if (outcome.kind === "late" && this.unconfirmedEnd !== undefined && !this.settled) {
+            // The whole response is here, as far as is known by the deadline.
+            this.settleJudgedEnd(judgeResponseEnd(this.unconfirmedEnd));
+            return;
+        }
         const unsent = outcome.kind === "late" && !this.sent;
         this.abort(unsent ? unsentOutcome("no connection before the deadline", true) : outcome);
     }
--- a/packages/forwarding/src/tests/eventsplitters.test.ts
+++ b/packages/forwarding/src/tests/eventsplitters.test.ts
@@ -13,6 +13,13 @@
 }
 
 describe("a splitter of event streams", () => {
+    it("tells the id of the last event, if that has one, and ignores comments and retry times", () => {
+        const lastEventOf = (text: string) => new EventSplitter().push(Buffer.from(text)).lastEvent;
+        expect(lastEventOf("id: 1\ndata: a\n\n: ping\n\nretry: 5\n\n")).toEqual({ id: "1" });
+        expect(lastEventOf("id:1\ndata: a\n\ndata: b\n\n")).toEqual({ id: undefined });
+        expect(lastEventOf(": ping\n\nretry: 5\n\n")).toEqual(undefined);
+    });
+
     for (const [name, lineEnd] of Object.entries(lineEnds)) {
         // Guards against streams that are held back until they end because their line ends are not recognized.
         it(`releases each event as soon as it is complete, with lines that end with ${name}`, () => {
@@ -27,7 +34,15 @@
                 const { splitter, results } = splitAt(text, cuts);
                 const bytes = Buffer.concat([...results.map(result => result.bytes), splitter.remainder]);
                 expect(bytes.toString()).toEqual(text);
-                expect(results.map(({ lastId }) => lastId).filter(id => id !== undefined).at(-1)).toEqual("3");
+                expect(results.map(({ lastEvent }) => lastEvent?.id).filter(id => id !== undefined).at(-1)).toEqual(
+                    "3",
+                );
+                // No release ends inside an event.
+                const events = threeEvents(lineEnd);
+                const boundaries = events.map((_, index) => events.slice(0, index + 1).join("").length);
+                const released = results.map(result => result.bytes.length);
+                const offsets = released.map((_, index) => released.slice(0, index + 1).reduce((a, b) => a + b, 0));
+                expect(offsets.filter(offset => offset > 0 && !boundaries.includes(offset))).toEqual([]);
             }));
         });
     }
--- a/packages/forwarding/src/tests/responseends.test.ts
+++ b/packages/forwarding/src/tests/responseends.test.ts
@@ -105,6 +105,11 @@
                     else if (status === 200) {
                         expect({ cut, prefixes }).toEqual({ cut, prefixes: expect.includes(body) });
                     }
+                    if (!seen.isWhole && end === "FIN" && framing !== "chunked") {
+                        // All complete events that were sent, or an error if there are none.
+                        const sent = prefixes.filter(({ length }) => length <= cut.sentBytes).at(-1);
+                        expect({ cut, body: status === 200 ? body : "" }).toEqual({ cut, body: sent! });
+                    }
                 });
             });
 
@@ -135,6 +140,59 @@
     }
 });
 
+// Guards against streams that count as complete because their framing is, or because another upstream had sent an event.
+describe("a stream", () => {
+    const events = threeEvents(lineEnds.LF);
+    let setup: TestSetup;
+
+    afterEach(() => setup.stop());
+
+    for (const framing of ["length", "chunked"] as const) {
+        it(`is broken off if its body is complete by ${framing} but ends inside an event`, async () => {
+            const respond = ({ id, socket }: ReceivedRequest) => {
+                const text = events.join("").slice(0, Number(id));
+                socket.write(encodeHead(id, framing, text.length) + encodeBody(framing, text === "" ? [] : [text]));
+            };
+            setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [respond]);
+            for (let length = 0; length <= events.join("").length; length++) {
+                const { status, whole } = await setup.entry.call(String(length));
+                const isWhole = [0, ...endsOfEvents(events)].includes(length);
+                expect({ length, isWhole: status === 200 && whole }).toEqual({ length, isWhole });
+            }
+        });
+    }
+
+    it("is broken off if it goes on at an upstream that ends before its first event", async () => {
+        for (const rest of ["", ": ping\n\n"]) {
+            let count = 0;
+            const respond = ({ id, socket }: ReceivedRequest) =>
+                void socket.end(encodeHead(id, "close", 0) + (count++ === 0 ? events.join("").slice(0, 30) : rest));
+            setup = await TestSetup.start({ kind: "streaming", resumable: true, maxAttempts: 2 }, [respond, respond]);
+            const { body, whole } = await setup.entry.call("q1");
+            expect({ body: body.replace(rest, ""), whole, count }).toEqual({ body: events[0], whole: false, count: 2 });
+            await setup.stop();
+        }
+    });
+
+    it("does not go on after an event without an id, which would be sent twice", async () => {
+        const text = `${events[0]}data: without id\n\ndata: cut`;
+        const respond = ({ id, socket }: ReceivedRequest) => void socket.end(encodeHead(id, "close", 0) + text);
+        setup = await TestSetup.start({ kind: "streaming", resumable: true, maxAttempts: 2 }, [respond, respond]);
+        const { whole } = await setup.entry.call("q1");
+        expect([whole, setup.upstreams.flatMap(({ received }) => received).length]).toEqual([false, 1]);
+    });
+
+    it("may be a response of another type, which is forwarded unchanged", async () => {
+        const respond = ({ id, socket }: ReceivedRequest) => {
+            const head = encodeHead(id, "length", 7).replace("X-Id", "Content-Type: application/json\r\nX-Id");
+            socket.write(`${head}{"a":1}`);
+        };
+        setup = await TestSetup.start({ kind: "streaming" }, [respond]);
+        const { status, body, whole } = await setup.entry.call("q1");
+        expect({ status, body, whole }).toEqual({ status: 200, body: "{\"a\":1}", whole: true });
+    });
+});
+
 // Guards against cut responses that look complete because nothing but the end of the connection delimits them.
 describe("a response without framing, or to a client without chunks,", () => {
     const events = threeEvents(lineEnds.LF);
