Entries rely on their set of versions for as long as a change of leader takes

By the review's reading: an entry's confirmed view is up to 1.4 s old in ordinary polling, and 2 to 4 s old after a change of leader, so that returning streams of a service with one version were refused as unknown beyond 1.4 s. Change: versions that aren't a service's first are held back for 4 s (1.5 s before), and entries rely on a set of up to 3.9 s. Cost: a new version's first upstream serves 4 s later.

--- a/packages/fleet/src/versionadmissions.ts
+++ b/packages/fleet/src/versionadmissions.ts
@@ -12,9 +12,9 @@
 
 /**
  * A further version of a service is held back for this long after its commit, in milliseconds. Entries whose confirmed
- * set is younger know the version before they see an upstream that has it.
+ * set is younger know the version before they see an upstream that has it. Longer than a change of leader takes.
  */
-export const versionHoldMs = 1500;
+export const versionHoldMs = 4000;
 /** A version is retired after no upstream has had it for this long, in milliseconds. */
 export const versionRetentionMs = 600_000;
 const retirementIntervalMs = 10_000;
--- a/packages/streamorigins/src/streamoriginclients.ts
+++ b/packages/streamorigins/src/streamoriginclients.ts
@@ -24,7 +24,7 @@
  * Greatest age of a confirmed set of versions from which conclusions are drawn, in milliseconds. A service's
  * further versions serve 1,500 ms after entries could learn of them at the earliest; the rest is a margin.
  */
-const maxConfirmedAgeMs = 1400;
+const maxConfirmedAgeMs = 3900;
 const findTimeoutMs = 300;
 
 export class StreamOriginClient implements StreamOrigins {
