A stream that its client takes up again goes to the service that began it

On a route with several services each attempt drew one at random: a returning stream was looked up, and could go on, in a service that hadn't begun it. Now the attempt that began it decides the draw.

--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -25,7 +25,7 @@
 import { type HostGuard } from "./hostguards.js";
 import { type InboundRequest } from "./inboundrequests.js";
 import { asksForAnotherEntry, LocalResponse, writeLocalResponse } from "./localresponses.js";
-import { RouteTable, selectTarget } from "./routetables.js";
+import { RouteTable, selectTarget, targetDraw } from "./routetables.js";
 
 /** Header limit of the HTTP parser; the lower configured limit is checked afterwards. */
 const maxParsedHeaderBytes = 256 * 1024;
@@ -222,7 +222,7 @@
             body,
             metadata,
             route,
-            service: selectTarget(route.targets, Math.random()),
+            service: selectTarget(route.targets, targetDraw(route, metadata)),
             priority: table.priorities.levelOf(route, grant?.priority),
             grant,
             charge: charged.charge,
--- a/packages/forwarding/src/routetables.ts
+++ b/packages/forwarding/src/routetables.ts
@@ -1,5 +1,7 @@
 /** Matches requests to routes by host and path. */
 import { type Configuration, type Route, type RouteTarget } from "@winchpath/declarations";
+import { crc32 } from "node:zlib";
+import { type RequestMetadata } from "./headercodecs.js";
 import { PriorityLevels } from "./prioritylevels.js";
 
 export class RouteTable {
@@ -29,6 +31,14 @@
     }
 }
 
+const crcRange = 2 ** 32;
+
+/** Returns a number from 0 to 1. A stream that its client takes up again gets the one that it began with. */
+export function targetDraw(route: Route, { id, resumedId }: Pick<RequestMetadata, "id" | "resumedId">): number {
+    const key = resumedId || id;
+    return route.kind === "streaming" && route.resumable && key !== undefined ? crc32(key) / crcRange : Math.random();
+}
+
 /** Selects a service by weight; `draw` is a random number from 0 to 1. */
 export function selectTarget(targets: readonly RouteTarget[], draw: number): string {
     const total = targets.reduce((sum, target) => sum + target.weight, 0);
