Streams bound to a version wait where their service has no upstream at all

A returning or broken stream ended at once in a momentary gap without any upstream, where it had waited before. Only if upstreams of other versions serve is its version absent. The check takes no rate permit any more, and no second look at all upstreams for the log.

--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -133,7 +133,7 @@
             this.deps.responder.logEvent(request, "attempt", {
                 upstream: endpoint.id,
                 try: attemptIndex + 1,
-                softwareVersion: this.loggedVersion(request, endpoint),
+                softwareVersion: request.softwareVersion,
                 load: Math.round(endpoint.load),
                 viewAgeMs: Math.round(this.deps.view.ageMs),
                 sentDelayMs: sentDelayMs === 0 ? undefined : sentDelayMs,
@@ -173,13 +173,6 @@
                 || this.deps.view.availability.rates.acquirePermit(endpoint.id) !== "refused");
     }
 
-    /** The upstream's version if the request is bound to one, or upstreams of several serve. */
-    private loggedVersion(request: InboundRequest, { description }: UpstreamEndpoint): string | undefined {
-        const isTold = request.softwareVersion !== undefined
-            || this.deps.endpoints.hasSeveralVersions(request.service);
-        return isTold ? description.softwareVersion : undefined;
-    }
-
     /** Undefined if the request must not be repeated, or has no attempts left. */
     private headTimeoutMs(request: InboundRequest, tokensAhead: number): number | undefined {
         if (!isRepeatable(request) || request.attemptedUpstreams.length >= request.route.maxAttempts) {
--- a/packages/forwarding/src/endpointtables.ts
+++ b/packages/forwarding/src/endpointtables.ts
@@ -1,6 +1,8 @@
 /** Upstreams that an entry can send requests to. */
 import { type Configuration } from "@winchpath/declarations";
 import { type FleetView, supersedes, type Upstream, UpstreamState } from "@winchpath/fleet";
+import { type InboundRequest } from "./inboundrequests.js";
+import { isOfVersion } from "./streamversions.js";
 import { UpstreamEndpoint } from "./upstreamendpoints.js";
 
 /** Minimum number of connections per entry and upstream. */
@@ -53,10 +55,13 @@
         );
     }
 
-    /** Whether upstreams of several software versions accept new requests of a service. */
-    public hasSeveralVersions(service: string): boolean {
-        const [first, ...others] = this.ready(service);
-        return others.some(({ description }) => description.softwareVersion !== first.description.softwareVersion);
+    /** Whether upstreams accept requests of the service, but none of the version that began the request's stream. */
+    public lacksVersionOf(request: InboundRequest): boolean {
+        if (request.softwareVersion === undefined) {
+            return false;
+        }
+        const ready = this.ready(request.service);
+        return ready.length > 0 && !ready.some(endpoint => isOfVersion(request, endpoint));
     }
 
     /** Whether an upstream still accepts new requests; checked right before sending. */
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -316,7 +316,7 @@
     }
 
     private handleFailed(request: InboundRequest, res: ServerResponse, broken: boolean): NextStep {
-        if (request.softwareVersion !== undefined && this.assigner.select(request).kind === "version-absent") {
+        if (this.endpoints.lacksVersionOf(request)) {
             // Ended before a retry is taken from the budget.
             this.responder.respond(request, res, LocalResponse.failed);
             return "done";
--- a/packages/forwarding/src/upstreamselectors.ts
+++ b/packages/forwarding/src/upstreamselectors.ts
@@ -51,7 +51,7 @@
     ): Selection {
         const ready = all.filter(endpoint => isOfVersion(request, endpoint));
         if (ready.length === 0) {
-            return { kind: request.softwareVersion === undefined ? "none" : "version-absent" };
+            return { kind: all.length === 0 ? "none" : "version-absent" };
         }
         const holders = ready.filter(endpoint => isReadyFor(endpoint, request));
         if (holders.length === 0) {
