--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -388,7 +388,7 @@
             abort.signal,
         );
         void crashes.run(abort.signal);
-        void versions.run(abort.signal);
+        versions.run(abort.signal).catch(err => this.log.warn("software-versions.failed", { error: messageOf(err) }));
         placement.run(abort.signal).catch(err => this.log.warn("placement.failed", { error: messageOf(err) }));
     }
 
