The id of a stream's last event is read when an attempt ends, not with each event

Entries parsed each released event. Change: the last released bytes are kept and parsed on demand; the id is set when an attempt settles. The log line leaves out an intact connection and the version (the upstream's id names it); selection filters by version only for bound streams.

--- a/packages/core/src/eventsplitters.ts
+++ b/packages/core/src/eventsplitters.ts
@@ -4,13 +4,6 @@
 const carriageReturn = 13;
 const colon = 58;
 
-export interface CompleteEvents {
-    /** Bytes up to the end of the last complete event; empty if there is none. */
-    readonly bytes: Buffer;
-    /** Undefined if no event is complete; comments and retry times are no events. */
-    readonly lastEvent: SplitEvent | undefined;
-}
-
 export interface SplitEvent {
     /** Undefined if the event has none, so that a stream cannot be resumed after it. */
     readonly id: string | undefined;
@@ -18,22 +11,29 @@
 
 export class EventSplitter {
     private buffered: Buffer = Buffer.alloc(0);
-    private sawEvent = false;
+    /** The last released bytes that contain an event; parsed only when asked, since streams have many events. */
+    private lastEvents: Buffer | undefined;
 
-    /** Adds a chunk and returns the events that are now complete. */
-    public push(chunk: Buffer): CompleteEvents {
+    /** Adds a chunk and returns the bytes up to the end of the last event that is complete now; empty if there is none. */
+    public push(chunk: Buffer): Buffer {
         const bytes = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
         const end = endOfLastEvent(bytes);
         this.buffered = bytes.subarray(end);
-        const whole = bytes.subarray(0, end);
-        const lastEvent = end === 0 ? undefined : lastEventIn(whole);
-        this.sawEvent ||= lastEvent !== undefined;
-        return { bytes: whole, lastEvent };
+        const complete = bytes.subarray(0, end);
+        if (end > 0 && (eventInitials.has(complete.readUInt16BE(0)) || lastEventIn(complete) !== undefined)) {
+            this.lastEvents = complete;
+        }
+        return complete;
+    }
+
+    /** The last complete event; undefined if there is none. Comments and retry times are no events. */
+    public get lastEvent(): SplitEvent | undefined {
+        return this.lastEvents && lastEventIn(this.lastEvents);
     }
 
-    /** Whether a complete event has arrived; comments are none. */
+    /** Whether a complete event has arrived. */
     public get hasEvents(): boolean {
-        return this.sawEvent;
+        return this.lastEvent !== undefined;
     }
 
     /** Bytes after the last complete event. */
@@ -95,6 +95,8 @@
 /** Name and value of a field; the name of a comment is empty. */
 const fieldPattern = /^([^:]*)(?:: ?)?(.*)$/;
 const eventFields = ["data", "event", "id"];
+/** First two bytes of these names: what begins with them is taken for an event without parsing it. */
+const eventInitials = new Set(eventFields.map(name => Buffer.from(name).readUInt16BE(0)));
 
 function linesOf(bytes: Buffer): string[] {
     return bytes.toString("latin1").split(/\r\n|\r|\n/);
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -358,7 +358,7 @@
     }
 
     private forwardEvents(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-        const { bytes, lastEvent } = this.splitter.push(chunk);
+        const bytes = this.splitter.push(chunk);
         if (bytes.length === 0) {
             return;
         }
@@ -372,9 +372,6 @@
             this.options.onPause(now - this.lastEventAt);
         }
         this.lastEventAt = now;
-        if (lastEvent !== undefined) {
-            this.request.lastEventId = lastEvent.id;
-        }
         this.write(controller, bytes);
     }
 
@@ -463,6 +460,10 @@
     private settle(outcome: AttemptOutcome): void {
         if (!this.settled) {
             this.settled = true;
+            const { lastEvent } = this.splitter;
+            if (lastEvent !== undefined) {
+                this.request.lastEventId = lastEvent.id;
+            }
             this.outcome.resolve(outcome);
         }
     }
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -133,7 +133,6 @@
             this.deps.responder.logEvent(request, "attempt", {
                 upstream: endpoint.id,
                 try: attemptIndex + 1,
-                softwareVersion: request.softwareVersion,
                 load: Math.round(endpoint.load),
                 viewAgeMs: Math.round(this.deps.view.ageMs),
                 sentDelayMs: sentDelayMs === 0 ? undefined : sentDelayMs,
@@ -142,7 +141,7 @@
                 firstMs: firstByteMs,
                 longestPauseMs: longestPauseMs === 0 ? undefined : Math.round(longestPauseMs),
                 framing: responseEnd?.framing,
-                connection: responseEnd?.connection,
+                connection: responseEnd?.connection === "intact" ? undefined : responseEnd?.connection,
                 unfinishedBytes: responseEnd?.stream?.unfinishedBytes || undefined,
                 ...prompt?.logFields,
                 // Identifies the request in crash reports.
--- a/packages/forwarding/src/inboundrequests.ts
+++ b/packages/forwarding/src/inboundrequests.ts
@@ -46,7 +46,7 @@
     lostConnections: number;
     /** The trial under which it may run, if it is suspected of crashing upstreams. */
     trial?: SuspectTrial;
-    /** Id of the last event that was forwarded completely. */
+    /** Id of the last event that was forwarded completely, as of the end of the last attempt. */
     lastEventId: string | undefined;
     /** Software version of the upstream that began the stream; undefined if no event of it is known. */
     softwareVersion?: string;
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -1,7 +1,6 @@
 export {
     type BrokenEnd,
     type CompleteEnd,
-    type CompleteEvents,
     type ConnectionState,
     EventSplitter,
     framingOf,
--- a/packages/forwarding/src/tests/eventsplitters.test.ts
+++ b/packages/forwarding/src/tests/eventsplitters.test.ts
@@ -8,13 +8,17 @@
 function splitAt(text: string, cuts: readonly number[]) {
     const splitter = new EventSplitter();
     const ends = [...new Set(cuts.map(cut => cut % (text.length + 1))), text.length].sort((a, b) => a - b);
-    const results = ends.map((end, index) => splitter.push(Buffer.from(text.slice(ends[index - 1] ?? 0, end))));
-    return { splitter, results };
+    const released = ends.map((end, index) => splitter.push(Buffer.from(text.slice(ends[index - 1] ?? 0, end))));
+    return { splitter, released };
 }
 
 describe("a splitter of event streams", () => {
     it("tells the id of the last event, if that has one, and ignores comments and retry times", () => {
-        const lastEventOf = (text: string) => new EventSplitter().push(Buffer.from(text)).lastEvent;
+        const lastEventOf = (text: string) => {
+            const splitter = new EventSplitter();
+            text.split(/(?<=\n\n)/).forEach(part => splitter.push(Buffer.from(part)));
+            return splitter.lastEvent;
+        };
         expect(lastEventOf("id: 1\ndata: a\n\n: ping\n\nretry: 5\n\n")).toEqual({ id: "1" });
         expect(lastEventOf("id:1\ndata: a\n\ndata: b\n\n")).toEqual({ id: undefined });
         expect(lastEventOf(": ping\n\nretry: 5\n\n")).toEqual(undefined);
@@ -24,24 +28,21 @@
         // Guards against streams that are held back until they end because their line ends are not recognized.
         it(`releases each event as soon as it is complete, with lines that end with ${name}`, () => {
             const splitter = new EventSplitter();
-            const released = threeEvents(lineEnd).map(event => splitter.push(Buffer.from(event)).bytes.toString());
+            const released = threeEvents(lineEnd).map(event => splitter.push(Buffer.from(event)).toString());
             expect(released).toEqual([...threeEvents(lineEnd)]);
         });
 
         it(`releases all bytes and the last id whatever the pieces, with lines that end with ${name}`, () => {
             fc.assert(fc.property(fc.array(fc.nat()), cuts => {
                 const text = threeEvents(lineEnd).join("");
-                const { splitter, results } = splitAt(text, cuts);
-                const bytes = Buffer.concat([...results.map(result => result.bytes), splitter.remainder]);
+                const { splitter, released } = splitAt(text, cuts);
+                const bytes = Buffer.concat([...released, splitter.remainder]);
                 expect(bytes.toString()).toEqual(text);
-                expect(results.map(({ lastEvent }) => lastEvent?.id).filter(id => id !== undefined).at(-1)).toEqual(
-                    "3",
-                );
+                expect(splitter.lastEvent).toEqual({ id: "3" });
                 // No release ends inside an event.
                 const events = threeEvents(lineEnd);
                 const boundaries = events.map((_, index) => events.slice(0, index + 1).join("").length);
-                const released = results.map(result => result.bytes.length);
-                const offsets = released.map((_, index) => released.slice(0, index + 1).reduce((a, b) => a + b, 0));
+                const offsets = released.map((_, index) => Buffer.concat(released.slice(0, index + 1)).length);
                 expect(offsets.filter(offset => offset > 0 && !boundaries.includes(offset))).toEqual([]);
             }));
         });
--- a/packages/forwarding/src/upstreamselectors.ts
+++ b/packages/forwarding/src/upstreamselectors.ts
@@ -49,7 +49,9 @@
         all: readonly UpstreamEndpoint[],
         engine: EngineSpec | undefined,
     ): Selection {
-        const ready = all.filter(endpoint => isOfVersion(request, endpoint));
+        const ready = request.softwareVersion === undefined
+            ? all
+            : all.filter(endpoint => isOfVersion(request, endpoint));
         if (ready.length === 0) {
             return { kind: all.length === 0 ? "none" : "version-absent" };
         }
