--- a/packages/forwarding/src/tests/attempts.test.ts
+++ b/packages/forwarding/src/tests/attempts.test.ts
@@ -83,7 +83,7 @@
             responder: { logEvent: nothing },
             signals: { handle: nothing },
             throughput: { durationMs: () => 0 },
-            endpoints: { isReady: () => isReady, hasSeveralVersions: () => false },
+            endpoints: { isReady: () => isReady },
             view: { ageMs: 0 },
             sharedAdmission: {
                 admitted: () => events.push("admitted"),
