--- a/packages/testing/src/deployments/processes.ts
+++ b/packages/testing/src/deployments/processes.ts
@@ -48,9 +48,18 @@
         return new TestProcess(spawn(process.execPath, [daemonScript, "--settings", settings], spawnOptions), name);
     }
 
-    /** Starts a platform process, which reads the path of its settings file from the environment. */
-    public static startPlatform(role: string, settings: string, name: string): TestProcess {
-        const env = { ...process.env, WINCHPATH_SETTINGS: settings };
+    /**
+     * Starts a platform process, which reads the path of its settings file from the environment.
+     *
+     * @param variables further variables of its environment
+     */
+    public static startPlatform(
+        role: string,
+        settings: string,
+        name: string,
+        variables: Readonly<Record<string, string>> = {},
+    ): TestProcess {
+        const env = { ...process.env, ...variables, WINCHPATH_SETTINGS: settings };
         return new TestProcess(
             spawn(process.execPath, [daemonScript, "--platform", role], { ...spawnOptions, env }),
             name,
