A session that ends without an answer to a ping doesn't end the process

Cause: the library ends a session whose ping gets no answer by destroying it with an error. The calls on it fail first; a caller that then disconnects makes the library take its listener off before the session emits that error, which becomes an uncaught exception. Shown without any load by a peer that falls silent while two calls are open and that is disconnected when they fail: uncaught each time, never without the disconnect. Aborting later (setImmediate) was tried: the error comes later still.

Change: the error counts as the end of a session, like the GOAWAY error that the library raises in the same way. Calls have failed by themselves by then. The test failed before.

--- a/packages/rpc/src/errors.ts
+++ b/packages/rpc/src/errors.ts
@@ -1,13 +1,16 @@
 /** Classification of errors that the RPC library raises. */
 import { Code, ConnectError } from "@connectrpc/connect";
 
+/** Parts of the messages with which the library ends a session itself: closed by the peer, or without an answer to a ping. */
+const sessionEndMessages = ["GOAWAY", "PING timed out"];
+
 /**
- * Whether an uncaught exception only reports that a peer closed an idle HTTP/2 session (GOAWAY). The
- * library may raise it after removing its error listener; no call is affected, and the next one opens
- * another session.
+ * Whether an uncaught exception only reports the end of an HTTP/2 session: its peer closed it while it was idle, or did not
+ * answer a ping. The library raises it after removing its error listener if the session is dropped at the same time. Calls
+ * on the session have failed by themselves, and the next one opens another.
  */
 export function isSessionClosedError(err: unknown): boolean {
-    return err instanceof ConnectError && err.rawMessage.includes("GOAWAY");
+    return err instanceof ConnectError && sessionEndMessages.some(message => err.rawMessage.includes(message));
 }
 
 /**
--- a/packages/rpc/src/tests/rpc.test.ts
+++ b/packages/rpc/src/tests/rpc.test.ts
@@ -42,11 +42,14 @@
         });
     }
 
-    it("classifies only the GOAWAY error of an idle session as a closed session", () => {
+    // Guards against a process that ends by itself after it has not run for a while, or while a peer is silent.
+    it("classifies only errors that end a session as a closed session", () => {
         expect(isSessionClosedError(new ConnectError("received GOAWAY without any open streams", Code.Canceled)))
             .toEqual(
                 true,
             );
+        expect(isSessionClosedError(new ConnectError("PING timed out", Code.Unavailable))).toEqual(true);
+        expect(isSessionClosedError(new ConnectError("the operation timed out", Code.DeadlineExceeded))).toEqual(false);
         expect(isSessionClosedError(new ConnectError("no such thing", Code.NotFound))).toEqual(false);
         expect(isSessionClosedError(new Error("GOAWAY"))).toEqual(false);
     });
