Attempts are logged with the version that routed them and the age of its confirmation

Both are fields of request.attempt now; 'configuration' replaces the search for the last configuration.in-force before it.

--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -135,6 +135,8 @@
                 try: attemptIndex + 1,
                 load: Math.round(endpoint.load),
                 viewAgeMs: Math.round(this.deps.view.ageMs),
+                configuration: request.decidedByVersion,
+                confirmedAgeMs: request.confirmedAgeMs,
                 sentDelayMs: sentDelayMs === 0 ? undefined : sentDelayMs,
                 outcome: outcome.kind,
                 reason: "reason" in outcome ? outcome.reason : undefined,
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -224,6 +224,8 @@
             route,
             service: selectTarget(route.targets, targetDraw(route, metadata)),
             priority: table.priorities.levelOf(route, grant?.priority),
+            decidedByVersion: decision.version,
+            confirmedAgeMs: decision.confirmedAgeMs,
             grant,
             charge: charged.charge,
             startedAt,
--- a/packages/forwarding/src/configurationdecisions.ts
+++ b/packages/forwarding/src/configurationdecisions.ts
@@ -35,6 +35,10 @@
     readonly table: RouteTable;
     readonly route: Route;
     readonly grant: AccountGrant | undefined;
+    /** Version of the configuration that allows it. */
+    readonly version: number;
+    /** How long before the decision that version was confirmed to be the latest one, in milliseconds. */
+    readonly confirmedAgeMs: number;
 }
 
 /** What one version of the configuration says. */
@@ -67,7 +71,15 @@
         }
         const identified = this.deps.admissions.identify(route, metadata);
         if (identified.kind === "identified") {
-            return { kind: "allowed", table, route, grant: identified.grant };
+            const { version, confirmedAgeMs } = this.deps.view;
+            return {
+                kind: "allowed",
+                table,
+                route,
+                grant: identified.grant,
+                version,
+                confirmedAgeMs: Math.round(confirmedAgeMs),
+            };
         }
         return identified.response === LocalResponse.unknownKey ? { kind: "denied", refusal: identified } : identified;
     }
--- a/packages/forwarding/src/inboundrequests.ts
+++ b/packages/forwarding/src/inboundrequests.ts
@@ -28,6 +28,10 @@
     readonly service: string;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** Version of the configuration by which its route and service were last decided. */
+    decidedByVersion: number;
+    /** How long before its arrival that configuration was confirmed to be the latest one, in milliseconds. */
+    readonly confirmedAgeMs: number;
     /** Account access granted to the client; undefined on public routes. */
     readonly grant: AccountGrant | undefined;
     /** Amount charged to the account's limit. */
--- a/packages/forwarding/src/tests/waitinputs.ts
+++ b/packages/forwarding/src/tests/waitinputs.ts
@@ -102,6 +102,8 @@
         startedAt: startedAt - ageMs,
         deadlineAt: startedAt - ageMs + route.timeoutMs,
         abortSignal: new AbortController().signal,
+        decidedByVersion: 1,
+        confirmedAgeMs: 0,
         attemptedUpstreams: [],
         declinedUpstreams: new Set(),
         lostConnections: 0,
--- a/packages/loadpatterns/src/loadgenerators.ts
+++ b/packages/loadpatterns/src/loadgenerators.ts
@@ -163,6 +163,8 @@
             charge: noCharge,
             deadlineAt,
             abortSignal: new AbortController().signal,
+            decidedByVersion: 1,
+            confirmedAgeMs: 0,
             attemptedUpstreams: [],
             declinedUpstreams: new Set(),
             lostConnections: 0,
--- a/packages/loadpatterns/src/tests/selectionscenarios.ts
+++ b/packages/loadpatterns/src/tests/selectionscenarios.ts
@@ -75,6 +75,8 @@
         charge: noCharge,
         deadlineAt: Date.now() + route.timeoutMs,
         abortSignal: new AbortController().signal,
+        decidedByVersion: 1,
+        confirmedAgeMs: 0,
         attemptedUpstreams: [],
         declinedUpstreams: new Set(),
         lostConnections: 0,
