A connection between processes is replaced once a call on it has had no response

Change, at one place for all callers: a call that times out although nothing has arrived on its connection since it was made moves the next call to another connection; the old one is closed when its last call has ended (a poll that the leader holds may still be answered). The test (a connection that goes silent while new ones work) failed before: the third call got no answer either.

--- a/packages/rpc/src/clients.ts
+++ b/packages/rpc/src/clients.ts
@@ -2,7 +2,8 @@
 import { type DescService } from "@bufbuild/protobuf";
 import { type Client, createClient, type Transport } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import { FairTimeoutTransport } from "./fairtimeouts.js";
+import { steadyNow } from "@winchpath/core";
+import { type CallOutcome, FairTimeoutTransport } from "./fairtimeouts.js";
 import { clientInterceptor, type RpcOptions } from "./interceptors.js";
 
 /** Time without traffic after which a ping checks the session, in milliseconds. */
@@ -14,6 +15,12 @@
     readonly sessions: Http2SessionManager;
     readonly transport: Transport;
     readonly clients: Map<string, unknown>;
+    /** Number of unary calls without a result. */
+    openCalls: number;
+    /** Monotonic time of the last response to a unary call. */
+    lastResponseAt: number;
+    /** Whether there were streaming calls, which may still be open. */
+    hasStreams: boolean;
 }
 
 /** Access to RPC clients by URL. */
@@ -22,6 +29,8 @@
 /** Creates and caches RPC clients, with one session per URL. */
 export class RpcClients {
     private readonly peers = new Map<string, PeerConnection>();
+    /** Connections that new calls don't use any more, while calls on them are open. */
+    private readonly replaced = new Set<PeerConnection>();
 
     public constructor(private readonly options: RpcOptions) {}
 
@@ -45,6 +54,7 @@
     /** Aborts all sessions. */
     public close(): void {
         [...this.peers.keys()].forEach(url => this.disconnect(url));
+        this.replaced.forEach(({ sessions }) => sessions.abort());
     }
 
     private connection(url: string): PeerConnection {
@@ -55,15 +65,50 @@
                 pingTimeoutMs,
                 idleConnectionTimeoutMs: idleTimeoutMs,
             });
-            const transport = new FairTimeoutTransport(createConnectTransport({
-                baseUrl: url,
-                httpVersion: "2",
-                sessionManager: sessions,
-                interceptors: [clientInterceptor(this.options)],
-            }));
-            peer = { sessions, transport, clients: new Map() };
+            const transport = new FairTimeoutTransport(
+                createConnectTransport({
+                    baseUrl: url,
+                    httpVersion: "2",
+                    sessionManager: sessions,
+                    interceptors: [clientInterceptor(this.options)],
+                }),
+                {
+                    started: () => connection.openCalls++,
+                    ended: outcome => this.callEnded(url, connection, outcome),
+                    streamStarted: () => connection.hasStreams = true,
+                },
+            );
+            const connection: PeerConnection = {
+                sessions,
+                transport,
+                clients: new Map(),
+                openCalls: 0,
+                lastResponseAt: Number.NEGATIVE_INFINITY,
+                hasStreams: false,
+            };
+            peer = connection;
             this.peers.set(url, peer);
         }
         return peer;
     }
+
+    /**
+     * Replaces a connection on which a call has timed out and nothing has arrived since it was sent: after packets were
+     * dropped silently, an old connection may stay silent for seconds while new ones work.
+     */
+    private callEnded(url: string, peer: PeerConnection, { startedAt, responded, timedOut }: CallOutcome): void {
+        peer.openCalls -= 1;
+        if (responded) {
+            peer.lastResponseAt = steadyNow();
+        }
+        if (timedOut && peer.lastResponseAt <= startedAt && this.peers.get(url) === peer) {
+            this.replaced.add(peer);
+            this.peers.delete(url);
+        }
+        if (this.replaced.has(peer) && peer.openCalls === 0 && !peer.hasStreams) {
+            // A client that was obtained before opens another one when it is used again.
+            this.replaced.delete(peer);
+            peer.sessions.abort();
+        }
+    }
 }
--- a/packages/rpc/src/errors.ts
+++ b/packages/rpc/src/errors.ts
@@ -13,6 +13,14 @@
     return err instanceof ConnectError && sessionEndMessages.some(message => err.rawMessage.includes(message));
 }
 
+/** Codes of calls that end without a response of the peer: its host or the connection is gone, or it was not waited for. */
+const unansweredCodes = new Set([Code.DeadlineExceeded, Code.Unavailable, Code.Canceled, Code.Aborted]);
+
+/** Whether an error was sent by the peer, so that its process runs and the connection to it works. */
+export function isResponse(err: unknown): boolean {
+    return err instanceof ConnectError && !unansweredCodes.has(err.code);
+}
+
 /**
  * Whether a call got no response. Its session may use a dead connection, which would fail further calls
  * for seconds after the peer is back, so the caller should disconnect.
--- a/packages/rpc/src/tests/rpc.test.ts
+++ b/packages/rpc/src/tests/rpc.test.ts
@@ -4,7 +4,7 @@
 import { expect } from "earl";
 import { once } from "node:events";
 import { connect } from "node:http2";
-import { connect as connectSocket } from "node:net";
+import { type AddressInfo, connect as connectSocket, createServer, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { isSessionClosedError, RpcClients, RpcServer } from "../index.js";
 
@@ -83,6 +83,40 @@
         expect(timeline.tick() > 1002n).toEqual(true);
     });
 
+    // Guards against calls that wait their whole time, for seconds, on a connection that has gone silent.
+    it("uses another connection after a call to which nothing came on the present one", async () => {
+        let isSilent = false;
+        let connections = 0;
+        const proxy = createServer(inbound => {
+            connections += 1;
+            const drops = isSilent;
+            const outbound = connectSocket(server.port, "127.0.0.1");
+            const relay = (from: Socket, to: Socket) => {
+                from.on("data", chunk => (isSilent && !drops) || to.write(chunk));
+                from.on("error", () => undefined);
+                from.on("close", () => to.destroy());
+            };
+            relay(inbound, outbound);
+            relay(outbound, inbound);
+        });
+        await once(proxy.listen(0, "127.0.0.1"), "listening");
+        const url = `http://127.0.0.1:${(proxy.address() as AddressInfo).port}`;
+        clients = new RpcClients({ key, timeline: serverTimeline });
+        const callWithin = (timeoutMs: number) =>
+            clients.client(TimelineService, url).listEvents({}, { timeoutMs }).then(() => "answered", () => "failed");
+        try {
+            expect(await callWithin(1000)).toEqual("answered");
+            // Connections that are open now are silent for good; new ones work.
+            isSilent = true;
+            expect(await callWithin(200)).toEqual("failed");
+            expect(await callWithin(1000)).toEqual("answered");
+            expect(connections).toEqual(2);
+        }
+        finally {
+            proxy.close();
+        }
+    });
+
     // Guards against a stopping process that stayed alive: one connection whose peer never closed it (FIN-WAIT-2).
     it("closes within its grace period if a peer never closes its connection", async () => {
         const other = await RpcServer.listen({ host: "127.0.0.1", port: 0 }, () => undefined, {
