An entry serves by a configuration that may be outdated only if it knows that it is cut off

Cause: a missing answer was taken as permission. Once a change could be overdue, an entry asked, waited 100 ms, then served by what it held and asked nobody for 5 s, longer than the time after which a host counts as in touch again; the decision made before the wait was kept even if a newer version had arrived during it; and a control host without a majority answered after 900 ms, while entries wait for 600 ms, so that an entry could not tell it from one that is gone.

Change: a right that runs out, and evidence in place of silence. The entry asks by itself from 0.55 of the bound on, all members, for the whole of a round of 600 ms and on new connections; from 0.85 on a request waits for a confirmation and is rejected as not executed without one, unless the entry is cut off: less than half of the members responded in two whole rounds (counted in rounds, which a process that is itself late doesn't judge before it has read what has arrived), or none could confirm for 4 s. A cut-off entry goes on, as its callers may have no other. Requests are decided anew after the wait. Members answer within 400 ms that they have no majority.

--- a/packages/fleet/src/configurationconfirmers.ts
+++ b/packages/fleet/src/configurationconfirmers.ts
@@ -1,31 +1,45 @@
 /** Asks the control group whether the entry's configuration is the latest one, for decisions that depend on it. */
 import { type EventLog, eventLoop, messageOf, type Metrics, Notifier, sleep, steadyNow } from "@winchpath/core";
 import { type PeerClients } from "@winchpath/rpc";
+import { ConfirmationRound, type RoundResult } from "./confirmationrounds.js";
 import { type FleetView } from "./fleetviews.js";
 import { type ConfirmResponse, FleetService } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 
 /** Requests that come in within this time share one question, in milliseconds. */
 const batchMs = 5;
-const callTimeoutMs = 600;
-/** Pause after a question without an answer, in milliseconds. */
+/** Pause after a round without a confirmation, in milliseconds. */
 const retryMs = 50;
-/** Number of other control hosts that are asked if the leader is unknown or does not answer. */
-const maxOtherHosts = 3;
-/** Time after which other control hosts are asked too, in milliseconds. */
-const hedgeMs = 60;
+/** Consecutive rounds without a response of at least half of the control hosts after which the entry is cut off. */
+const unreachableRounds = 2;
+/**
+ * Time without a confirmation, in milliseconds, after which the control group counts as unable to decide, although its hosts
+ * respond; several elections.
+ */
+const undecidedMs = 4000;
+/** Interval at which it is checked whether there is a configuration to confirm, in milliseconds. */
+const firstConfigurationPollMs = 100;
+/** Bound on the members and on the seeds that are asked. */
+const maxAskedHosts = 9;
 
 export interface ConfirmerOptions {
     readonly entry: string;
     /** URL of the leader; empty if unknown. */
     readonly leaderUrl: () => string;
-    /** URLs of control hosts. */
+    /** URLs of the members of the control group; of its seeds as long as no leader has told. */
     readonly controlUrls: () => readonly string[];
+    /** URLs of further hosts to ask. */
+    readonly seedUrls: () => readonly string[];
+    /** Age of the last confirmation from which on the control group is asked without a request, in milliseconds. */
+    readonly askAfterMs: number;
 }
 
 export class ConfigurationConfirmer<C> {
-    /** Notified after each question, answered or not. */
+    /** Notified after each round. */
     private readonly asked = new Notifier();
     private asking = false;
+    /** Results of the rounds since the last confirmation. */
+    private failed: { readonly since: number; readonly unreachable: number; } | undefined;
+    private wasCutOff = false;
 
     public constructor(
         private readonly view: FleetView<C>,
@@ -35,15 +49,47 @@
         private readonly metrics: Metrics,
     ) {}
 
-    /** Resolves to whether every configuration acknowledged before the call is known here, after `timeoutMs` at most. */
+    /**
+     * Asks until aborted whenever the last confirmation is old, so that it is known whether the control group can be reached
+     * before a request depends on it.
+     */
+    public async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const dueMs = this.options.askAfterMs - this.view.confirmedAgeMs;
+            if (this.view.configuration === undefined) {
+                await sleep(firstConfigurationPollMs, signal);
+            }
+            else if (dueMs > 0) {
+                await sleep(dueMs, signal);
+            }
+            else {
+                this.startAsking();
+                await this.asked.wait(this.options.askAfterMs);
+            }
+        }
+    }
+
+    /**
+     * Whether the last rounds have shown that no confirmation can be had: most control hosts don't respond, or none could
+     * confirm anything for long.
+     */
+    public get isCutOff(): boolean {
+        return this.failed !== undefined
+            && (this.failed.unreachable >= unreachableRounds || steadyNow() - this.failed.since >= undecidedMs);
+    }
+
+    /**
+     * Resolves to whether every configuration acknowledged before the call is known here, after `timeoutMs` at most; to false
+     * as soon as the entry is known to be cut off.
+     */
     public async confirm(timeoutMs: number): Promise<boolean> {
         const calledAt = steadyNow();
         const deadline = calledAt + timeoutMs;
         while (this.view.confirmedAt < calledAt) {
-            if (eventLoop.readUntil >= deadline) {
+            this.startAsking();
+            if (this.isCutOff || eventLoop.readUntil >= deadline) {
                 return false;
             }
-            this.startAsking();
             await this.asked.wait(deadline - eventLoop.readUntil);
         }
         return true;
@@ -58,44 +104,57 @@
 
     private async ask(): Promise<void> {
         await sleep(batchMs);
-        const sentAt = steadyNow();
-        const answer = await this.firstAnswer().catch(() => undefined);
-        this.metrics.count("configuration_confirmations_total", {
-            outcome: answer === undefined ? "none" : "answered",
-        });
-        if (answer === undefined) {
+        const result = await new ConfirmationRound({
+            leaderUrl: this.options.leaderUrl(),
+            controlUrls: this.options.controlUrls().slice(0, maxAskedHosts),
+            seedUrls: this.options.seedUrls().slice(0, maxAskedHosts),
+            call: (url, timeoutMs) => this.call(url, timeoutMs),
+            // An older version comes from a host that is still restoring its state.
+            isUsable: ({ documentVersion }) => Number(documentVersion) >= this.view.version,
+        }).run();
+        this.metrics.count("configuration_confirmations_total", { outcome: result.kind });
+        this.record(result);
+        this.asked.notify();
+        if (result.kind !== "confirmed") {
             await sleep(retryMs);
         }
-        else {
-            this.view.applyConfirmation(answer, sentAt);
-        }
         this.asking = false;
         this.asked.notify();
     }
 
-    private async call(url: string): Promise<ConfirmResponse> {
+    private record(result: RoundResult): void {
+        if (result.kind === "confirmed") {
+            this.view.applyConfirmation(result.response, result.sentAt);
+        }
+        // Not so if the document that was confirmed can't be read here.
+        if (result.kind === "confirmed" && this.view.confirmedAt >= result.sentAt) {
+            this.failed = undefined;
+        }
+        else {
+            const { since = steadyNow(), unreachable = 0 } = this.failed ?? {};
+            this.failed = { since, unreachable: result.kind === "unreachable" ? unreachable + 1 : 0 };
+        }
+        this.logReach(result);
+    }
+
+    private logReach(result: RoundResult): void {
+        const { isCutOff } = this;
+        if (isCutOff !== this.wasCutOff) {
+            this.wasCutOff = isCutOff;
+            const silent = result.kind === "confirmed" ? [] : result.silent;
+            const confirmedAgeMs = Math.round(this.view.confirmedAgeMs);
+            this.log.warn(isCutOff ? "configuration.cut-off" : "configuration.reachable", { silent, confirmedAgeMs });
+        }
+    }
+
+    private async call(url: string, timeoutMs: number): Promise<ConfirmResponse> {
         const req = { entry: this.options.entry, documentVersion: BigInt(this.view.version) };
         try {
-            return await this.clients.client(FleetService, url).confirm(req, { timeoutMs: callTimeoutMs });
+            return await this.clients.client(FleetService, url).confirm(req, { timeoutMs });
         }
         catch (err) {
             this.log.warn("configuration.not-confirmed", { host: url, error: messageOf(err) });
             throw err;
         }
     }
-
-    /** Asks the leader, and other members of the control group if it does not answer soon; all answer by a quorum read. */
-    private async firstAnswer(): Promise<ConfirmResponse> {
-        const leaderUrl = this.options.leaderUrl();
-        const others = this.options.controlUrls().filter(url => url !== leaderUrl).slice(0, maxOtherHosts);
-        if (leaderUrl === "") {
-            return Promise.any(others.map(url => this.call(url)));
-        }
-        const leaderAnswer = this.call(leaderUrl);
-        const answeredSoon = await Promise.race([
-            leaderAnswer.then(() => true, () => false),
-            sleep(hedgeMs).then(() => false),
-        ]);
-        return answeredSoon ? leaderAnswer : Promise.any([leaderAnswer, ...others.map(url => this.call(url))]);
-    }
 }
--- /dev/null
+++ b/packages/fleet/src/confirmationrounds.ts
@@ -0,0 +1,92 @@
+/** One round of questions to all control hosts whether the entry's configuration is the latest one. */
+import { eventLoop, sleep, steadyNow } from "@winchpath/core";
+import { isResponse } from "@winchpath/rpc";
+import { type ConfirmResponse } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+
+/** Time for which a round waits for responses, in milliseconds; longer than control hosts wait for a majority. */
+export const roundMs = 600;
+/** Time after which other control hosts are asked too, in milliseconds. */
+const hedgeMs = 60;
+/** Pause before a host is asked again to which a call has failed, in milliseconds. */
+const retryMs = 75;
+
+/** What a round has shown. */
+export type RoundResult =
+    /** A majority of the control group has confirmed a document. */
+    | { readonly kind: "confirmed"; readonly response: ConfirmResponse; readonly sentAt: number; }
+    /** At least half of the members have responded, and no host with a confirmation. */
+    | { readonly kind: "undecided"; readonly silent: readonly string[]; }
+    /** Less than half of the members have responded. */
+    | { readonly kind: "unreachable"; readonly silent: readonly string[]; };
+
+export interface RoundOptions {
+    /** URL of the leader, which is asked first; empty if unknown. */
+    readonly leaderUrl: string;
+    /** Members of the control group, of which a majority can confirm. */
+    readonly controlUrls: readonly string[];
+    /** Hosts that are asked too, since the members known here may have been replaced. */
+    readonly seedUrls: readonly string[];
+    readonly call: (url: string, timeoutMs: number) => Promise<ConfirmResponse>;
+    /** Whether a response is about the document that is held, or a newer one. */
+    readonly isUsable: (response: ConfirmResponse) => boolean;
+}
+
+export class ConfirmationRound {
+    private readonly startedAt = steadyNow();
+    private readonly deadline = this.startedAt + roundMs;
+    /** URLs of the hosts that have responded. */
+    private readonly responding = new Set<string>();
+    private isOver = false;
+
+    public constructor(private readonly options: RoundOptions) {}
+
+    /** Resolves with the first confirmation, or when every host has responded or had its time. */
+    public async run(): Promise<RoundResult> {
+        const { leaderUrl, controlUrls, seedUrls } = this.options;
+        const others = [...new Set([...controlUrls, ...seedUrls])].filter(url => url !== leaderUrl);
+        const leaderAsked = leaderUrl === "" ? Promise.reject(new Error("no leader is known")) : this.ask(leaderUrl);
+        const othersAsked = this.isSettledSoon(leaderAsked).then(isConfirmed =>
+            isConfirmed ? [] : others.map(url => this.ask(url))
+        );
+        const confirmation = await othersAsked
+            .then(asked => Promise.any([leaderAsked, ...asked]))
+            .catch(() => undefined);
+        this.isOver = true;
+        return confirmation ?? this.withoutConfirmation();
+    }
+
+    /** Resolves to whether the leader has confirmed within the time after which others are asked. */
+    private isSettledSoon(leaderAsked: Promise<RoundResult>): Promise<boolean> {
+        return Promise.race([leaderAsked.then(() => true, () => false), sleep(hedgeMs).then(() => false)]);
+    }
+
+    private withoutConfirmation(): RoundResult {
+        const { controlUrls } = this.options;
+        const silent = controlUrls.filter(url => !this.responding.has(url));
+        return { kind: silent.length * 2 > controlUrls.length ? "unreachable" : "undecided", silent };
+    }
+
+    /**
+     * Asks one host until it responds, since a call may fail for want of a connection only. Rejects if it doesn't confirm
+     * within the time of the round.
+     */
+    private async ask(url: string): Promise<RoundResult> {
+        while (!this.isOver && eventLoop.readUntil < this.deadline) {
+            const sentAt = steadyNow();
+            try {
+                const response = await this.options.call(url, Math.max(1, this.deadline - sentAt));
+                this.responding.add(url);
+                if (this.options.isUsable(response)) {
+                    return { kind: "confirmed", response, sentAt };
+                }
+            }
+            catch (err) {
+                if (isResponse(err)) {
+                    this.responding.add(url);
+                }
+            }
+            await sleep(retryMs);
+        }
+        throw new Error("no confirmation");
+    }
+}
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -1,6 +1,7 @@
 /** The leader's change feed: entries long-poll for changes, and each poll confirms the changes applied so far. */
 import { create } from "@bufbuild/protobuf";
-import { type EventLog, eventLoop, Notifier, steadyNow } from "@winchpath/core";
+import { Code, ConnectError } from "@connectrpc/connect";
+import { type EventLog, eventLoop, messageOf, Notifier, steadyNow } from "@winchpath/core";
 import { type ConfigurationState } from "@winchpath/declarations";
 import { type QuarantineState } from "@winchpath/quarantine";
 import { AdmissionCoordinator } from "./admissioncoordinators.js";
@@ -26,6 +27,8 @@
 
 /** A leader without quorum contact for longer publishes no changes; covers a majority with slow disks. */
 export const maxQuorumAgeMs = 2000;
+/** Time for a majority to confirm a document, in milliseconds; entries wait for longer, and so learn that none has. */
+const confirmationMs = 400;
 /** How long the count of live entries is cached. */
 const countCacheMs = 100;
 
@@ -47,8 +50,8 @@
     readonly softwareVersions: SoftwareVersionSource | undefined;
     /** Models that requests at an entry are waiting for, by {@link modelMapKey}. */
     awaitedModels(entry: string): ReadonlySet<string>;
-    /** Resolves once all previously accepted commands are applied on this replica. */
-    barrier(): Promise<void>;
+    /** Resolves once all previously accepted commands are applied on this replica; rejects after `timeoutMs`. */
+    barrier(timeoutMs?: number): Promise<void>;
 }
 
 interface EntryState {
@@ -139,9 +142,20 @@
             : this.createNotLeaderResponse();
     }
 
-    /** Answers with the document that a majority has committed by now. */
+    /**
+     * Answers with the document that a majority has committed by now. Throws `FailedPrecondition` if no majority answers, so
+     * that the entry can tell this host from one that it can't reach.
+     */
     public async confirmDocument(req: ConfirmRequest): Promise<ConfirmResponse> {
-        await this.control.barrier();
+        try {
+            await this.control.barrier(confirmationMs);
+        }
+        catch (err) {
+            throw new ConnectError(
+                `no majority has confirmed the document: ${messageOf(err)}`,
+                Code.FailedPrecondition,
+            );
+        }
         const { current, ageMs } = this.control.documents;
         const isNewer = current !== undefined && current.version > Number(req.documentVersion);
         this.log.info("configuration.confirmed", {
--- a/packages/fleet/src/tests/configurationconfirmers.test.ts
+++ b/packages/fleet/src/tests/configurationconfirmers.test.ts
@@ -1,25 +1,33 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
 import { Metrics, silentLog } from "@winchpath/core";
 import { type PeerClients } from "@winchpath/rpc";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it, mock } from "node:test";
-import { ConfirmResponseSchema } from "../gen/winchpath/fleet/v1/fleet_pb.js";
+import { ConfirmResponseSchema, PollResponseSchema } from "../gen/winchpath/fleet/v1/fleet_pb.js";
 import { ConfigurationConfirmer, FleetView } from "../index.js";
 import { advanceTime } from "./mocktimes.js";
 
+const askAfterMs = 1000;
+
 type Reply = () => Promise<MessageInitShape<typeof ConfirmResponseSchema>>;
 
 /** Control hosts that answer confirmations, with the calls that each received. */
 class TestControlHosts {
     public readonly calls: string[] = [];
 
-    public constructor(private readonly replies: Record<string, Reply>) {}
+    /** `endsCalls`: whether calls end at their timeout. */
+    public constructor(private readonly replies: Record<string, Reply>, private readonly endsCalls = false) {}
 
     public clients(): PeerClients {
         const open = (_service: unknown, url: string) => ({
-            confirm: async () => {
+            confirm: async (_req: unknown, { timeoutMs }: { readonly timeoutMs: number; }) => {
                 this.calls.push(url);
-                return create(ConfirmResponseSchema, await this.replies[url]());
+                const timeout = new Promise<never>((_, reject) => {
+                    const error = new ConnectError("the operation timed out", Code.DeadlineExceeded);
+                    setTimeout(() => this.endsCalls && reject(error), timeoutMs);
+                });
+                return create(ConfirmResponseSchema, await Promise.race([this.replies[url](), timeout]));
             },
         });
         return { client: open as unknown as PeerClients["client"], disconnect: () => undefined };
@@ -37,7 +45,13 @@
     afterEach(() => mock.timers.reset());
 
     function confirmerFor(hosts: TestControlHosts, leaderUrl = "a"): ConfigurationConfirmer<unknown> {
-        const options = { entry: "e", leaderUrl: () => leaderUrl, controlUrls: () => ["a", "b", "c"] };
+        const options = {
+            entry: "e",
+            leaderUrl: () => leaderUrl,
+            controlUrls: () => ["a", "b", "c"],
+            seedUrls: () => [],
+            askAfterMs,
+        };
         return new ConfigurationConfirmer(view, hosts.clients(), options, silentLog, new Metrics());
     }
 
@@ -85,10 +99,78 @@
     });
 
     it("gives up at the timeout, and asks at a bounded rate until then", async () => {
-        const hosts = new TestControlHosts({ a: unavailable });
+        const hosts = new TestControlHosts({ a: unavailable, b: unavailable, c: unavailable });
         expect(await resultOf(confirmerFor(hosts).confirm(500), 560)).toEqual(false);
-        const rounds = hosts.calls.filter(url => url === "a").length;
-        expect(rounds > 3 && rounds <= 10).toEqual(true);
+        const calls = hosts.calls.filter(url => url === "a").length;
+        expect(calls > 3 && calls <= 10).toEqual(true);
+    });
+
+    // Guards against an entry that takes a missing answer as permission: it has to know that it is cut off.
+    describe("an entry without a confirmation", () => {
+        const silent: Reply = () => new Promise(() => undefined);
+        const undecided: Reply = () => Promise.reject(new ConnectError("no majority", Code.FailedPrecondition));
+        const lost: Reply = () => Promise.reject(new ConnectError("connection aborted", Code.Canceled));
+        let abort: AbortController;
+
+        /** Runs a confirmer whose calls end at their timeout. Returns when it counts as cut off, within 8 s. */
+        async function cutOffAfterMs(replies: Record<string, Reply>, leaderUrl = "a"): Promise<number | undefined> {
+            view.apply(create(PollResponseSchema, { documentVersion: 1n, documentText: "one" }), Date.now());
+            const hosts = new TestControlHosts(replies, true);
+            const confirmer = confirmerFor(hosts, leaderUrl);
+            void confirmer.run(abort.signal);
+            for (let ms = 0; ms < 8000; ms += 20) {
+                if (confirmer.isCutOff) {
+                    return ms;
+                }
+                await advanceTime(20);
+            }
+            return undefined;
+        }
+
+        beforeEach(() => abort = new AbortController());
+
+        afterEach(() => abort.abort());
+
+        it("is cut off once two rounds have shown that most control hosts are silent", async () => {
+            const ms = await cutOffAfterMs({ a: silent, b: silent, c: undecided });
+            expect(ms! > askAfterMs + 1200 && ms! < askAfterMs + 1500).toEqual(true);
+        });
+
+        it("waits for the whole time of a round for hosts whose connections fail at once", async () => {
+            const ms = await cutOffAfterMs({ a: lost, b: lost, c: lost });
+            expect(ms! > askAfterMs + 1200 && ms! < askAfterMs + 1500).toEqual(true);
+        });
+
+        it("is not cut off for seconds while most control hosts respond, although none can confirm", async () => {
+            const ms = await cutOffAfterMs({ a: silent, b: undecided, c: undecided });
+            expect(ms! > askAfterMs + 4000 && ms! < askAfterMs + 6000).toEqual(true);
+        });
+
+        it("asks nothing while confirmations come by themselves", async () => {
+            const hosts = new TestControlHosts({ a: silent, b: silent, c: silent }, true);
+            const confirmer = confirmerFor(hosts);
+            void confirmer.run(abort.signal);
+            for (let index = 0; index < 20; index++) {
+                view.apply(create(PollResponseSchema, { documentVersion: 1n, documentText: "one" }), Date.now());
+                await advanceTime(500);
+            }
+            expect(hosts.calls).toEqual([]);
+            expect(confirmer.isCutOff).toEqual(false);
+        });
+
+        it("is in touch again with the first confirmation", async () => {
+            let reply = silent;
+            view.apply(create(PollResponseSchema, { documentVersion: 1n, documentText: "one" }), Date.now());
+            const answer: Reply = () => reply();
+            const confirmer = confirmerFor(new TestControlHosts({ a: answer, b: answer, c: answer }, true));
+            void confirmer.run(abort.signal);
+            await advanceTime(3000);
+            expect(confirmer.isCutOff).toEqual(true);
+            expect(await resultOf(confirmer.confirm(500), 50)).toEqual(false);
+            reply = async () => ({ documentVersion: 2n, documentText: "two" });
+            await advanceTime(800);
+            expect([confirmer.isCutOff, view.version]).toEqual([false, 2]);
+        });
     });
 
     it("does not count the answer of a host that has an older document, or none", async () => {
--- a/packages/fleet/src/tests/confirmationworlds.test.ts
+++ b/packages/fleet/src/tests/confirmationworlds.test.ts
@@ -65,7 +65,13 @@
         client: (() => ({ confirm })) as unknown as PeerClients["client"],
         disconnect: () => undefined,
     };
-    const options = { entry: "e", leaderUrl: () => "a", controlUrls: () => ["a", "b"] };
+    const options = {
+        entry: "e",
+        leaderUrl: () => "a",
+        controlUrls: () => ["a", "b"],
+        seedUrls: () => [],
+        askAfterMs: 1000,
+    };
     const confirmer = new ConfigurationConfirmer(view, clients, options, silentLog, new Metrics());
     const document = { documentVersion: BigInt(oldVersion), documentText: `v${oldVersion}` };
     view.apply(create(PollResponseSchema, document), Date.now() - 1);
--- a/packages/forwarding/src/configurationdecisions.ts
+++ b/packages/forwarding/src/configurationdecisions.ts
@@ -51,16 +51,28 @@
 export class ConfigurationDecider {
     public constructor(private readonly deps: DecisionDependencies) {}
 
-    /** Decides by the newest configuration: asks the control group for it before a request is denied. */
+    /**
+     * Decides by the newest configuration: asks the control group for it before a request is denied, and before it is allowed
+     * by a configuration that may be outdated. An entry that is cut off goes on with what the held one allows, since its
+     * clients may have no other; it denies nothing.
+     */
     public async decide(target: RequestTarget): Promise<AllowedRequest | Refusal> {
-        const { confirmations } = this.deps;
+        const { confirmations, metrics } = this.deps;
+        const firstDecision = this.decideByHeldVersion(target);
+        if (firstDecision.kind !== "denied" && !confirmations.mayBeOutdated) {
+            return firstDecision;
+        }
+        const confirmation = await confirmations.confirm(target.metadata.deadlineMs);
+        metrics.count("configuration_decisions_total", { confirmation });
+        if (confirmation === "unconfirmed") {
+            return unconfirmedRefusal;
+        }
+        // The configuration may have changed during the wait.
         const decision = this.decideByHeldVersion(target);
-        const confirmed = await confirmations.confirmIfNeeded(decision.kind !== "denied", target.metadata.deadlineMs);
-        if (!confirmed) {
-            return decision.kind === "denied" ? unconfirmedRefusal : decision;
+        if (decision.kind !== "denied") {
+            return decision;
         }
-        const confirmedDecision = this.decideByHeldVersion(target);
-        return confirmedDecision.kind === "denied" ? this.deny(confirmedDecision.refusal) : confirmedDecision;
+        return confirmation === "confirmed" ? this.deny(decision.refusal) : unconfirmedRefusal;
     }
 
     private decideByHeldVersion({ host, url, metadata }: RequestTarget): VersionDecision {
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -184,7 +184,7 @@
     public readonly listener: ClientListener;
     public readonly metrics = new Metrics();
     /** Confirms every configuration at once by default. */
-    public readonly confirmer = { confirm: async (_timeoutMs: number) => true };
+    public readonly confirmer = { confirm: async (_timeoutMs: number) => true, isCutOff: false };
     public stopping = false;
     public readonly limiter = new AccountLimiter(exactLimits, () => undefined);
     private position = 0n;
@@ -198,6 +198,7 @@
             ForwarderDependencies,
             "accountShares" | "hostGuard" | "isCapacityContended" | "sendAttempt" | "streamOrigins"
         > = {},
+        configurationApplyMs = Number.POSITIVE_INFINITY,
     ) {
         this.view = new FleetView(() => this.configuration, silentLog);
         const admissions = new AdmissionController(new Authenticator(this.view, revocation), this.limiter);
@@ -232,7 +233,7 @@
             codec: testCodec,
             forwarder: this.forwarder,
             admissions,
-            confirmations: new ConfirmationPolicy(this.view, this.confirmer, Number.POSITIVE_INFINITY),
+            confirmations: new ConfirmationPolicy(this.view, this.confirmer, configurationApplyMs),
             log: silentLog,
             metrics: this.metrics,
             hostGuard: overrides.hostGuard,
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -261,8 +261,8 @@
         return this.demand.awaitedModels(entry);
     }
 
-    public async barrier(): Promise<void> {
-        await this.keeper.require().barrier(callTimeoutMs);
+    public async barrier(timeoutMs = callTimeoutMs): Promise<void> {
+        await this.keeper.require().barrier(timeoutMs);
     }
 
     public async confirmLeadership(timeoutMs: number): Promise<void> {
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -18,6 +18,8 @@
 import { Timeline } from "@winchpath/timeline";
 import { type ReloadableSettings } from "./platformsettings.js";
 
+/** Share of the time to put a configuration in force after which the control group is asked to confirm it. */
+const askAfterShare = 0.55;
 /** Time until the load balancer stops routing here: it checks readiness every second and needs two failures. */
 const loadBalancerDelayMs = 2500;
 /** Part of the grace period reserved for closing down after requests have drained. */
@@ -29,6 +31,7 @@
     private readonly clients: RpcClients;
     private readonly fleetView: FleetView<Configuration>;
     private readonly feedFollower: FeedFollower<Configuration>;
+    private readonly confirmer: ConfigurationConfirmer<Configuration>;
     private readonly demandMeter: DemandMeter;
     private readonly crashReporter: CrashReporter;
     private readonly hostGuard: HostGuard;
@@ -113,13 +116,16 @@
             streamOrigins: this.streamOrigins,
             stopping,
         });
-        const confirmer = new ConfigurationConfirmer(
+        const applyMs = settings.current.configurationApplyMs;
+        this.confirmer = new ConfigurationConfirmer(
             this.fleetView,
             this.clients,
             {
                 entry: host,
                 leaderUrl: () => this.leaderUrl,
-                controlUrls: () => [...new Set([...this.controlUrls, ...leaderSeeds(settings.current)])],
+                controlUrls: () => this.controlUrls.length > 0 ? this.controlUrls : leaderSeeds(settings.current),
+                seedUrls: () => leaderSeeds(settings.current),
+                askAfterMs: applyMs * askAfterShare,
             },
             log,
             metrics,
@@ -129,7 +135,7 @@
             codec,
             forwarder: this.forwarder,
             admissions,
-            confirmations: new ConfirmationPolicy(this.fleetView, confirmer, settings.current.configurationApplyMs),
+            confirmations: new ConfirmationPolicy(this.fleetView, this.confirmer, applyMs),
             log,
             metrics,
             hostGuard: this.hostGuard,
@@ -141,6 +147,9 @@
         const { callerAddress: callers, readinessAddress: readiness, host } = this.settings.current;
         const { signal } = this.stopping;
         void this.feedFollower.run(signal);
+        if (Number.isFinite(this.settings.current.configurationApplyMs)) {
+            void this.confirmer.run(signal);
+        }
         void this.demandMeter.run(host, this.clients, () => this.feedFollower.currentLeader, signal);
         void this.crashReporter.run(host, this.clients, () => this.feedFollower.currentLeader, signal);
         void this.watchFleetView(signal);
