A waiting request is decided anew when a newer configuration routes it elsewhere

With a decision by an outdated version, its request was then run by the earlier service although the entry knew better.

Change: before each attempt and right before sending, a request that no upstream may have run is compared with the version in force; if its route has moved or gone, it goes back to the decision (same start, same deadline, charge returned and taken anew) and is served by the new service, or denied after a confirmation. A request that an upstream may have run stays with its service, which may know of the earlier run.

--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -18,7 +18,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { type AdmissionController, type Refusal } from "./admissioncontrollers.js";
-import { ConfigurationDecider } from "./configurationdecisions.js";
+import { type AllowedRequest, ConfigurationDecider } from "./configurationdecisions.js";
 import { type ConfirmationPolicy } from "./confirmationpolicies.js";
 import { type Forwarder } from "./forwarders.js";
 import { type HeaderCodec, headerValue } from "./headercodecs.js";
@@ -45,6 +45,12 @@
 /** Interval at which idle connections are closed during shutdown, in milliseconds. */
 const idleCheckMs = 50;
 
+/** What a request brings, whatever the configuration says of it. */
+type ReceivedRequest = Pick<
+    InboundRequest,
+    "id" | "method" | "host" | "url" | "headers" | "body" | "metadata" | "startedAt" | "abortSignal"
+>;
+
 export interface ListenerDependencies {
     readonly view: FleetView<Configuration>;
     readonly codec: HeaderCodec;
@@ -138,9 +144,10 @@
         try {
             // The client may have left by now; its departure is read after its request.
             await eventLoop.departuresRead();
-            const request = await this.admit(req, res, startedAt, clientAbort.signal, held);
-            if (request !== undefined) {
+            let request = await this.admit(req, res, startedAt, clientAbort.signal, held);
+            while (request !== undefined) {
                 await this.deps.forwarder.serve(request, res);
+                request = request.hasMoved ? await this.routeAgain(req, res, request) : undefined;
             }
         }
         catch (err) {
@@ -199,7 +206,6 @@
         if (decision.kind === "refused") {
             return refuseFor(decision);
         }
-        const { table, route, grant } = decision;
         const body = await readBody(req, limits, held);
         if (abortSignal.aborted) {
             this.recordClientGone(metadata.id, "body");
@@ -208,24 +214,63 @@
         if (!Buffer.isBuffer(body)) {
             return refuse(body);
         }
+        const received = {
+            id: metadata.id ?? "",
+            method: req.method!,
+            host,
+            url: req.url!,
+            headers: req.rawHeaders,
+            body,
+            metadata,
+            startedAt,
+            abortSignal,
+        };
+        return this.route(req, res, received, decision);
+    }
+
+    /** Decides anew about a request that has moved. Returns undefined if it has been answered here. */
+    private async routeAgain(
+        req: IncomingMessage,
+        res: ServerResponse,
+        request: InboundRequest,
+    ): Promise<InboundRequest | undefined> {
+        const { id, host, url, metadata } = request;
+        const decision = await this.decider.decide({ host, url, metadata });
+        this.deps.log.info("request.routed-again", { request: id, configuration: this.deps.view.version });
+        if (decision.kind === "refused") {
+            this.refuse(req, res, metadata.id, decision);
+            return undefined;
+        }
+        return this.route(req, res, request, decision);
+    }
+
+    /** Charges a request and selects its service. Returns undefined if it has been answered here. */
+    private async route(
+        req: IncomingMessage,
+        res: ServerResponse,
+        received: ReceivedRequest,
+        { table, route, grant, version, confirmedAgeMs }: AllowedRequest,
+    ): Promise<InboundRequest | undefined> {
+        const { id, method, host, url, headers, body, metadata, startedAt, abortSignal } = received;
         const charged = await this.deps.admissions.charge(grant, metadata);
         if (charged.kind === "refused") {
-            return refuseFor(charged);
+            this.refuse(req, res, metadata.id, charged);
+            return undefined;
         }
         const waitMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
         return {
-            id: metadata.id ?? "",
-            method: req.method!,
+            id,
+            method,
             host,
-            url: req.url!,
-            headers: req.rawHeaders,
+            url,
+            headers,
             body,
             metadata,
             route,
             service: selectTarget(route.targets, targetDraw(route, metadata)),
             priority: table.priorities.levelOf(route, grant?.priority),
-            decidedByVersion: decision.version,
-            confirmedAgeMs: decision.confirmedAgeMs,
+            decidedByVersion: version,
+            confirmedAgeMs,
             grant,
             charge: charged.charge,
             startedAt,
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -24,6 +24,7 @@
 import { Responder } from "./responders.js";
 import { type RetryBudgetOptions } from "./retrybudgets.js";
 import { RetryPolicy } from "./retrypolicies.js";
+import { RoutingCheck } from "./routingchecks.js";
 import { SelectionCosts } from "./selectioncosts.js";
 import { SharedAdmission } from "./sharedadmissions.js";
 import { StreamInterference } from "./streaminterferences.js";
@@ -72,6 +73,7 @@
     private readonly outcomeRecorder: OutcomeRecorder;
     private readonly quarantine: Quarantine;
     private readonly endpoints: EndpointTable;
+    private readonly routing: RoutingCheck;
     private readonly waitPolicy: HostLoadWaitPolicy;
     private readonly sharedAdmission: SharedAdmission;
     private readonly fairShares: FairShares;
@@ -97,6 +99,7 @@
         this.streamVersions = new StreamVersions({ ...deps, responder: this.responder });
         const random = deps.random ?? Math.random;
         const loadWaits = new LoadWaitPolicy(this.features, throughput, () => deps.view.configuration);
+        this.routing = new RoutingCheck(deps.view);
         const waitPolicy = new WaitPolicy(deps.view, this.endpoints, random, loadWaits);
         this.waitPolicy = new HostLoadWaitPolicy(waitPolicy, deps.hostGuard);
         const interference = new StreamInterference(this.features, this.loadFacts, deps);
@@ -146,7 +149,10 @@
         this.endpoints.close();
     }
 
-    /** Forwards one request; resolves once the final response was sent or the client has disconnected. */
+    /**
+     * Forwards one request; resolves once the final response was sent or the client has disconnected, or once the request
+     * {@link InboundRequest.hasMoved}.
+     */
     public async serve(request: InboundRequest, res: ServerResponse): Promise<void> {
         const refusal = this.quarantine.refusal(request);
         if (refusal !== undefined) {
@@ -237,6 +243,10 @@
         if (refusal.response === LocalResponse.lacking) {
             this.deps.meter.refused(itemKeyOf(request));
         }
+        if (refusal.response === LocalResponse.routeMoved) {
+            request.hasMoved = true;
+            return;
+        }
         if (request.attemptedUpstreams.length > 0 && refusal.response !== LocalResponse.barred) {
             // An upstream may have executed the request, so a "not executed" response would be wrong.
             this.responder.respond(request, res, LocalResponse.failed);
@@ -248,7 +258,8 @@
 
     /** Returns why the request must not be sent any more; checked before every attempt. */
     private denial(request: InboundRequest): Refusal | undefined {
-        return this.deps.admissions.denial(request.grant) ?? this.quarantine.refusal(request);
+        return this.deps.admissions.denial(request.grant) ?? this.routing.refusal(request)
+            ?? this.quarantine.refusal(request);
     }
 
     private handleOutcome(
--- a/packages/forwarding/src/inboundrequests.ts
+++ b/packages/forwarding/src/inboundrequests.ts
@@ -56,6 +56,8 @@
     softwareVersion?: string;
     /** Whether part of a response has been sent to the client. */
     responseStarted: boolean;
+    /** Whether forwarding has ended without a response, since a newer configuration routes the request elsewhere. */
+    hasMoved?: boolean;
 }
 
 /** Returns the attributes by which repeated requests are recognized. */
--- a/packages/forwarding/src/localresponses.ts
+++ b/packages/forwarding/src/localresponses.ts
@@ -7,6 +7,8 @@
     unconfigured: { status: 503, reason: "unconfigured" },
     /** The route or the API key is unknown here, and no control host confirms that none has been added; not executed. */
     configurationUnconfirmed: { status: 503, reason: "configuration-unconfirmed" },
+    /** A newer configuration routes the request to another service, or nowhere; not executed. */
+    routeMoved: { status: 503, reason: "route-moved" },
     unrouted: { status: 404, reason: "unrouted" },
     /** The API key is missing or belongs to no account. */
     unknownKey: { status: 401, reason: "unknown-key" },
