Questions for a confirmation cost control hosts one quorum read at a time; late entries don't take silence as evidence

Change: callers of a member share quorum reads (those that come during one share the next); hosts are asked one after the other, 60 ms apart and all within 150 ms; a round whose process was itself late by 100 ms doesn't show that hosts are silent; rounds are counted anew after a confirmation by the feed (a failed round of an earlier doubt counted before); what was seen before the process stood still is no evidence; four seconds without a decision are counted in rounds.

--- a/packages/core/src/tasks.ts
+++ b/packages/core/src/tasks.ts
@@ -17,6 +17,42 @@
     }
 }
 
+/**
+ * Runs a task for all callers that wait for it at the same time: those that come while it runs share the next run, which
+ * begins when it has ended, so that each caller's run began after its call.
+ */
+export class SharedRun<T> {
+    private current: Promise<unknown> | undefined;
+    private next: Promise<T> | undefined;
+
+    public constructor(private readonly task: () => Promise<T>) {}
+
+    public run(): Promise<T> {
+        if (this.current === undefined) {
+            return this.start();
+        }
+        this.next ??= this.startAfter(this.current);
+        return this.next;
+    }
+
+    private start(): Promise<T> {
+        const running = this.task();
+        const ended = running.then(() => undefined, () => undefined).then(() => {
+            if (this.current === ended) {
+                this.current = undefined;
+            }
+        });
+        this.current = ended;
+        return running;
+    }
+
+    private async startAfter(current: Promise<unknown>): Promise<T> {
+        await current;
+        this.next = undefined;
+        return this.start();
+    }
+}
+
 /**
  * Wakes every task that waits on it. A notification without waiters is kept for
  * the next wait, so that a task cannot miss one between two waits.
--- a/packages/fleet/src/configurationconfirmers.ts
+++ b/packages/fleet/src/configurationconfirmers.ts
@@ -12,10 +12,12 @@
 /** Consecutive rounds without a response of at least half of the control hosts after which the entry is cut off. */
 const unreachableRounds = 2;
 /**
- * Time without a confirmation, in milliseconds, after which the control group counts as unable to decide, although its hosts
- * respond; several elections.
+ * Consecutive rounds without a confirmation after which the control group counts as unable to decide, although its hosts
+ * respond; several elections. Counted in rounds, as time also passes for a process that doesn't run.
  */
-const undecidedMs = 4000;
+const undecidedRounds = 6;
+/** Age up to which the last round shows that the entry is cut off, in milliseconds; longer than a round and its pauses. */
+const evidenceMs = 1500;
 /** Interval at which it is checked whether there is a configuration to confirm, in milliseconds. */
 const firstConfigurationPollMs = 100;
 /** Bound on the members and on the seeds that are asked. */
@@ -37,8 +39,8 @@
     /** Notified after each round. */
     private readonly asked = new Notifier();
     private asking = false;
-    /** Results of the rounds since the last confirmation. */
-    private failed: { readonly since: number; readonly unreachable: number; } | undefined;
+    /** Rounds since the last confirmation, and how many of the last ones have shown most members to be silent. */
+    private failed: { readonly rounds: number; readonly unreachable: number; readonly at: number; } | undefined;
     private wasCutOff = false;
 
     public constructor(
@@ -60,6 +62,7 @@
                 await sleep(firstConfigurationPollMs, signal);
             }
             else if (dueMs > 0) {
+                this.logReach([]);
                 await sleep(dueMs, signal);
             }
             else {
@@ -74,8 +77,8 @@
      * confirm anything for long.
      */
     public get isCutOff(): boolean {
-        return this.failed !== undefined
-            && (this.failed.unreachable >= unreachableRounds || steadyNow() - this.failed.since >= undecidedMs);
+        return this.failed !== undefined && this.isInDoubt && steadyNow() - this.failed.at < evidenceMs
+            && (this.failed.unreachable >= unreachableRounds || this.failed.rounds >= undecidedRounds);
     }
 
     /**
@@ -95,6 +98,11 @@
         return true;
     }
 
+    /** Whether no confirmation has come, by the feed either, since the last round. */
+    private get isInDoubt(): boolean {
+        return this.failed !== undefined && this.view.confirmedAt < this.failed.at;
+    }
+
     private startAsking(): void {
         if (!this.asking) {
             this.asking = true;
@@ -104,6 +112,7 @@
 
     private async ask(): Promise<void> {
         await sleep(batchMs);
+        const startedAt = steadyNow();
         const result = await new ConfirmationRound({
             leaderUrl: this.options.leaderUrl(),
             controlUrls: this.options.controlUrls().slice(0, maxAskedHosts),
@@ -113,7 +122,7 @@
             isUsable: ({ documentVersion }) => Number(documentVersion) >= this.view.version,
         }).run();
         this.metrics.count("configuration_confirmations_total", { outcome: result.kind });
-        this.record(result);
+        this.record(result, startedAt);
         this.asked.notify();
         if (result.kind !== "confirmed") {
             await sleep(retryMs);
@@ -122,26 +131,29 @@
         this.asked.notify();
     }
 
-    private record(result: RoundResult): void {
+    private record(result: RoundResult, startedAt: number): void {
         if (result.kind === "confirmed") {
             this.view.applyConfirmation(result.response, result.sentAt);
         }
-        // Not so if the document that was confirmed can't be read here.
-        if (result.kind === "confirmed" && this.view.confirmedAt >= result.sentAt) {
+        // The feed may have confirmed meanwhile. A confirmed document that can't be read here changes nothing.
+        if (this.view.confirmedAt >= startedAt) {
             this.failed = undefined;
         }
         else {
-            const { since = steadyNow(), unreachable = 0 } = this.failed ?? {};
-            this.failed = { since, unreachable: result.kind === "unreachable" ? unreachable + 1 : 0 };
+            const { rounds = 0, unreachable = 0 } = this.isInDoubt ? this.failed! : {};
+            this.failed = {
+                rounds: rounds + 1,
+                unreachable: result.kind === "unreachable" ? unreachable + 1 : 0,
+                at: steadyNow(),
+            };
         }
-        this.logReach(result);
+        this.logReach(result.kind === "confirmed" ? [] : result.silent);
     }
 
-    private logReach(result: RoundResult): void {
+    private logReach(silent: readonly string[]): void {
         const { isCutOff } = this;
         if (isCutOff !== this.wasCutOff) {
             this.wasCutOff = isCutOff;
-            const silent = result.kind === "confirmed" ? [] : result.silent;
             const confirmedAgeMs = Math.round(this.view.confirmedAgeMs);
             this.log.warn(isCutOff ? "configuration.cut-off" : "configuration.reachable", { silent, confirmedAgeMs });
         }
--- a/packages/fleet/src/confirmationrounds.ts
+++ b/packages/fleet/src/confirmationrounds.ts
@@ -5,8 +5,14 @@
 
 /** Time for which a round waits for responses, in milliseconds; longer than control hosts wait for a majority. */
 export const roundMs = 600;
-/** Time after which other control hosts are asked too, in milliseconds. */
+/** Time after which another control host is asked too, in milliseconds. */
 const hedgeMs = 60;
+/** Time after which all are asked, in milliseconds; leaves each of them the time to say that it has no majority. */
+const lastHedgeMs = 150;
+/** Hosts that are asked at once if no leader is known. */
+const firstHosts = 3;
+/** Delay of the event loop from which on a round says nothing about the hosts that have not responded, in milliseconds. */
+const lateMs = 100;
 /** Pause before a host is asked again to which a call has failed, in milliseconds. */
 const retryMs = 75;
 
@@ -44,26 +50,34 @@
     public async run(): Promise<RoundResult> {
         const { leaderUrl, controlUrls, seedUrls } = this.options;
         const others = [...new Set([...controlUrls, ...seedUrls])].filter(url => url !== leaderUrl);
-        const leaderAsked = leaderUrl === "" ? Promise.reject(new Error("no leader is known")) : this.ask(leaderUrl);
-        const othersAsked = this.isSettledSoon(leaderAsked).then(isConfirmed =>
-            isConfirmed ? [] : others.map(url => this.ask(url))
+        const urls = leaderUrl === "" ? others : [leaderUrl, ...others];
+        const earlier = leaderUrl === "" ? firstHosts - 1 : 0;
+        const asked = urls.map((url, index) =>
+            this.askAfter(Math.min(Math.max(0, index - earlier) * hedgeMs, lastHedgeMs), url)
         );
-        const confirmation = await othersAsked
-            .then(asked => Promise.any([leaderAsked, ...asked]))
-            .catch(() => undefined);
+        const confirmation = await Promise.any(asked).catch(() => undefined);
         this.isOver = true;
         return confirmation ?? this.withoutConfirmation();
     }
 
-    /** Resolves to whether the leader has confirmed within the time after which others are asked. */
-    private isSettledSoon(leaderAsked: Promise<RoundResult>): Promise<boolean> {
-        return Promise.race([leaderAsked.then(() => true, () => false), sleep(hedgeMs).then(() => false)]);
-    }
-
     private withoutConfirmation(): RoundResult {
         const { controlUrls } = this.options;
         const silent = controlUrls.filter(url => !this.responding.has(url));
-        return { kind: silent.length * 2 > controlUrls.length ? "unreachable" : "undecided", silent };
+        const isMostSilent = silent.length * 2 > controlUrls.length;
+        return { kind: isMostSilent && !this.isLate ? "unreachable" : "undecided", silent };
+    }
+
+    /** Whether this process was late itself, so that responses may have come without being read in time. */
+    private get isLate(): boolean {
+        return eventLoop.delayMs > lateMs || steadyNow() > this.deadline + lateMs;
+    }
+
+    /** One host after the other, as one of them is usually enough. */
+    private async askAfter(delayMs: number, url: string): Promise<RoundResult> {
+        if (delayMs > 0) {
+            await sleep(delayMs);
+        }
+        return this.ask(url);
     }
 
     /**
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -1,7 +1,7 @@
 /** The leader's change feed: entries long-poll for changes, and each poll confirms the changes applied so far. */
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
-import { type EventLog, eventLoop, messageOf, Notifier, steadyNow } from "@winchpath/core";
+import { type EventLog, eventLoop, messageOf, Notifier, SharedRun, steadyNow } from "@winchpath/core";
 import { type ConfigurationState } from "@winchpath/declarations";
 import { type QuarantineState } from "@winchpath/quarantine";
 import { AdmissionCoordinator } from "./admissioncoordinators.js";
@@ -81,6 +81,7 @@
     private readonly confirmed = new Notifier();
     private readonly waitingPolls = new Set<WaitingPoll>();
     private readonly admission: AdmissionCoordinator;
+    private readonly confirmations = new SharedRun(() => this.control.barrier(confirmationMs));
     private liveCount = { at: Number.NEGATIVE_INFINITY, live: 0 };
 
     public constructor(
@@ -148,7 +149,7 @@
      */
     public async confirmDocument(req: ConfirmRequest): Promise<ConfirmResponse> {
         try {
-            await this.control.barrier(confirmationMs);
+            await this.confirmations.run();
         }
         catch (err) {
             throw new ConnectError(
--- a/packages/fleet/src/tests/configurationconfirmers.test.ts
+++ b/packages/fleet/src/tests/configurationconfirmers.test.ts
@@ -158,6 +158,32 @@
             expect(confirmer.isCutOff).toEqual(false);
         });
 
+        it("counts rounds anew after a confirmation by the feed", async () => {
+            const apply = () =>
+                view.apply(create(PollResponseSchema, { documentVersion: 1n, documentText: "one" }), Date.now());
+            apply();
+            const confirmer = confirmerFor(new TestControlHosts({ a: silent, b: silent, c: silent }, true));
+            void confirmer.run(abort.signal);
+            await advanceTime(3000);
+            expect(confirmer.isCutOff).toEqual(true);
+            apply();
+            expect(confirmer.isCutOff).toEqual(false);
+            await advanceTime(askAfterMs + 900);
+            expect(confirmer.isCutOff).toEqual(false);
+            await advanceTime(700);
+            expect(confirmer.isCutOff).toEqual(true);
+        });
+
+        it("is not cut off by what was seen before the process stood still", async () => {
+            view.apply(create(PollResponseSchema, { documentVersion: 1n, documentText: "one" }), Date.now());
+            const confirmer = confirmerFor(new TestControlHosts({ a: silent, b: silent, c: silent }, true));
+            void confirmer.run(abort.signal);
+            await advanceTime(3000);
+            expect(confirmer.isCutOff).toEqual(true);
+            mock.timers.setTime(Date.now() + 5000);
+            expect(confirmer.isCutOff).toEqual(false);
+        });
+
         it("is in touch again with the first confirmation", async () => {
             let reply = silent;
             view.apply(create(PollResponseSchema, { documentVersion: 1n, documentText: "one" }), Date.now());
