--- a/packages/fleet/src/configurationconfirmers.ts
+++ b/packages/fleet/src/configurationconfirmers.ts
@@ -35,6 +35,18 @@
     readonly askAfterMs: number;
 }
 
+/** Number of unreachable rounds after a further one; a late one shows nothing new. */
+function nextCount(unreachable: number, kind: RoundResult["kind"]): number {
+    switch (kind) {
+        case "unreachable":
+            return unreachable + 1;
+        case "late":
+            return unreachable;
+        default:
+            return 0;
+    }
+}
+
 export class ConfigurationConfirmer<C> {
     /** Notified after each round. */
     private readonly asked = new Notifier();
@@ -143,7 +155,7 @@
             const { rounds = 0, unreachable = 0 } = this.isInDoubt ? this.failed! : {};
             this.failed = {
                 rounds: rounds + 1,
-                unreachable: result.kind === "unreachable" ? unreachable + 1 : 0,
+                unreachable: nextCount(unreachable, result.kind),
                 at: steadyNow(),
             };
         }
--- a/packages/fleet/src/confirmationrounds.ts
+++ b/packages/fleet/src/confirmationrounds.ts
@@ -23,7 +23,9 @@
     /** At least half of the members have responded, and no host with a confirmation. */
     | { readonly kind: "undecided"; readonly silent: readonly string[]; }
     /** Less than half of the members have responded. */
-    | { readonly kind: "unreachable"; readonly silent: readonly string[]; };
+    | { readonly kind: "unreachable"; readonly silent: readonly string[]; }
+    /** The same, in a process that was itself late, so that responses may have come without being read in time. */
+    | { readonly kind: "late"; readonly silent: readonly string[]; };
 
 export interface RoundOptions {
     /** URL of the leader, which is asked first; empty if unknown. */
@@ -63,11 +65,12 @@
     private withoutConfirmation(): RoundResult {
         const { controlUrls } = this.options;
         const silent = controlUrls.filter(url => !this.responding.has(url));
-        const isMostSilent = silent.length * 2 > controlUrls.length;
-        return { kind: isMostSilent && !this.isLate ? "unreachable" : "undecided", silent };
+        if (silent.length * 2 <= controlUrls.length) {
+            return { kind: "undecided", silent };
+        }
+        return { kind: this.isLate ? "late" : "unreachable", silent };
     }
 
-    /** Whether this process was late itself, so that responses may have come without being read in time. */
     private get isLate(): boolean {
         return eventLoop.delayMs > lateMs || steadyNow() > this.deadline + lateMs;
     }
--- a/packages/forwarding/src/configurationdecisions.ts
+++ b/packages/forwarding/src/configurationdecisions.ts
@@ -59,7 +59,8 @@
     public async decide(target: RequestTarget): Promise<AllowedRequest | Refusal> {
         const { confirmations, metrics } = this.deps;
         const firstDecision = this.decideByHeldVersion(target);
-        if (firstDecision.kind !== "denied" && !confirmations.mayBeOutdated) {
+        // Keys that can't be verified are refused at once, whatever the configuration says.
+        if (firstDecision.kind === "refused" || (firstDecision.kind === "allowed" && !confirmations.mayBeOutdated)) {
             return firstDecision;
         }
         const confirmation = await confirmations.confirm(target.metadata.deadlineMs);
