Logs and metrics of acknowledged departures

Nothing told that a departure had been acknowledged, whether the leader knew the upstream, for how long it had led and which entries had confirmed it by then, so the hypotheses of the incident couldn't be told apart. One line each (departure.acknowledged), a counter and a histogram. No decision changes.

--- a/packages/fleet/src/announcements.ts
+++ b/packages/fleet/src/announcements.ts
@@ -1,5 +1,5 @@
 /** Receives announcements of upstreams, and applies them at the leader or forwards them to it. */
-import { type EventLog, Failure, FailureCode } from "@winchpath/core";
+import { type EventLog, Failure, FailureCode, type Metrics, steadyNow } from "@winchpath/core";
 import { type RpcClients } from "@winchpath/rpc";
 import { AnnouncementBatcher, type AnnouncementLeader, type UpstreamHeartbeat } from "./announcementbatchers.js";
 import { type Feed } from "./feeds.js";
@@ -21,12 +21,23 @@
 
 export interface AnnouncementControl {
     readonly isLeader: boolean;
+    readonly leadershipAgeMs: number;
     /** Resolves once a majority has confirmed that this host is still the leader; rejects after the timeout. */
     confirmLeadership(timeoutMs: number): Promise<void>;
     /** URL of the leader; empty if unknown. */
     readonly leaderUrl: string;
 }
 
+/** What an acknowledgement of a departure rests on, for the log. */
+interface DepartureInputs {
+    /** Position of the registry that entries must reach to have seen it. */
+    readonly position: number;
+    /** Whether the leader knew the upstream. */
+    readonly known: boolean;
+    /** Whether the upstream has deregistered, or drains only. */
+    readonly left: boolean;
+}
+
 /** Forwards announcements to the leader. */
 export class AnnouncementRelay implements AnnouncementLeader {
     public constructor(
@@ -70,10 +81,10 @@
         private readonly feed: Feed,
         private readonly control: AnnouncementControl,
         clients: RpcClients,
-        log: EventLog,
+        private readonly observers: { readonly log: EventLog; readonly metrics: Metrics; },
     ) {
         this.relay = new AnnouncementRelay(control, clients);
-        this.batcher = new AnnouncementBatcher(this, log);
+        this.batcher = new AnnouncementBatcher(this, observers.log);
     }
 
     /** Sends batched reaffirmations to the leader until the signal is aborted. */
@@ -115,26 +126,41 @@
     }
 
     public async announceLocally(announcement: Announcement): Promise<void> {
-        const { upstream } = announcement;
+        const upstream = announcement.upstream!;
+        const known = this.registry.get(upstream.id) !== undefined;
         const position = this.registry.announce(announcement);
         this.feed.wakePolls();
-        if (upstream?.state === UpstreamState.DRAINING) {
-            await this.confirmDeparture(position);
+        if (upstream.state === UpstreamState.DRAINING) {
+            await this.confirmDeparture(upstream, { position, known, left: false });
         }
     }
 
     public async leaveLocally({ name, born }: NamedStart): Promise<void> {
-        await this.confirmDeparture(this.registry.leave(name, born));
+        const known = this.registry.knowsName(name);
+        await this.confirmDeparture({ name, born }, { position: this.registry.leave(name, born), known, left: true });
     }
 
     /**
      * Resolves once live entries have seen the change and a majority has confirmed this leader. Guards against
      * a deposed leader acknowledging a departure that its successor never learns of; callers retry elsewhere.
      */
-    private async confirmDeparture(position: number): Promise<void> {
-        await Promise.all([
-            this.feed.awaitConfirmation(position, confirmationTimeoutMs),
+    private async confirmDeparture({ name, born }: NamedStart, inputs: DepartureInputs): Promise<void> {
+        const startedAt = steadyNow();
+        const [unconfirmed] = await Promise.all([
+            this.feed.awaitConfirmation(inputs.position, confirmationTimeoutMs),
             this.control.confirmLeadership(leadershipTimeoutMs),
         ]);
+        const tookMs = Math.round(steadyNow() - startedAt);
+        const { log, metrics } = this.observers;
+        metrics.count("departures_acknowledged_total", { known: String(inputs.known) });
+        metrics.histogram("departure_acknowledgement").record(tookMs);
+        log.info("departure.acknowledged", {
+            upstream: name,
+            born: Number(born),
+            leadershipAgeMs: Math.round(this.control.leadershipAgeMs),
+            ...inputs,
+            unconfirmed,
+            tookMs,
+        });
     }
 }
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -171,8 +171,11 @@
         });
     }
 
-    /** Resolves once every live entry has confirmed `position`, or after `timeoutMs`. */
-    public async awaitConfirmation(position: number, timeoutMs: number): Promise<void> {
+    /**
+     * Resolves once every live entry has confirmed `position`, or after `timeoutMs`. Returns the entries that haven't; they
+     * are told by the response to their next poll.
+     */
+    public async awaitConfirmation(position: number, timeoutMs: number): Promise<readonly string[]> {
         const deadline = steadyNow() + timeoutMs;
         this.wakePolls();
         while (eventLoop.readUntil < deadline && this.unconfirmedEntries(position).length > 0) {
@@ -182,6 +185,7 @@
         if (unconfirmed.length > 0) {
             this.log.warn("feed.unconfirmed", { position, entries: unconfirmed });
         }
+        return unconfirmed;
     }
 
     private unconfirmedEntries(position: number): string[] {
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -124,6 +124,11 @@
         return this.upstreams.get(id);
     }
 
+    /** Whether an upstream of this name is known. */
+    public knowsName(name: string): boolean {
+        return this.getByName(name) !== undefined;
+    }
+
     /** Whether another incarnation has taken over the name or address of one that never drained. */
     public wasReplaced(id: string): boolean {
         return this.replaced.has(id);
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -1,14 +1,7 @@
 /** Control component of a platform host with a disk: configuration, upstream registry and engine placement. */
 import { AccountLimitCoordinator } from "@winchpath/accounts";
 import { type AvailabilityTracker, RateLimitCoordinator, type RateReport } from "@winchpath/availability";
-import {
-    CompositeStateMachine,
-    ConsensusService,
-    consensusService,
-    encodeCommand,
-    type Replica,
-    type ReplicaSupervisor,
-} from "@winchpath/consensus";
+import { ConsensusService, consensusService, type Replica, type ReplicaSupervisor } from "@winchpath/consensus";
 import {
     type EventLog,
     Failure,
@@ -21,7 +14,7 @@
 import {
     type Configuration,
     type ConfigurationDocument,
-    ConfigurationState,
+    type ConfigurationState,
     type DocumentResult,
 } from "@winchpath/declarations";
 import {
@@ -44,7 +37,7 @@
     PlacementController,
     Registry,
     type SoftwareVersionCommand,
-    SoftwareVersionState,
+    type SoftwareVersionState,
     VersionAdmission,
     type VersionKey,
 } from "@winchpath/fleet";
@@ -55,13 +48,15 @@
     peerUrl,
     PlatformEngineClient,
 } from "@winchpath/platform";
-import { type QuarantineCommand, type QuarantineResult, QuarantineState } from "@winchpath/quarantine";
+import { type QuarantineCommand, type QuarantineResult, type QuarantineState } from "@winchpath/quarantine";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { OriginRecordStore, StreamOriginService, streamOriginService } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
 import { LeaderCrashDecisions } from "./crashdecisions.js";
 import { createPlatformReplica } from "./platformreplicas.js";
 import { type ReloadableSettings } from "./platformsettings.js";
+import { Proposals } from "./proposals.js";
+import { ReplicatedState } from "./replicatedstates.js";
 
 /** Orders may be sent within this time of the last quorum contact: no other leader can have been elected yet. */
 const maxOrderQuorumAgeMs = 700;
@@ -82,9 +77,8 @@
     private readonly stopping = new AbortController();
     private readonly timeline: Timeline;
     private readonly clients: RpcClients;
-    public documents = new ConfigurationState();
-    private quarantineState = new QuarantineState();
-    private softwareVersionState = new SoftwareVersionState();
+    private state = new ReplicatedState();
+    private readonly proposals = new Proposals(() => this.keeper, callTimeoutMs);
     private readonly registry: Registry;
     private readonly feed: Feed;
     private readonly announcementReceiver: AnnouncementReceiver;
@@ -127,7 +121,10 @@
         this.accountLimits = new AccountLimitCoordinator(settings.current.limitTolerance, log);
         this.rateLimits = this.createRateLimits();
         this.feed = new Feed(this.registry, this, log);
-        this.announcementReceiver = new AnnouncementReceiver(this.registry, this.feed, this, this.clients, log);
+        this.announcementReceiver = new AnnouncementReceiver(this.registry, this.feed, this, this.clients, {
+            log,
+            metrics,
+        });
         this.originRecords = new OriginRecordStore(log, metrics);
         this.engines = new PlatformEngineClient(availability, {
             onLeaving: id => this.registry.markDraining(id, host),
@@ -184,12 +181,7 @@
     private createKeeper(): ReplicaSupervisor {
         return createPlatformReplica({
             settings: this.settings,
-            machine: () =>
-                new CompositeStateMachine([
-                    this.documents = new ConfigurationState(),
-                    this.quarantineState = new QuarantineState(),
-                    this.softwareVersionState = new SoftwareVersionState(),
-                ]),
+            machine: () => (this.state = new ReplicatedState()).createMachine(),
             clients: this.clients,
             timeline: this.timeline,
             log: this.log,
@@ -198,9 +190,9 @@
 
     public async putDocument(document: ConfigurationDocument): Promise<DocumentResult> {
         const startedAt = performance.now();
-        const { result } = await this.keeper.require().propose(encodeCommand("documents", document), callTimeoutMs);
+        const result = await this.proposals.document(document);
         this.metrics.histogram("document_commit").record(performance.now() - startedAt);
-        return JSON.parse(Buffer.from(result).toString()) as DocumentResult;
+        return result;
     }
 
     public async readDocument(): Promise<ConfigurationDocument | undefined> {
@@ -248,13 +240,17 @@
         return this.replica?.state.membership?.members.map(member => member.url) ?? [];
     }
 
+    public get documents(): ConfigurationState {
+        return this.state.documents;
+    }
+
     public get quarantine(): QuarantineState {
-        return this.quarantineState;
+        return this.state.quarantine;
     }
 
     /** Undefined unless this host leads and has applied the log of earlier leaders. */
     public get softwareVersions(): SoftwareVersionState | undefined {
-        return this.replica?.readyLeadership === undefined ? undefined : this.softwareVersionState;
+        return this.replica?.readyLeadership === undefined ? undefined : this.state.softwareVersions;
     }
 
     public awaitedModels(entry: string): ReadonlySet<string> {
@@ -398,7 +394,7 @@
 
     private createCrashDecisions(): LeaderCrashDecisions {
         return new LeaderCrashDecisions({
-            book: () => this.quarantineState,
+            book: () => this.state.quarantine,
             registry: this.registry,
             leadershipAgeMs: () => this.leadershipAgeMs,
             propose: command => this.proposeQuarantine(command),
@@ -409,7 +405,7 @@
 
     private createVersionAdmission(term: number): VersionAdmission {
         return new VersionAdmission({
-            state: () => this.softwareVersionState,
+            state: () => this.state.softwareVersions,
             registry: this.registry,
             term,
             propose: command => this.proposeVersions(command),
@@ -423,14 +419,14 @@
     }
 
     private async proposeVersions(command: SoftwareVersionCommand): Promise<void> {
-        await this.keeper.require().propose(encodeCommand("software-versions", command), callTimeoutMs);
+        await this.proposals.softwareVersions(command);
         this.feed.wakePolls();
     }
 
     private async proposeQuarantine(command: QuarantineCommand): Promise<QuarantineResult> {
-        const { result } = await this.keeper.require().propose(encodeCommand("quarantine", command), callTimeoutMs);
+        const result = await this.proposals.quarantine(command);
         this.feed.wakePolls();
-        return JSON.parse(Buffer.from(result).toString()) as QuarantineResult;
+        return result;
     }
 
     private otherControlUrls(): string[] {
