A departure is committed, and told to entries by name and start, before it is acknowledged

What callers and upstreams saw: requests reached an upstream up to 4.2 s after its departure had been acknowledged, where the leader that acknowledged it had not heard of the upstream before; up to 6.4 s where that leader ended too; 4.0 s after all control hosts had been restarted.

Cause: a leader that doesn't know an upstream had nothing to remove, so it told entries nothing, waited for nobody and acknowledged; entries kept the upstream by the word of the leader before until the new one had led for four seconds. The same for draining announcements that are doubted, of an undeclared service, outdated, or of an upstream that is held back. What a leader did know, it kept in its own memory.

Now the departure is a record of its own (name, start, software version, left or draining), in the replicated log before the acknowledgement and in the feed with a position of its own, whether the upstream is known or not. Each leadership begins with the recorded ones. A departure without a start, of a run that the leader doesn't know, concerns only runs that entries were told of in an earlier term, so it doesn't bar the next start. Departures that come together share a commit. The quorum read that acknowledgements waited for is replaced by the commit.

--- a/packages/fleet/src/announcements.ts
+++ b/packages/fleet/src/announcements.ts
@@ -2,10 +2,14 @@
 import { type EventLog, Failure, FailureCode, type Metrics, steadyNow } from "@winchpath/core";
 import { type RpcClients } from "@winchpath/rpc";
 import { AnnouncementBatcher, type AnnouncementLeader, type UpstreamHeartbeat } from "./announcementbatchers.js";
+import { DepartureRecorder } from "./departurerecorders.js";
+import { type Departure } from "./departures.js";
+import { type DepartureState } from "./departurestates.js";
 import { type Feed } from "./feeds.js";
 import { type Announcement, FleetService, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type NamedStart } from "./incarnations.js";
 import { type Registry } from "./registries.js";
+import { type DepartureResult } from "./registrychanges.js";
 
 /** Maximum time to wait for entries to confirm a departure; callers time out after one second. */
 const confirmationTimeoutMs = 500;
@@ -13,31 +17,20 @@
 /** Replaces the leader's URL if this host is the leader. */
 const selfUrl = "self";
 
-/**
- * Departures fail if the leader can't confirm its leadership within this time, in milliseconds. A host that had lost its
- * majority 0.4 s before acknowledged a departure of which the next leader never heard; the upstream asks another host.
- */
-const leadershipTimeoutMs = 700;
+/** A departure that isn't committed within this time, in milliseconds, fails; the upstream asks another host. */
+const commitTimeoutMs = 700;
 
 export interface AnnouncementControl {
     readonly isLeader: boolean;
     readonly leadershipAgeMs: number;
-    /** Resolves once a majority has confirmed that this host is still the leader; rejects after the timeout. */
-    confirmLeadership(timeoutMs: number): Promise<void>;
+    /** The replicated departures. */
+    readonly departures: Pick<DepartureState, "includes">;
+    /** Resolves once the departures are committed and applied here; rejects after the timeout. */
+    commitDepartures(departures: readonly Departure[], timeoutMs: number): Promise<void>;
     /** URL of the leader; empty if unknown. */
     readonly leaderUrl: string;
 }
 
-/** What an acknowledgement of a departure rests on, for the log. */
-interface DepartureInputs {
-    /** Position of the registry that entries must reach to have seen it. */
-    readonly position: number;
-    /** Whether the leader knew the upstream. */
-    readonly known: boolean;
-    /** Whether the upstream has deregistered, or drains only. */
-    readonly left: boolean;
-}
-
 /** Forwards announcements to the leader. */
 export class AnnouncementRelay implements AnnouncementLeader {
     public constructor(
@@ -75,6 +68,7 @@
 export class AnnouncementReceiver implements AnnouncementLeader {
     private readonly relay: AnnouncementRelay;
     private readonly batcher: AnnouncementBatcher;
+    private readonly recorder: DepartureRecorder;
 
     public constructor(
         private readonly registry: Registry,
@@ -83,6 +77,10 @@
         clients: RpcClients,
         private readonly observers: { readonly log: EventLog; readonly metrics: Metrics; },
     ) {
+        this.recorder = new DepartureRecorder(
+            () => this.control.departures,
+            departures => this.control.commitDepartures(departures, commitTimeoutMs),
+        );
         this.relay = new AnnouncementRelay(control, clients);
         this.batcher = new AnnouncementBatcher(this, observers.log);
     }
@@ -127,38 +125,43 @@
 
     public async announceLocally(announcement: Announcement): Promise<void> {
         const upstream = announcement.upstream!;
-        const known = this.registry.get(upstream.id) !== undefined;
+        const isKnown = this.registry.get(upstream.id) !== undefined;
         const position = this.registry.announce(announcement);
         this.feed.wakePolls();
         if (upstream.state === UpstreamState.DRAINING) {
-            await this.confirmDeparture(upstream, { position, known, left: false });
+            await this.confirmDeparture({ departure: this.registry.departureOf(upstream), position }, isKnown);
         }
     }
 
     public async leaveLocally({ name, born }: NamedStart): Promise<void> {
-        const known = this.registry.knowsName(name);
-        await this.confirmDeparture({ name, born }, { position: this.registry.leave(name, born), known, left: true });
+        const isKnown = this.registry.knowsName(name);
+        await this.confirmDeparture(this.registry.leave(name, born), isKnown);
     }
 
     /**
-     * Resolves once live entries have seen the change and a majority has confirmed this leader. Guards against
-     * a deposed leader acknowledging a departure that its successor never learns of; callers retry elsewhere.
+     * Resolves once the departure is committed, so that every later leader knows it, and live entries have seen it. Entries
+     * that this leader hasn't heard of yet are told by its first response. Rejects if the departure may be lost with this
+     * leader; the upstream tries again elsewhere.
      */
-    private async confirmDeparture({ name, born }: NamedStart, inputs: DepartureInputs): Promise<void> {
+    private async confirmDeparture({ departure, position }: DepartureResult, isKnown: boolean): Promise<void> {
         const startedAt = steadyNow();
         const [unconfirmed] = await Promise.all([
-            this.feed.awaitConfirmation(inputs.position, confirmationTimeoutMs),
-            this.control.confirmLeadership(leadershipTimeoutMs),
+            this.feed.awaitConfirmation(position, confirmationTimeoutMs),
+            this.recorder.record(departure),
         ]);
+        const { name, born, softwareVersion, hasLeft: left } = departure;
         const tookMs = Math.round(steadyNow() - startedAt);
         const { log, metrics } = this.observers;
-        metrics.count("departures_acknowledged_total", { known: String(inputs.known) });
+        metrics.count("departures_acknowledged_total", { known: String(isKnown) });
         metrics.histogram("departure_acknowledgement").record(tookMs);
         log.info("departure.acknowledged", {
             upstream: name,
             born: Number(born),
+            softwareVersion,
+            left,
+            known: isKnown,
             leadershipAgeMs: Math.round(this.control.leadershipAgeMs),
-            ...inputs,
+            position,
             unconfirmed,
             tookMs,
         });
--- a/packages/fleet/src/encodings.ts
+++ b/packages/fleet/src/encodings.ts
@@ -1,7 +1,9 @@
 /** Encodes feed messages. Each version of an upstream is encoded once and shared by the responses to all entries. */
 import { fromBinary, toBinary } from "@bufbuild/protobuf";
 import { type QuarantineChanges, type TrialDecision } from "@winchpath/quarantine";
+import { type Departure } from "./departures.js";
 import {
+    type DepartedUpstream,
     type PollResponse,
     TrialDecision as EncodedDecision,
     type Upstream,
@@ -27,6 +29,14 @@
     return fromBinary(UpstreamSchema, bytes);
 }
 
+export function encodeDeparture({ name, born, softwareVersion, hasLeft, term }: Departure) {
+    return { name, born, softwareVersion, left: hasLeft, term: BigInt(term) };
+}
+
+export function decodeDeparture({ name, born, softwareVersion, left, term }: DepartedUpstream): Departure {
+    return { name, born, softwareVersion, hasLeft: left, term: Number(term) };
+}
+
 export function encodeQuarantine({ position, whole, listed, removed }: QuarantineChanges) {
     return {
         quarantinePosition: BigInt(position),
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -5,7 +5,13 @@
 import { type ConfigurationState } from "@winchpath/declarations";
 import { type QuarantineState } from "@winchpath/quarantine";
 import { AdmissionCoordinator } from "./admissioncoordinators.js";
-import { encodeQuarantine, encodeSoftwareVersions, encodeUpstream, type SoftwareVersionSource } from "./encodings.js";
+import {
+    encodeDeparture,
+    encodeQuarantine,
+    encodeSoftwareVersions,
+    encodeUpstream,
+    type SoftwareVersionSource,
+} from "./encodings.js";
 import { batchMs, minResponseIntervalMs } from "./feedintervals.js";
 import {
     type ConfirmRequest,
@@ -36,6 +42,8 @@
 export interface FeedControl {
     /** Identity of the leadership; undefined if this replica is not the leader. */
     readonly epoch: string | undefined;
+    /** Term of the leadership; 0 if this replica is not the leader. */
+    readonly term: number;
     /** Milliseconds since this replica became the leader. */
     readonly leadershipAgeMs: number;
     /** Milliseconds since a majority last confirmed the leadership. */
@@ -304,6 +312,8 @@
             changed: changes.changed.map(encodeUpstream),
             removed: [...changes.removed],
             left: [...changes.departed],
+            departures: changes.departures.map(encodeDeparture),
+            term: BigInt(control.term),
             documentVersion: BigInt(document?.version ?? 0),
             documentText: document?.text ?? "",
             documentAgeMs: document === undefined ? 0 : Math.round(control.documents.ageMs),
--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -3,7 +3,8 @@
 import { type EventLog, type Metrics, Notifier, steadyNow } from "@winchpath/core";
 import { type QuarantineChanges, QuarantineList } from "@winchpath/quarantine";
 import { ReceivedLimits } from "./admissioncoordinators.js";
-import { decodeQuarantine, decodeUpstream } from "./encodings.js";
+import { covers, type Departure, isOfUnknownStart } from "./departures.js";
+import { decodeDeparture, decodeQuarantine, decodeUpstream } from "./encodings.js";
 import {
     type ConfirmResponse,
     type PollResponse,
@@ -20,6 +21,16 @@
 /** Parses a configuration document. Logs the reason and returns undefined if the document is invalid. */
 export type DocumentReader<C> = (text: string, version: number) => C | undefined;
 
+/** An upstream as last told by a leader. */
+interface KnownUpstream {
+    readonly upstream: Upstream;
+    /** Epoch and term of the leadership that told it. */
+    readonly epoch: string;
+    readonly term: number;
+    /** Monotonic time at which it was told. */
+    readonly at: number;
+}
+
 export class FleetView<C> {
     /** Notified after each change. */
     public readonly changed = new Notifier();
@@ -28,7 +39,7 @@
     public readonly hosts = new HostGrants();
     /** Admission limits of the leader. */
     public readonly admission = new ReceivedLimits();
-    private readonly upstreamsById = new Map<string, { upstream: Upstream; epoch: string; at: number; }>();
+    private readonly upstreamsById = new Map<string, KnownUpstream>();
     /** Ids of the current incarnations by name and by address. */
     private readonly idOfName = new Map<string, string>();
     private readonly idAtAddress = new Map<string, string>();
@@ -135,8 +146,9 @@
         this.receivedVersions.apply(res, sentAt + res.waitedMs - res.quorumAgeMs);
         // Kept across leaders: the next one may accept a delayed announcement of such an upstream.
         res.left.forEach(id => this.availability.markDraining(id));
+        res.departures.forEach(departure => this.applyDeparture(decodeDeparture(departure), res.epoch));
         res.removed.forEach(id => this.removeReported(id, res.epoch));
-        res.changed.forEach(bytes => this.update(decodeUpstream(bytes), res.epoch));
+        res.changed.forEach(bytes => this.update(decodeUpstream(bytes), res));
         if (res.complete) {
             this.deleteUnconfirmed(res.epoch);
         }
@@ -179,7 +191,26 @@
         this.changed.notify();
     }
 
-    private update(upstream: Upstream, epoch: string): void {
+    /** Stops sending to the run that a departure names, whichever leader has told of that run. */
+    private applyDeparture(departure: Departure, epoch: string): void {
+        const known = this.upstreamsById.get(this.idOfName.get(departure.name) ?? "");
+        if (known === undefined) {
+            return;
+        }
+        // The leader that recorded the departure did not know the run, so a run that it or a later one has told is another.
+        const wasCurrent = isOfUnknownStart(departure) && known.term < departure.term;
+        if (!wasCurrent && !covers(departure, known.upstream)) {
+            return;
+        }
+        const { upstream } = known;
+        upstream.state = UpstreamState.DRAINING;
+        if (this.availability.markDraining(upstream.id)) {
+            const { hasLeft: left, term } = departure;
+            this.log.info("upstream.departed", { upstream: upstream.id, left, term, epoch, toldBy: known.epoch });
+        }
+    }
+
+    private update(upstream: Upstream, { epoch, term }: Pick<PollResponse, "epoch" | "term">): void {
         const holder = this.getByName(upstream.name);
         if (holder !== undefined && supersedes(holder, upstream)) {
             // A new leader may have received a delayed announcement of an earlier incarnation.
@@ -205,7 +236,7 @@
                 epoch,
             });
         }
-        this.upstreamsById.set(upstream.id, { upstream, epoch, at: steadyNow() });
+        this.upstreamsById.set(upstream.id, { upstream, epoch, term: Number(term), at: steadyNow() });
         this.claim(this.idOfName, upstream.name, upstream.id);
         this.claim(this.idAtAddress, upstream.address, upstream.id);
     }
--- a/packages/fleet/src/heldmodels.ts
+++ b/packages/fleet/src/heldmodels.ts
@@ -1,7 +1,12 @@
 /** Helpers for lists of the models that an engine holds. */
-import { type HeldModel } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { create } from "@bufbuild/protobuf";
+import { type HeldModel, HeldModelSchema } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type EngineOrder } from "./orders.js";
-import { createHeldModel } from "./registries.js";
+
+/** Creates a model without adapters that is ready in `readyInMs`. */
+export function createHeldModel(name: string, readyInMs: number): HeldModel {
+    return create(HeldModelSchema, { name, readyInMs: Math.round(readyInMs) });
+}
 
 /** Whether an order unloads an adapter, and not a whole model. */
 export function isAdapterUnload({ kind, adapter }: EngineOrder): boolean {
--- a/packages/fleet/src/incarnations.ts
+++ b/packages/fleet/src/incarnations.ts
@@ -6,7 +6,7 @@
 import { steadyNow } from "@winchpath/core";
 
 /** How long ended runs are remembered in order to ignore their late messages, in milliseconds. */
-const retentionMs = 60_000;
+export const departureRetentionMs = 60_000;
 
 /** One run of an upstream. */
 export interface Incarnation {
@@ -79,7 +79,7 @@
     }
 
     public removeExpired(): void {
-        const limit = steadyNow() - retentionMs;
+        const limit = steadyNow() - departureRetentionMs;
         for (const [name, { endedAt }] of this.byName) {
             if (endedAt < limit) {
                 this.byName.delete(name);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,9 @@
 export * from "./configurationconfirmers.js";
 export * from "./crashreports.js";
 export * from "./demands.js";
+export * from "./departurerecorders.js";
+export * from "./departures.js";
+export * from "./departurestates.js";
 export * from "./drainreports.js";
 export * from "./encodings.js";
 export * from "./enginetimings.js";
@@ -33,6 +36,7 @@
     UpstreamSchema,
     UpstreamState,
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+export { createHeldModel } from "./heldmodels.js";
 export * from "./hostcapacities.js";
 export * from "./hostgrants.js";
 export * from "./incarnations.js";
@@ -47,7 +51,9 @@
 export * from "./plans.js";
 export * from "./planstates.js";
 export * from "./rateencodings.js";
+export type { RegisteredUpstream } from "./registeredupstreams.js";
 export * from "./registries.js";
+export * from "./registrychanges.js";
 export * from "./softwareversions.js";
 export * from "./storeloadlimiters.js";
 export * from "./versionadmissions.js";
--- a/packages/fleet/src/orderdispatchers.ts
+++ b/packages/fleet/src/orderdispatchers.ts
@@ -2,9 +2,16 @@
 import { clone } from "@bufbuild/protobuf";
 import { type EventLog, sleep, steadyNow } from "@winchpath/core";
 import { type HeldModel, HeldModelSchema, type Upstream } from "./gen/winchpath/fleet/v1/fleet_pb.js";
-import { applyOrder, heldAdapterNames, isAdapterUnload, qualifiedAdapterName, removeModel } from "./heldmodels.js";
+import {
+    applyOrder,
+    createHeldModel,
+    heldAdapterNames,
+    isAdapterUnload,
+    qualifiedAdapterName,
+    removeModel,
+} from "./heldmodels.js";
 import { describeOrder, type EngineClient, type EngineOrder, type Fence, OrderReply } from "./orders.js";
-import { createHeldModel, type Registry } from "./registries.js";
+import { type Registry } from "./registries.js";
 
 /** Delay before an unanswered order is sent again, in milliseconds. */
 const retryDelayMs = 300;
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -13,7 +13,8 @@
     planOrders,
     type UnmetNeed,
 } from "./plans.js";
-import { type RegisteredUpstream, type Registry } from "./registries.js";
+import { type RegisteredUpstream } from "./registeredupstreams.js";
+import { type Registry } from "./registries.js";
 import { StoreLoadLimiter } from "./storeloadlimiters.js";
 
 /** Interval of plans while nothing changes, in milliseconds. */
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -1,8 +1,10 @@
 /** The control leader's registry of announced upstreams. */
-import { clone, create, equals } from "@bufbuild/protobuf";
+import { clone, equals } from "@bufbuild/protobuf";
 import { DrainTracker } from "@winchpath/availability";
 import { type EventLog, eventLoop, Notifier, steadyNow } from "@winchpath/core";
 import { ChangeLog } from "./changelogs.js";
+import { DelayedAnnouncements } from "./delayedannouncements.js";
+import { type Departure, DepartureSet } from "./departures.js";
 import {
     type Announcement,
     type EngineTiming,
@@ -14,6 +16,20 @@
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { EndedIncarnations, type Incarnation, supersedes } from "./incarnations.js";
 import { PendingAnnouncements } from "./pendingannouncements.js";
+import {
+    createUpstreamRecord,
+    isProbablyDown,
+    recordContact,
+    type RegisteredUpstream,
+    type UpstreamRecord,
+} from "./registeredupstreams.js";
+import {
+    type DepartureResult,
+    type InheritedState,
+    type RecordedDeparture,
+    type RegistryChanges,
+} from "./registrychanges.js";
+import { RemovalLog } from "./removallogs.js";
 import { type VersionKey } from "./softwareversions.js";
 import { reducesTraffic, upstreamLogFields } from "./upstreamchanges.js";
 
@@ -22,56 +38,12 @@
  * themselves, so this only frees stale records.
  */
 const expireAfterMs = 12_000;
-/** How long a possibly delayed announcement is remembered. */
-const delayRecordTtlMs = 60_000;
 /** An upstream owns its address until this long after its last announcement; two default intervals. */
 const addressHeldMs = 2400;
-/** Delayed announcements arrive within this time of each other; a live sender's next one arrives later. */
-const maxDelayMs = 600;
+/** Replaced incarnations that are remembered. */
+const maxReplaced = 2000;
 /** Sequence numbers up to this one come from a process that has just started. */
 const maxInitialSequence = 2n;
-/** Removals kept; a poll from before the oldest one gets a full snapshot. */
-const maxRemovals = 2000;
-
-/** How long a report of an unreachable upstream counts, in milliseconds: until its next announcement is due. */
-const unreachableReportTtlMs = 2500;
-
-export interface RegisteredUpstream {
-    readonly upstream: Upstream;
-    /** Monotonic time of the last announcement. */
-    readonly lastAnnouncedAt: number;
-    /** Monotonic time of the last failed connection per reporting process; cleared by an announcement. */
-    readonly unreachableReports: ReadonlyMap<string, number>;
-    /** Monotonic time at which it last refused a connection; cleared by an announcement. */
-    readonly refusedAt: number;
-    /** Models that its host has cached in memory, and on disk. */
-    readonly inMemory: ReadonlySet<string>;
-    readonly onDisk: ReadonlySet<string>;
-}
-
-interface UpstreamRecord extends RegisteredUpstream {
-    upstream: Upstream;
-    lastAnnouncedAt: number;
-    unreachableReports: Map<string, number>;
-    refusedAt: number;
-    inMemory: ReadonlySet<string>;
-    onDisk: ReadonlySet<string>;
-    sequence: bigint;
-    position: number;
-    /** Whether this leader's orders determine the held models; announcements may predate those orders. */
-    modelsFromOrders: boolean;
-}
-
-/** The changes after a position. */
-export interface RegistryChanges {
-    readonly position: number;
-    readonly changed: readonly Upstream[];
-    readonly removed: readonly string[];
-    /** The subset of `removed` that was draining or had deregistered. */
-    readonly departed: readonly string[];
-    /** Whether `changed` contains every upstream. */
-    readonly isSnapshot: boolean;
-}
 
 export class Registry {
     /** Notified after each change. */
@@ -89,12 +61,14 @@
     private readonly pending: PendingAnnouncements;
     /** Survives leader changes and expiry: an incarnation that drains never becomes ready again. */
     private readonly drainingIds = new DrainTracker();
-    /** When a possibly delayed announcement first arrived, by upstream id. */
-    private readonly delayedSince = new Map<string, number>();
+    /** Departures that entries are told of, whether the upstreams are known or not. */
+    private readonly departures = new DepartureSet<RecordedDeparture>();
+    private lastDeparturePosition = 0;
+    private term = 0;
+    private readonly delayedAnnouncements = new DelayedAnnouncements();
     /** Incarnations that lost their name or address to another one without draining first. */
     private readonly replaced = new Set<string>();
-    private removals: { readonly id: string; readonly position: number; }[] = [];
-    private removalFloor = 0;
+    private readonly removals = new RemovalLog();
     private lastPosition = 0;
     private lastUrgentPosition = 0;
 
@@ -156,6 +130,22 @@
 
     /** Applies an announcement. Returns the position that entries must reach to have seen it. */
     public announce(announcement: Announcement): number {
+        const upstream = announcement.upstream!;
+        const position = this.applyIfCurrent(announcement);
+        if (upstream.state !== UpstreamState.DRAINING) {
+            return position;
+        }
+        // Also if the announcement itself changed nothing: entries may know the upstream from an earlier leader.
+        return Math.max(position, this.recordDeparture(this.departureOf(upstream)));
+    }
+
+    /** The departure that a draining announcement tells. */
+    public departureOf({ name, born, softwareVersion }: Incarnation): Departure {
+        return { name, born, softwareVersion, hasLeft: false, term: this.term };
+    }
+
+    /** Applies an announcement unless it is outdated, or may be. */
+    private applyIfCurrent(announcement: Announcement): number {
         const upstream = announcement.upstream!;
         if (!this.isKnownService(upstream.service)) {
             this.pending.add(announcement);
@@ -171,21 +161,11 @@
         }
         this.removePreviousIncarnation(upstream);
         this.claimAddress(upstream);
-        const record: UpstreamRecord = known ?? {
-            upstream,
-            sequence: announcement.sequence,
-            lastAnnouncedAt: 0,
-            unreachableReports: new Map(),
-            refusedAt: Number.NEGATIVE_INFINITY,
-            inMemory: new Set(),
-            onDisk: new Set(),
-            position: 0,
-            modelsFromOrders: false,
-        };
+        const record = known ?? createUpstreamRecord(announcement);
         this.upstreams.set(upstream.id, record);
         this.idOfName.set(upstream.name, upstream.id);
         record.sequence = announcement.sequence;
-        this.recordContact(record);
+        recordContact(record);
         record.inMemory = new Set(announcement.inMemory);
         record.onDisk = new Set(announcement.onDisk);
         this.applyAnnouncement(record, upstream, known === undefined);
@@ -200,7 +180,7 @@
         }
         if (sequence > record.sequence) {
             record.sequence = sequence;
-            this.recordContact(record);
+            recordContact(record);
         }
         return true;
     }
@@ -212,18 +192,52 @@
 
     /**
      * Removes an upstream that has deregistered, and its earlier incarnations. A `born` of 0 stands for the
-     * current incarnation. Returns the position that entries must reach to have seen the removal.
+     * current incarnation.
      */
-    public leave(name: string, born = 0n): number {
+    public leave(name: string, born = 0n): DepartureResult {
         const known = this.getByName(name);
         const isCurrent = known !== undefined && (born === 0n || born === known.born);
         const departed = isCurrent ? known : { name, born };
         this.endedIncarnations.markEnded(departed);
-        if (known === undefined || supersedes(known, departed)) {
-            return this.lastPosition;
+        const departure = {
+            name,
+            born: departed.born,
+            softwareVersion: isCurrent ? known.softwareVersion : undefined,
+            hasLeft: true,
+            term: this.term,
+        };
+        if (known !== undefined && !supersedes(known, departed)) {
+            this.drainingIds.add(known.id);
+            this.remove(known.id, "left");
+        }
+        return { departure, position: this.recordDeparture(departure) };
+    }
+
+    /**
+     * Records a departure whether the upstream is known or not. Returns the position that entries must reach to have seen
+     * it.
+     */
+    public recordDeparture(departure: Departure): number {
+        const known = this.departures.find(departure);
+        if (known !== undefined) {
+            return known.position;
+        }
+        const current = this.getByName(departure.name);
+        if (current !== undefined && supersedes(current, departure) && !this.heldBackIds.has(current.id)) {
+            // Entries that know the current run have forgotten the departed one.
+            return this.upstreams.get(current.id)!.position;
+        }
+        this.lastPosition += 1;
+        this.lastUrgentPosition = this.lastPosition;
+        this.lastDeparturePosition = this.lastPosition;
+        this.departures.add({ ...departure, at: steadyNow(), position: this.lastPosition });
+        if (current !== undefined && this.departures.covers(current)) {
+            // The announcement that told it may have been too old to apply.
+            this.drainingIds.add(current.id);
+            this.amend(current.id, next => next.state = UpstreamState.DRAINING);
         }
-        this.drainingIds.add(known.id);
-        return this.remove(known.id, "left");
+        this.changed.notify();
+        return this.lastPosition;
     }
 
     /** Marks an upstream as draining after one of its responses has said so, whatever it announces. */
@@ -280,50 +294,42 @@
         }
     }
 
-    /**
-     * Whether an upstream is probably down: it has not announced itself for `maxSilenceMs`, has refused
-     * a connection, or can't be reached by at least `minReports` processes.
-     */
+    /** Whether an upstream is unknown or probably down; see {@link isProbablyDown}. */
     public isSuspect(id: string, maxSilenceMs: number, minReports: number): boolean {
         const record = this.upstreams.get(id);
-        if (record === undefined) {
-            return true;
-        }
-        const now = steadyNow();
-        const isRecent = (at: number) => now - at < unreachableReportTtlMs;
-        const unreachableCount = [...record.unreachableReports.values()].filter(isRecent).length;
-        return eventLoop.readUntil - record.lastAnnouncedAt > maxSilenceMs || isRecent(record.refusedAt)
-            || unreachableCount >= minReports;
+        return record === undefined || isProbablyDown(record, maxSilenceMs, minReports);
     }
 
     /** Removes upstreams that have stopped announcing themselves. */
     public removeExpired(): void {
-        const now = steadyNow();
         for (const [id, record] of this.upstreams) {
             if (eventLoop.readUntil - record.lastAnnouncedAt > expireAfterMs) {
                 this.remove(id, "silent");
             }
         }
         this.endedIncarnations.removeExpired();
-        deleteOlderThan(this.delayedSince, now - delayRecordTtlMs);
+        this.delayedAnnouncements.removeExpired();
     }
 
     public changesSince(position: number): RegistryChanges {
-        const isSnapshot = position < this.removalFloor;
+        const isSnapshot = !this.removals.isCompleteSince(position);
         const changed = isSnapshot ? [...this.upstreams.values()] : this.changedSince(position);
-        const removed = this.removals.filter(removal => removal.position > position).map(removal => removal.id);
+        const removed = this.removals.since(position);
         const departed = removed.filter(id => this.drainingIds.has(id));
         return {
             position: this.lastPosition,
             changed: changed.map(record => record.upstream).filter(({ id }) => !this.heldBackIds.has(id)),
             removed,
             departed,
+            departures: this.lastDeparturePosition <= position
+                ? []
+                : this.departures.all().filter(departure => departure.position > position),
             isSnapshot,
         };
     }
 
     /** Clears the registry at the start of a leadership, since its content may be stale. */
-    public clear(): void {
+    public clear({ term, departures }: InheritedState): void {
         this.upstreams.clear();
         this.heldBackIds.clear();
         this.idOfName.clear();
@@ -331,16 +337,12 @@
         this.endedIncarnations.clear();
         this.changes.clear(this.lastPosition);
         this.pending.clear();
-        this.delayedSince.clear();
+        this.delayedAnnouncements.clear();
         this.replaced.clear();
-        this.removals = [];
-        this.removalFloor = 0;
-    }
-
-    private recordContact(record: UpstreamRecord): void {
-        record.lastAnnouncedAt = steadyNow();
-        record.unreachableReports.clear();
-        record.refusedAt = Number.NEGATIVE_INFINITY;
+        this.removals.clear();
+        this.term = term;
+        this.departures.clear();
+        departures.forEach(departure => this.recordDeparture(departure));
     }
 
     private changedSince(position: number): UpstreamRecord[] {
@@ -358,7 +360,8 @@
     /** Whether an incarnation has ended, or a later one of the same name is known. */
     private isSuperseded(incarnation: Incarnation): boolean {
         const known = this.getByName(incarnation.name);
-        return this.endedIncarnations.has(incarnation) || (known !== undefined && supersedes(known, incarnation));
+        return this.endedIncarnations.has(incarnation) || this.departures.hasLeft(incarnation)
+            || (known !== undefined && supersedes(known, incarnation));
     }
 
     private applyAnnouncement(record: UpstreamRecord, announced: Upstream, isNew: boolean): void {
@@ -366,7 +369,7 @@
         if (next.state === UpstreamState.DRAINING) {
             this.drainingIds.add(next.id);
         }
-        else if (this.drainingIds.has(next.id)) {
+        else if (this.drainingIds.has(next.id) || this.departures.covers(next)) {
             // The announcement is stale, or the upstream reports draining in its responses only.
             next.state = UpstreamState.DRAINING;
         }
@@ -441,17 +444,15 @@
      */
     private mayBeDelayed(announcement: Announcement): boolean {
         const { id, address } = announcement.upstream!;
-        const now = steadyNow();
         const holder = this.upstreams.get(this.idAtAddress.get(address) ?? "");
         const isAddressHeld = holder !== undefined && eventLoop.readUntil - holder.lastAnnouncedAt < addressHeldMs
             && !supersedes(announcement.upstream!, holder.upstream);
-        const mayHaveEnded = isAddressHeld || this.endedIncarnations.hasAny(announcement.upstream!.name);
+        const mayHaveEnded = isAddressHeld || this.endedIncarnations.hasAny(announcement.upstream!.name)
+            || this.departures.mayHaveLeft(announcement.upstream!);
         if (!mayHaveEnded || announcement.sequence <= maxInitialSequence) {
             return false;
         }
-        const since = this.delayedSince.get(id) ?? now;
-        this.delayedSince.set(id, since);
-        return now - since < maxDelayMs;
+        return this.delayedAnnouncements.isDoubted(id);
     }
 
     private removePreviousIncarnation(upstream: Upstream): void {
@@ -485,7 +486,7 @@
         }
         this.replaced.add(id);
         const [oldest] = this.replaced;
-        if (this.replaced.size > maxRemovals) {
+        if (this.replaced.size > maxReplaced) {
             this.replaced.delete(oldest);
         }
     }
@@ -501,10 +502,7 @@
         }
         this.lastPosition += 1;
         this.lastUrgentPosition = this.lastPosition;
-        this.removals.push({ id, position: this.lastPosition });
-        while (this.removals.length > maxRemovals) {
-            this.removalFloor = this.removals.shift()!.position;
-        }
+        this.removals.add(id, this.lastPosition);
         this.changed.notify();
         return this.lastPosition;
     }
@@ -515,16 +513,3 @@
         ids.delete(key);
     }
 }
-
-function deleteOlderThan(times: Map<string, number>, limit: number): void {
-    for (const [id, at] of times) {
-        if (at < limit) {
-            times.delete(id);
-        }
-    }
-}
-
-/** Creates a model without adapters that is ready in `readyInMs`. */
-export function createHeldModel(name: string, readyInMs: number): HeldModel {
-    return create(HeldModelSchema, { name, readyInMs: Math.round(readyInMs) });
-}
--- a/packages/fleet/src/tests/draining.test.ts
+++ b/packages/fleet/src/tests/draining.test.ts
@@ -48,7 +48,7 @@
             registry.removeExpired();
             registry.announce(createAnnouncement("a", 20));
             expect(stateOf(registry)).toEqual(UpstreamState.DRAINING);
-            registry.clear();
+            registry.clear({ term: 2, departures: [] });
             registry.announce(createAnnouncement("a", 21));
             expect(stateOf(registry)).toEqual(UpstreamState.DRAINING);
         });
--- a/packages/fleet/src/tests/feeds.test.ts
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -16,6 +16,7 @@
 import { createAnnouncement } from "./fixtures.js";
 
 class TestControl implements FeedControl {
+    public readonly term = 1;
     public epoch: string | undefined = "1/a";
     public leadershipAgeMs = 0;
     public quorumAgeMs = 0;
@@ -121,7 +122,7 @@
         registry.announce(createAnnouncement("u1", 1, { state: UpstreamState.DRAINING }));
         await poll();
         control.epoch = "2/b";
-        registry.clear();
+        registry.clear({ term: 2, departures: [] });
         registry.announce(createAnnouncement("u1", 2));
         await poll();
         expect(view.get("u1")!.state).toEqual(UpstreamState.DRAINING);
@@ -132,7 +133,7 @@
         registry.announce(createAnnouncement("u1", 1));
         await poll();
         control.epoch = "2/b";
-        registry.clear();
+        registry.clear({ term: 2, departures: [] });
         await poll();
         expect(view.upstreams().length).toEqual(1);
         control.leadershipAgeMs = 10_000;
--- a/packages/fleet/src/tests/largefleets.test.ts
+++ b/packages/fleet/src/tests/largefleets.test.ts
@@ -29,6 +29,7 @@
 const modelsPerEngine = 3;
 
 class LargeControl implements FeedControl {
+    public readonly term = 1;
     public readonly epoch = "1/a";
     public readonly quorumAgeMs = 0;
     public readonly leadershipAgeMs = 60_000;
--- a/packages/fleet/src/tests/softwareversions.test.ts
+++ b/packages/fleet/src/tests/softwareversions.test.ts
@@ -33,6 +33,7 @@
 }
 
 class TestControl implements FeedControl {
+    public readonly term = 1;
     public epoch: string | undefined = "1/a";
     public readonly leadershipAgeMs = 0;
     public quorumAgeMs = 0;
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -286,6 +286,8 @@
             ),
             removed: [],
             left: [],
+            departures: [],
+            term: 1n,
             admission: [],
             documentVersion: this.documentVersion,
             documentText: "{}",
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -38,6 +38,7 @@
 
 export class SimulatedLeader implements FeedControl, PlacementContext {
     public readonly epoch = "1/leader";
+    public readonly term = 1;
     public readonly quorumAgeMs = 0;
     public readonly leadershipAgeMs = 60_000;
     public readonly leaderUrl = leaderUrl;
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -2,15 +2,7 @@
 import { AccountLimitCoordinator } from "@winchpath/accounts";
 import { type AvailabilityTracker, RateLimitCoordinator, type RateReport } from "@winchpath/availability";
 import { ConsensusService, consensusService, type Replica, type ReplicaSupervisor } from "@winchpath/consensus";
-import {
-    type EventLog,
-    Failure,
-    FailureCode,
-    listenBacklog,
-    messageOf,
-    type Metrics,
-    steadyNow,
-} from "@winchpath/core";
+import { type EventLog, listenBacklog, messageOf, type Metrics, steadyNow } from "@winchpath/core";
 import {
     type Configuration,
     type ConfigurationDocument,
@@ -25,6 +17,8 @@
     createFleetService,
     type DemandRequest,
     DemandTracker,
+    type Departure,
+    type DepartureState,
     Feed,
     type FeedControl,
     type Fence,
@@ -73,6 +67,18 @@
 /** Limits how often the whole registry is evaluated; reported failures are evaluated immediately. */
 const minEvaluationIntervalMs = 200;
 
+/** State that lives as long as a leadership of this host. */
+interface Leadership {
+    readonly epoch: string;
+    readonly abort: AbortController;
+    readonly placement: PlacementController;
+    readonly outlierMonitor: OutlierMonitor;
+    readonly crashes: CrashDecisions;
+    readonly versions: VersionAdmission;
+    /** Revision of the departures that the registry has received. */
+    departureRevision: number;
+}
+
 export class PlatformControl implements ControlHandler, FeedControl, AnnouncementControl, PlacementContext {
     private readonly stopping = new AbortController();
     private readonly timeline: Timeline;
@@ -92,16 +98,7 @@
     private readonly keeper: ReplicaSupervisor;
     private keeperStopped: Promise<void> = Promise.resolve();
     private rpcServer!: RpcServer;
-    private leadership:
-        | {
-            readonly epoch: string;
-            readonly abort: AbortController;
-            readonly placement: PlacementController;
-            readonly outlierMonitor: OutlierMonitor;
-            readonly crashes: CrashDecisions;
-            readonly versions: VersionAdmission;
-        }
-        | undefined;
+    private leadership: Leadership | undefined;
     private parsedConfig: { readonly version: number; readonly configuration: Configuration | undefined; } | undefined;
     private lastLoggedLeader = "";
     private appliedConfiguration: Configuration | undefined;
@@ -222,6 +219,10 @@
         return this.epoch !== undefined;
     }
 
+    public get term(): number {
+        return Number(this.replica?.readyLeadership?.term ?? 0);
+    }
+
     public get leadershipAgeMs(): number {
         return this.replica?.readyLeadership?.leadershipAgeMs ?? 0;
     }
@@ -261,13 +262,13 @@
         await this.keeper.require().barrier(timeoutMs);
     }
 
-    public async confirmLeadership(timeoutMs: number): Promise<void> {
-        const { epoch } = this;
-        await this.keeper.require().barrier(timeoutMs);
-        // A deposed host passes the barrier too, through its successor.
-        if (epoch === undefined || this.epoch !== epoch) {
-            throw Failure.of(FailureCode.noLeader, "another leader has followed");
-        }
+    public get departures(): DepartureState {
+        return this.state.departures;
+    }
+
+    public async commitDepartures(departures: readonly Departure[], timeoutMs: number): Promise<void> {
+        await this.proposals.departures(departures, timeoutMs);
+        this.applyDepartures();
     }
 
     public get epoch(): string | undefined {
@@ -319,6 +320,7 @@
             this.logLeaderChange();
             this.updateLeadership();
             this.applyConfiguration();
+            this.applyDepartures();
             this.feed.wakePolls();
             this.leadership?.placement.notify();
         }
@@ -333,6 +335,15 @@
         }
     }
 
+    /** Tells entries of departures that another host has committed, which may have led before. */
+    private applyDepartures(): void {
+        const { revision } = this.departures;
+        if (this.leadership !== undefined && this.leadership.departureRevision !== revision) {
+            this.leadership.departureRevision = revision;
+            this.departures.all().forEach(departure => this.registry.recordDeparture(departure));
+        }
+    }
+
     /** Every service counts as known until the first configuration arrives. */
     private isKnownService(service: string): boolean {
         return this.configuration?.services.some(({ name }) => name === service) ?? true;
@@ -365,7 +376,8 @@
 
     /** Discards state from an earlier leadership of this host, which may be stale. */
     private beginLeadership(epoch: string): void {
-        this.registry.clear();
+        const { revision: departureRevision } = this.departures;
+        this.registry.clear({ term: this.term, departures: this.departures.all() });
         this.demand = new DemandTracker(this.log);
         this.accountLimits = new AccountLimitCoordinator(this.settings.current.limitTolerance, this.log);
         this.accountLimits.setAccounts(this.configuration?.accounts ?? []);
@@ -375,7 +387,7 @@
         const crashes = this.createCrashDecisions();
         const versions = this.createVersionAdmission(Number(this.replica!.readyLeadership!.term));
         const outlierMonitor = new OutlierMonitor(this.registry);
-        this.leadership = { epoch, abort, placement, outlierMonitor, crashes, versions };
+        this.leadership = { epoch, abort, placement, outlierMonitor, crashes, versions, departureRevision };
         this.log.info("leadership.begun", { epoch });
         void this.orderLease.acquire(
             Number(this.replica!.readyLeadership!.term),
--- a/packages/winchpathd/src/proposals.ts
+++ b/packages/winchpathd/src/proposals.ts
@@ -1,7 +1,7 @@
 /** Commands to the replicated state of a platform deployment. */
 import { encodeCommand, type ReplicaSupervisor } from "@winchpath/consensus";
 import { type ConfigurationDocument, type DocumentResult } from "@winchpath/declarations";
-import { type SoftwareVersionCommand } from "@winchpath/fleet";
+import { type Departure, encodeDepartures, type SoftwareVersionCommand } from "@winchpath/fleet";
 import { type QuarantineCommand, type QuarantineResult } from "@winchpath/quarantine";
 
 /** Commits commands; each call resolves once its command is applied on this replica, and rejects after its timeout. */
@@ -23,6 +23,10 @@
         await this.propose("software-versions", command);
     }
 
+    public async departures(departures: readonly Departure[], timeoutMs: number): Promise<void> {
+        await this.propose("departures", encodeDepartures(departures), timeoutMs);
+    }
+
     /** Returns the result of the slice that the command is for. */
     private async propose(slice: string, command: object, timeoutMs = this.defaultTimeoutMs): Promise<unknown> {
         const { result } = await this.keeper().require().propose(encodeCommand(slice, command), timeoutMs);
