Framing, failures, events and answers of upstreams are bounded

What callers saw: nothing wrong at first; the entry paid. The leader read a report or the answer to an order without a bound on bytes.

Cause: the HTTP client bounds header and trailer bytes only, and everything else was bounded by the deadline alone.

Now a connection counts the bytes that its parser has taken, less the content; beyond 64 KiB and sixteen bytes a byte of content it is closed (FramingGuard, at entries, agents and for the leader's calls). The attempt counts as failed by the upstream (ejection), is retried where it may be, is no suspect of a crash, and is counted (upstream_endless_responses_total). Long events are no longer scanned from their beginning with each chunk.

Evidence: twelve kinds of endless bytes over real sockets, closed within 2 s (most within milliseconds) and 12 MB, buffers of both sides included; on the cases of informational responses, empty lines, chunk sizes, extensions and failures fail. A failure on an entry costs the caller 502, or the next upstream. A content of 24 MiB, chunks of a byte, slow readers, an event of 1 MiB, a hundred responses with long heads on one connection, twenty informational responses, a failure of 512 KiB pass as before. Unit tests of forwarding, rpc, upstream, platform, winchpath and requests: 509 of 509.

--- a/packages/core/src/eventsplitters.ts
+++ b/packages/core/src/eventsplitters.ts
@@ -1,5 +1,8 @@
 /** Splits a stream of server-sent events, so that only complete events are forwarded. */
 
+/** An event that is longer than this is given up, in bytes; until its end it is held in memory. */
+export const maxEventBytes = 2 * 1024 * 1024;
+
 const lineFeed = 10;
 const carriageReturn = 13;
 const colon = 58;
@@ -17,7 +20,8 @@
     /** Adds a chunk and returns the bytes up to the end of the last event that is complete now; empty if there is none. */
     public push(chunk: Buffer): Buffer {
         const bytes = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
-        const end = endOfLastEvent(bytes);
+        // The last byte before the chunk may turn out to end a blank line now; earlier ones have been looked at.
+        const end = endOfLastEvent(bytes, this.buffered.length - 1);
         this.buffered = bytes.subarray(end);
         const complete = bytes.subarray(0, end);
         if (end > 0 && (eventInitials.has(complete.readUInt16BE(0)) || lastEventIn(complete) !== undefined)) {
@@ -41,6 +45,11 @@
         return this.buffered;
     }
 
+    /** Whether the event that has begun is longer than {@link maxEventBytes}. */
+    public get isEventTooLong(): boolean {
+        return this.buffered.length > maxEventBytes;
+    }
+
     /** Whether the remainder is part of an event, and not only blank lines and complete comments. */
     public get isInsideEvent(): boolean {
         const lines = linesOf(this.buffered);
@@ -49,9 +58,9 @@
     }
 }
 
-/** Returns the offset after the last blank line, which terminates an event. */
-function endOfLastEvent(bytes: Buffer): number {
-    for (let index = bytes.length - 1; index > 0; index--) {
+/** Returns the offset after the last blank line that ends at `from` or later, which terminates an event; 0 if there is none. */
+function endOfLastEvent(bytes: Buffer, from: number): number {
+    for (let index = bytes.length - 1; index > 0 && index >= from; index--) {
         if (isLineEnd(bytes[index]) && endsBlankLine(bytes, index)) {
             return index + 1;
         }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./boundedbodies.js";
 export * from "./brokenresponses.js";
 export * from "./clocks.js";
 export * from "./debuglogs.js";
@@ -6,9 +7,11 @@
 export * from "./eventlogs.js";
 export * from "./eventloops.js";
 export * from "./eventsplitters.js";
+export * from "./framingguards.js";
 export * from "./histograms.js";
 export * from "./listening.js";
 export * from "./names.js";
+export * from "./observedconnectors.js";
 export * from "./rateheaders.js";
 export * from "./rawheaders.js";
 export * from "./resetdetectors.js";
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -2,8 +2,10 @@
 import {
     type CompleteEnd,
     type ConnectionState,
+    type ContentCounter,
     Deferred,
     EventSplitter,
+    ExcessiveFramingError,
     type FairTimer,
     framingOf,
     judgeResponseEnd,
@@ -16,7 +18,14 @@
 } from "@winchpath/core";
 import { type ServerResponse } from "node:http";
 import { type Dispatcher } from "undici";
-import { type BufferedResponse, withoutContentLength, writeBufferedResponse } from "./bufferedresponses.js";
+import {
+    type AttemptOutcome,
+    headTimeoutReason,
+    longEventReason,
+    longFailureReason,
+    unsentOutcome,
+} from "./attemptoutcomes.js";
+import { withoutContentLength, writeBufferedResponse } from "./bufferedresponses.js";
 import { type HeaderCodec, headerValue, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
 import { slowReaderReason } from "./hostguards.js";
 import { type InboundRequest, remainingMs } from "./inboundrequests.js";
@@ -27,40 +36,20 @@
  */
 const maxBufferedBytes = 256 * 1024;
 
+/** Failures that are longer than this are given up, in bytes: they are held in memory until another attempt is decided. */
+const maxFailureBytes = 1024 * 1024;
+/**
+ * The rest of a response that isn't needed is read up to this size, in bytes, and for this time, in milliseconds, so that
+ * its connection can be used again.
+ */
+const maxDiscardedBytes = 256 * 1024;
+const discardTimeoutMs = 1000;
+
 const eventStreamType = "text/event-stream";
 
 /** Time to wait for a free connection, in milliseconds; longer than it takes to establish a new one. */
 const connectionWaitMs = 500;
 
-/** Reason of an attempt that timed out without response headers. */
-export const headTimeoutReason = "silent";
-
-/** The result of an attempt. */
-export type AttemptOutcome =
-    /** The complete response was forwarded. */
-    | { readonly kind: "answered"; readonly status: number; }
-    /** The upstream returned a non-success response, which has not been forwarded yet. */
-    | { readonly kind: "failure"; readonly response: BufferedResponse; }
-    /** The upstream has certainly not executed the request. */
-    | {
-        readonly kind: "not-run";
-        readonly reason: string;
-        readonly misdirected: boolean;
-        readonly unreachable: boolean;
-        /** Whether the upstream responded; false if nothing was sent to it. If undefined, it responded unless it is unreachable. */
-        readonly responded: boolean;
-    }
-    /** The upstream may have executed the request; nothing was forwarded. `lost`: the connection broke. */
-    | { readonly kind: "unknown"; readonly reason: string; readonly lost: boolean; }
-    /** The response broke off after part of it was forwarded. */
-    | { readonly kind: "broken"; readonly reason: string; readonly lost: boolean; }
-    /** The process fell behind while the request waited for a connection; the client may have left. Nothing was sent. */
-    | { readonly kind: "postponed"; }
-    /** The deadline passed. */
-    | { readonly kind: "late"; }
-    /** The client left; `sent`: whether the request had been sent; `reason`: set if this process ended the response. */
-    | { readonly kind: "caller-gone"; readonly sent: boolean; readonly reason?: typeof slowReaderReason; };
-
 /** Settings and callbacks of an attempt. */
 export interface AttemptOptions {
     readonly codec: HeaderCodec;
@@ -127,6 +116,9 @@
     private metadata: ResponseMetadata | undefined;
     /** Whether this attempt has forwarded any part of the response. */
     private forwarding = false;
+    /** Counts the content of the response, so that the rest of its bytes can be bounded. */
+    private content: ContentCounter | undefined;
+    private discardedBytes = 0;
 
     public constructor(
         private readonly request: InboundRequest,
@@ -198,6 +190,7 @@
     }
 
     public onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        this.content = this.endpoint.connections.framing.current;
         if (status < 200) {
             return;
         }
@@ -213,7 +206,9 @@
     }
 
     public onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.content?.add(chunk.length);
         if (this.settled) {
+            this.discard(controller, chunk);
             return;
         }
         if (this.isStream()) {
@@ -226,13 +221,17 @@
         }
         this.buffered.push(chunk);
         this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes > maxBufferedBytes && this.isSuccess()) {
+        if (this.bufferedBytes > maxFailureBytes && !this.isSuccess()) {
+            this.abort({ kind: "unknown", reason: longFailureReason, lost: false });
+        }
+        else if (this.bufferedBytes > maxBufferedBytes && this.isSuccess()) {
             this.startResponse(this.headers);
             this.write(controller, Buffer.concat(this.buffered.splice(0)));
         }
     }
 
     public onResponseEnd(): void {
+        this.content?.end();
         this.settleEnd(this.endpoint.connections.wasReset ? "reset" : "intact");
     }
 
@@ -240,11 +239,31 @@
         if (!this.sent) {
             this.settleUnsent(messageOf(err), true);
         }
+        else if (err instanceof ExcessiveFramingError) {
+            this.ended = true;
+            this.settle({ kind: this.forwarding ? "broken" : "unknown", reason: err.message, lost: false });
+        }
         else {
             this.settleEnd("failed", messageOf(err));
         }
     }
 
+    /** Drops bytes of a response that isn't needed any more, and gives up its connection if there are too many. */
+    private discard(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.discardedBytes += chunk.length;
+        if (this.discardedBytes > maxDiscardedBytes) {
+            controller.abort(new AttemptAborted("too much to discard"));
+        }
+    }
+
+    private startDiscardTimeout(): void {
+        setTimeout(() => {
+            if (!this.ended) {
+                this.controller?.abort(new AttemptAborted("discarded for too long"));
+            }
+        }, discardTimeoutMs).unref();
+    }
+
     /** Settles the attempt after the end of the response; `error`: message of the HTTP client if it failed. */
     private settleEnd(connection: ConnectionState, error?: string): void {
         if (this.settled) {
@@ -334,6 +353,7 @@
                 unreachable: false,
                 responded: true,
             });
+            this.startDiscardTimeout();
         }
         else if (!metadata.sealed) {
             const reason = `status ${this.status} without a response seal`;
@@ -359,6 +379,10 @@
 
     private forwardEvents(controller: Dispatcher.DispatchController, chunk: Buffer): void {
         const bytes = this.splitter.push(chunk);
+        if (this.splitter.isEventTooLong) {
+            this.abort({ kind: this.forwarding ? "broken" : "unknown", reason: longEventReason, lost: false });
+            return;
+        }
         if (bytes.length === 0) {
             return;
         }
@@ -468,7 +492,3 @@
         }
     }
 }
-
-function unsentOutcome(reason: string, unreachable: boolean): AttemptOutcome {
-    return { kind: "not-run", reason, misdirected: false, unreachable, responded: false };
-}
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -5,7 +5,8 @@
 import { type EjectionTracker } from "@winchpath/routing";
 import { type ServerResponse } from "node:http";
 import { type Refusal } from "./admissioncontrollers.js";
-import { attempt, type AttemptOutcome, headTimeoutReason } from "./attempts.js";
+import { type AttemptOutcome, exceededBound, headTimeoutReason } from "./attemptoutcomes.js";
+import { attempt } from "./attempts.js";
 import { type EndpointTable } from "./endpointtables.js";
 import { type ForwarderDependencies } from "./forwarders.js";
 import { type ResponseMetadata } from "./headercodecs.js";
@@ -118,6 +119,9 @@
                 // The connection may be dead, and so may the idle ones of the same pool.
                 endpoint.renewConnections();
             }
+            if (exceededBound(outcome)) {
+                this.deps.metrics.count("upstream_endless_responses_total", { service: request.service });
+            }
             const ranMs = firstByteMs === undefined ? undefined : Math.round(ageMs(request)) - firstByteMs;
             this.deps.quarantine.recordOutcome(request, endpoint, outcome, { sentAt: startedAt, ranMs });
             this.deps.responder.logEvent(request, "attempt", {
--- a/packages/forwarding/src/connectors.ts
+++ b/packages/forwarding/src/connectors.ts
@@ -1,5 +1,5 @@
 /** Opens connections to upstreams, and knows which ones are open. */
-import { ResetDetector, startFairTimer } from "@winchpath/core";
+import { FramingGuard, ResetDetector, startFairTimer } from "@winchpath/core";
 import { connect, type Socket } from "node:net";
 import { type buildConnector } from "undici";
 
@@ -11,6 +11,8 @@
 
 /** Tells resets from regular closes, and knows whether any connection is open. */
 export class ConnectionMonitor extends ResetDetector {
+    /** Bounds what responses have besides their content. */
+    public readonly framing = new FramingGuard();
     private readonly open = new Set<Socket>();
 
     /** Whether any connection is open, as far as the ends of connections have been read. */
@@ -20,6 +22,7 @@
 
     public override attach(socket: Socket): void {
         super.attach(socket);
+        this.framing.attach(socket);
         this.open.add(socket);
         socket.prependListener("end", () => this.open.delete(socket));
         socket.once("close", () => this.open.delete(socket));
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -12,6 +12,7 @@
 } from "@winchpath/core";
 export * from "./activefeatures.js";
 export * from "./admissioncontrollers.js";
+export * from "./attemptoutcomes.js";
 export * from "./attempts.js";
 export * from "./attemptsenders.js";
 export * from "./bufferedresponses.js";
--- a/packages/forwarding/src/outcomerecorders.ts
+++ b/packages/forwarding/src/outcomerecorders.ts
@@ -2,7 +2,7 @@
 import { type EventLog } from "@winchpath/core";
 import { type DemandMeter } from "@winchpath/fleet";
 import { type EjectionTracker } from "@winchpath/routing";
-import { type AttemptOutcome } from "./attempts.js";
+import { type AttemptOutcome } from "./attemptoutcomes.js";
 import { ageMs, type InboundRequest } from "./inboundrequests.js";
 
 /** Multiple of the objective after which a missing first event counts as a failure of the upstream. */
--- a/packages/forwarding/src/quarantines.ts
+++ b/packages/forwarding/src/quarantines.ts
@@ -15,7 +15,7 @@
     wasOncePresent,
 } from "@winchpath/quarantine";
 import { type Refusal } from "./admissioncontrollers.js";
-import { type AttemptOutcome } from "./attempts.js";
+import { type AttemptOutcome } from "./attemptoutcomes.js";
 import { identityOf, type InboundRequest, remainingMs } from "./inboundrequests.js";
 import { LocalResponse } from "./localresponses.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
--- a/packages/forwarding/src/sharedadmissions.ts
+++ b/packages/forwarding/src/sharedadmissions.ts
@@ -5,7 +5,7 @@
 import { type FleetView } from "@winchpath/fleet";
 import { type ActiveFeatures } from "./activefeatures.js";
 import { type Refusal } from "./admissioncontrollers.js";
-import { type AttemptOutcome } from "./attempts.js";
+import { type AttemptOutcome } from "./attemptoutcomes.js";
 import { ageMs, type InboundRequest, promptEquivalentTokens, remainingMs } from "./inboundrequests.js";
 import { LocalResponse } from "./localresponses.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
--- a/packages/rpc/src/clients.ts
+++ b/packages/rpc/src/clients.ts
@@ -4,7 +4,7 @@
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { steadyNow } from "@winchpath/core";
 import { type CallOutcome, FairTimeoutTransport } from "./fairtimeouts.js";
-import { clientInterceptor, type RpcOptions } from "./interceptors.js";
+import { clientInterceptor, maxMessageBytes, type RpcOptions } from "./interceptors.js";
 
 /** Time without traffic after which a ping checks the session, in milliseconds. */
 const pingIntervalMs = 2000;
@@ -70,6 +70,7 @@
                     baseUrl: url,
                     httpVersion: "2",
                     sessionManager: sessions,
+                    readMaxBytes: maxMessageBytes,
                     interceptors: [clientInterceptor(this.options)],
                 }),
                 {
--- a/packages/rpc/src/interceptors.ts
+++ b/packages/rpc/src/interceptors.ts
@@ -4,6 +4,9 @@
 import { type Timeline } from "@winchpath/timeline";
 import { createHash, timingSafeEqual } from "node:crypto";
 
+/** Maximum message size in bytes; a snapshot of the control state must fit. */
+export const maxMessageBytes = 64 * 1024 * 1024;
+
 const keyHeader = "authorization";
 const clockHeader = "winchpath-clock";
 /**
--- a/packages/rpc/src/servers.ts
+++ b/packages/rpc/src/servers.ts
@@ -5,10 +5,7 @@
 import { once } from "node:events";
 import { createServer, type ServerHttp2Session } from "node:http2";
 import { type AddressInfo, type Socket } from "node:net";
-import { type RpcOptions, serverInterceptor } from "./interceptors.js";
-
-/** Maximum message size in bytes; a snapshot of the control state must fit. */
-const maxMessageBytes = 64 * 1024 * 1024;
+import { maxMessageBytes, type RpcOptions, serverInterceptor } from "./interceptors.js";
 
 /** Address to listen on; port 0 selects a free port. */
 export interface ListenAddress {
--- a/packages/upstream/src/runends.ts
+++ b/packages/upstream/src/runends.ts
@@ -36,6 +36,11 @@
         this.splitter?.push(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength));
     }
 
+    /** Whether an event of the stream is longer than its bound, so that the response must be given up. */
+    public get isEventTooLong(): boolean {
+        return this.splitter?.isEventTooLong ?? false;
+    }
+
     /** Judges a body that was read without an error; `readProcess` is called if only the end of the connection delimits it. */
     public async judge(readProcess: () => Promise<ProcessState>): Promise<ResponseEnd | CrashedEnd> {
         const { framing } = this.response;
--- a/packages/upstream/src/runners.ts
+++ b/packages/upstream/src/runners.ts
@@ -158,6 +158,13 @@
         for await (const chunk of response.body) {
             bytes += chunk.length;
             judge.push(chunk);
+            if (judge.isEventTooLong) {
+                throw new BrokenResponseError({
+                    kind: "broken",
+                    reason: "an event exceeds its bound",
+                    connectionLost: false,
+                });
+            }
             await record.append(chunk);
         }
         const responseEnd = await judge.judge(async () => ({
--- a/packages/upstream/src/upstreams.ts
+++ b/packages/upstream/src/upstreams.ts
@@ -1,7 +1,15 @@
 /** The agent's client for its upstream. */
-import { framingOf, messageOf, ResetDetector, type ResponseFraming, safeParse } from "@winchpath/core";
+import {
+    FramingGuard,
+    framingOf,
+    messageOf,
+    observedConnector,
+    readBoundedText,
+    ResetDetector,
+    type ResponseFraming,
+    safeParse,
+} from "@winchpath/core";
 import { refusesConnections } from "@winchpath/quarantine";
-import { Socket } from "node:net";
 import { Agent, buildConnector, DecoratorHandler, type Dispatcher, request } from "undici";
 import { type EngineOrder, EngineState } from "./engineschemas.js";
 
@@ -9,6 +17,10 @@
 const stateTimeoutMs = 1000;
 const acceptedStatus = 202;
 const maxConnections = 512;
+/** A longer description of an engine's state is not read, in bytes. */
+const maxStateBytes = 4 * 1024 * 1024;
+/** The rest of a response that isn't needed is read up to this size, in bytes. */
+const maxDiscardedBytes = 128 * 1024;
 
 /** Result of sending an order; "uncertain" if no response arrived, so that it may or may not have taken effect. */
 export type OrderResult = "taken" | "refused" | "uncertain";
@@ -53,13 +65,18 @@
 /** An upstream reached over HTTP. */
 export class HttpUpstream implements Upstream {
     private readonly resetDetector = new ResetDetector();
-    private readonly dispatcher = new Agent({
-        connect: connectorFor(this.resetDetector),
+    private readonly framing = new FramingGuard();
+    private readonly agent = new Agent({
+        connect: observedConnector(buildConnector({}), socket => {
+            this.resetDetector.attach(socket);
+            this.framing.attach(socket);
+        }),
         connections: maxConnections,
         pipelining: 1,
         bodyTimeout: 0,
         headersTimeout: 0,
     });
+    private readonly dispatcher = this.agent.compose(this.framing.interceptor);
 
     public constructor(private readonly url: string, private readonly isEngine: boolean) {}
 
@@ -71,7 +88,7 @@
             dispatcher: this.dispatcher,
             signal: AbortSignal.timeout(stateTimeoutMs),
         });
-        return safeParse(EngineState, await body.json()).unwrap();
+        return safeParse(EngineState, JSON.parse(await readBoundedText(body, maxStateBytes))).unwrap();
     }
 
     public async order(order: EngineOrder): Promise<OrderResult> {
@@ -83,7 +100,7 @@
                 body: JSON.stringify(order),
                 signal: AbortSignal.timeout(orderTimeoutMs),
             });
-            await body.dump();
+            await body.dump({ limit: maxDiscardedBytes });
             return statusCode === acceptedStatus ? "taken" : "refused";
         }
         catch {
@@ -107,7 +124,7 @@
                 body: res.body,
                 framing: framingOf(req.method, res.statusCode, Object.entries(res.headers).flatMap(toRawHeader)),
                 wasReset: () => connectionEnd.wasReset,
-                discard: () => res.body.dump(),
+                discard: () => res.body.dump({ limit: maxDiscardedBytes }),
             };
         }
         catch (err) {
@@ -123,7 +140,7 @@
     }
 
     public async close(): Promise<void> {
-        await this.dispatcher.destroy();
+        await this.agent.destroy();
     }
 }
 
@@ -145,18 +162,6 @@
     };
 }
 
-function connectorFor(resetDetector: ResetDetector): buildConnector.connector {
-    const connect = buildConnector({});
-    return (options, callback) =>
-        connect(options, (...result: Parameters<buildConnector.Callback>) => {
-            const [, socket] = result;
-            if (socket instanceof Socket) {
-                resetDetector.attach(socket);
-            }
-            callback(...result);
-        });
-}
-
 function toRawHeader([name, value]: [string, string | string[] | undefined]): string[] {
     return value === undefined ? [] : [name, String(value)];
 }
--- a/packages/winchpath/src/clients.ts
+++ b/packages/winchpath/src/clients.ts
@@ -1,5 +1,5 @@
 /** Client of the operators' HTTP interface, with failover between entries. */
-import { Failure, FailureCode, type Issue, messageOf, sleep } from "@winchpath/core";
+import { Failure, FailureCode, type Issue, messageOf, readBoundedText, sleep } from "@winchpath/core";
 import { type Change, type ChangeResult, type Kind, type Resource } from "@winchpath/declarations";
 import { type ResourceList, type Status, type WatchLine } from "@winchpath/operators";
 import { request } from "undici";
@@ -9,6 +9,8 @@
 const changeTimeoutMs = 5000;
 /** Longer than the interval of the server's keep-alive lines. */
 const watchTimeoutMs = 15_000;
+/** Longer answers are not read, in bytes; nor are longer lines of a watch. */
+const maxAnswerBytes = 64 * 1024 * 1024;
 const maxRounds = 3;
 const retryDelayMs = 300;
 const unavailableStatus = 503;
@@ -90,12 +92,15 @@
             bodyTimeout: watchTimeoutMs,
         });
         if (statusCode !== okStatus) {
-            throw Failure.of(FailureCode.unreachable, await body.text());
+            throw Failure.of(FailureCode.unreachable, await readBoundedText(body, maxAnswerBytes));
         }
         let partialLine = "";
         for await (const chunk of body) {
             const lines = (partialLine + String(chunk)).split("\n");
             partialLine = lines.pop()!;
+            if (partialLine.length > maxAnswerBytes) {
+                throw Failure.of(FailureCode.invalid, `a line of a watch is longer than ${maxAnswerBytes} bytes`);
+            }
             yield* lines.filter(line => line !== "").map(line => JSON.parse(line) as WatchLine);
         }
     }
--- a/packages/winchpath/src/commands/accounts.ts
+++ b/packages/winchpath/src/commands/accounts.ts
@@ -1,10 +1,12 @@
 /** Command `account list`. */
-import { Failure, FailureCode, messageOf, sleep, steadyNow } from "@winchpath/core";
+import { Failure, FailureCode, messageOf, readBoundedText, sleep, steadyNow } from "@winchpath/core";
 import { request } from "undici";
 import { accountUsages, formatAccountUsages } from "../accountusages.js";
 import { type Context, ExitCode } from "../contexts.js";
 
 const readTimeoutMs = 3000;
+/** Longer answers are not read, in bytes; each of some thousand accounts takes a few lines. */
+const maxMetricsBytes = 64 * 1024 * 1024;
 const okStatus = 200;
 
 /** Metrics of an entry, and the monotonic time at which they were read. */
@@ -47,7 +49,7 @@
             const { statusCode, body } = await request(`${url}/metrics`, {
                 signal: AbortSignal.timeout(readTimeoutMs),
             });
-            const text = await body.text();
+            const text = await readBoundedText(body, maxMetricsBytes);
             if (statusCode !== okStatus) {
                 throw new Error(`status ${statusCode}`);
             }
