An entry whose queue of new connections stands for long rejects what waits, whoever has more room

What callers saw: four equal entries on a third of a core each, nine in ten of 360 new connections a second to one of them: 199 of 1,802 callers were served within 2.5 s, the others got no answer at all, for as long as the moment lasted and longer.

Cause: the process accepts one connection in each turn of the event loop and works on those whose clients left long ago. The gate that rejects such a queue was in use only where the leader had found that hosts are uneven, which it can't where no share is known and each turn by itself is short.

Now the queue is watched always. Where nobody has told of a lack it may stand for two objectives (one second at least) before all that waits is answered 503 unread.

--- a/packages/forwarding/src/connectiongates.ts
+++ b/packages/forwarding/src/connectiongates.ts
@@ -78,10 +78,9 @@
         this.report();
     }
 
-    /** Accepts all connections from now on. */
+    /** Rejects connections only once they have waited for long, from now on. */
     public reset(): void {
         this.enabled = false;
-        this.limiter.recordEmpty();
         this.report();
     }
 
@@ -98,15 +97,12 @@
     }
 
     private admits(): boolean {
-        if (!this.enabled) {
-            return true;
-        }
         this.arrivedInTurn = true;
         if (!this.watching) {
             this.watching = true;
             void this.watchTurns();
         }
-        return this.limiter.admit();
+        return this.limiter.admit(this.enabled);
     }
 
     /** Runs until a turn of the event loop finds no connection. */
--- a/packages/hostload/src/connectionlimiters.ts
+++ b/packages/hostload/src/connectionlimiters.ts
@@ -13,6 +13,13 @@
 /** Lower bound of that time, in milliseconds; bursts of clients that connect at once take as long. */
 const minStandingMs = 50;
 
+/**
+ * The same where nobody has told that this host lacks what others have, in objectives and in milliseconds.
+ * A queue that stands for so long has a length that the process doesn't work off.
+ */
+const unaidedObjectives = 2;
+const minUnaidedStandingMs = 1000;
+
 /**
  * Connections that a queue which has stood for too long must have held. A process that wasn't scheduled for a while finds
  * a few in turns that lie far apart, and can serve them at once.
@@ -26,6 +33,7 @@
 
 export class ConnectionLimiter {
     private maxStandingMs = minStandingMs;
+    private maxUnaidedStandingMs = minUnaidedStandingMs;
     /** Monotonic time since when every turn of the event loop has found a connection. */
     private standingSince: number | undefined;
     /** Connections that have arrived since then. */
@@ -36,14 +44,16 @@
     /** Sets the tightest objective among the routes, in milliseconds. */
     public setObjective(objectiveMs: number): void {
         this.maxStandingMs = Math.max(minStandingMs, objectiveMs * standingObjectiveShare);
+        this.maxUnaidedStandingMs = Math.max(minUnaidedStandingMs, objectiveMs * unaidedObjectives);
     }
 
-    /** Whether a connection that has arrived is accepted. */
-    public admit(): boolean {
+    /** Whether a connection that has arrived is accepted. `isScarce`: whether this host is known to lack what others have. */
+    public admit(isScarce = true): boolean {
         const now = steadyNow();
+        const maxStandingMs = isScarce ? this.maxStandingMs : this.maxUnaidedStandingMs;
         this.standingSince ??= now;
         this.standingConnections += 1;
-        const isAdmitted = now - this.standingSince <= this.maxStandingMs
+        const isAdmitted = now - this.standingSince <= maxStandingMs
             || this.standingConnections <= minStandingConnections;
         if (isAdmitted) {
             this.admitted += 1;
--- a/packages/hostload/src/tests/connectionlimiters.test.ts
+++ b/packages/hostload/src/tests/connectionlimiters.test.ts
@@ -31,6 +31,16 @@
         expect(limiter.admit()).toEqual(true);
     });
 
+    it("lets the queue stand for two objectives where nobody has told that this host is short of anything", () => {
+        Array.from({ length: 8 }, () => limiter.admit(false));
+        mock.timers.tick(2000);
+        expect(limiter.admit(false)).toEqual(true);
+        mock.timers.tick(1);
+        expect([limiter.admit(false), limiter.admit(false)]).toEqual([false, false]);
+        limiter.recordEmpty();
+        expect(limiter.admit(false)).toEqual(true);
+    });
+
     it("accepts the few connections that a process finds in turns between which it was not scheduled", () => {
         const admitted: boolean[] = [];
         for (let index = 0; index < 8; index++) {
