A confirmation of the configuration that comes after its round still counts

Cause, traced before: an entry dropped what came later than the 600 ms of a round. It is true for the time at which it was asked.

Now the round ends after 600 ms as before, and a connection without an answer by then is given up for further calls, but the call itself goes on for 1.5 s and its answer is applied as of its question. A host that answers late isn't silent.

Evidence: a unit test (a response after 900 ms), and the searches of small worlds on confirmations and allowances pass.

--- a/packages/fleet/src/configurationconfirmers.ts
+++ b/packages/fleet/src/configurationconfirmers.ts
@@ -1,7 +1,7 @@
 /** Asks the control group whether the entry's configuration is the latest one, for decisions that depend on it. */
 import { type EventLog, eventLoop, messageOf, type Metrics, Notifier, sleep, steadyNow } from "@winchpath/core";
-import { type PeerClients } from "@winchpath/rpc";
-import { ConfirmationRound, type RoundResult } from "./confirmationrounds.js";
+import { type RpcClients } from "@winchpath/rpc";
+import { callTimeoutMs, ConfirmationRound, type RoundResult } from "./confirmationrounds.js";
 import { type FleetView } from "./fleetviews.js";
 import { type ConfirmResponse, FleetService } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 
@@ -57,7 +57,7 @@
 
     public constructor(
         private readonly view: FleetView<C>,
-        private readonly clients: PeerClients,
+        private readonly clients: Pick<RpcClients, "client" | "retireSilent">,
         private readonly options: ConfirmerOptions,
         private readonly log: EventLog,
         private readonly metrics: Metrics,
@@ -129,7 +129,9 @@
             leaderUrl: this.options.leaderUrl(),
             controlUrls: this.options.controlUrls().slice(0, maxAskedHosts),
             seedUrls: this.options.seedUrls().slice(0, maxAskedHosts),
-            call: (url, timeoutMs) => this.call(url, timeoutMs),
+            call: url => this.call(url),
+            onSilent: (url, sentAt) => this.clients.retireSilent(url, sentAt),
+            onLate: (response, sentAt) => this.recordLate(response, sentAt),
             // An older version comes from a host that is still restoring its state.
             isUsable: ({ documentVersion }) => Number(documentVersion) >= this.view.version,
         }).run();
@@ -143,6 +145,18 @@
         this.asked.notify();
     }
 
+    /** A confirmation that comes after its round is true as of the time at which it was asked for. */
+    private recordLate(response: ConfirmResponse, sentAt: number): void {
+        this.view.applyConfirmation(response, sentAt);
+        this.metrics.count("configuration_confirmations_total", { outcome: "after-round" });
+        if (this.failed !== undefined) {
+            // The host can be reached, if slowly.
+            this.failed = { ...this.failed, unreachable: 0 };
+        }
+        this.logReach([]);
+        this.asked.notify();
+    }
+
     private record(result: RoundResult, startedAt: number): void {
         if (result.kind === "confirmed") {
             this.view.applyConfirmation(result.response, result.sentAt);
@@ -171,10 +185,10 @@
         }
     }
 
-    private async call(url: string, timeoutMs: number): Promise<ConfirmResponse> {
+    private async call(url: string): Promise<ConfirmResponse> {
         const req = { entry: this.options.entry, documentVersion: BigInt(this.view.version) };
         try {
-            return await this.clients.client(FleetService, url).confirm(req, { timeoutMs });
+            return await this.clients.client(FleetService, url).confirm(req, { timeoutMs: callTimeoutMs });
         }
         catch (err) {
             this.log.warn("configuration.not-confirmed", { host: url, error: messageOf(err) });
--- a/packages/fleet/src/confirmationrounds.ts
+++ b/packages/fleet/src/confirmationrounds.ts
@@ -1,10 +1,12 @@
 /** One round of questions to all control hosts whether the entry's configuration is the latest one. */
-import { eventLoop, sleep, steadyNow } from "@winchpath/core";
+import { Deferred, eventLoop, sleep, startFairTimer, steadyNow } from "@winchpath/core";
 import { isRefusal, isResponse } from "@winchpath/rpc";
 import { type ConfirmResponse } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 
 /** Time for which a round waits for responses, in milliseconds; longer than control hosts wait for a majority. */
 export const roundMs = 600;
+/** Time after which a call is given up, in milliseconds: what it confirms after the round is still true. */
+export const callTimeoutMs = 1500;
 /** Time after which another control host is asked too, in milliseconds. */
 const hedgeMs = 60;
 /** Time after which all are asked, in milliseconds; leaves each of them the time to say that it has no majority. */
@@ -34,7 +36,11 @@
     readonly controlUrls: readonly string[];
     /** Hosts that are asked too, since the members known here may have been replaced. */
     readonly seedUrls: readonly string[];
-    readonly call: (url: string, timeoutMs: number) => Promise<ConfirmResponse>;
+    readonly call: (url: string) => Promise<ConfirmResponse>;
+    /** Called when a host has not responded within the time of the round; `sentAt`: when it was asked last. */
+    readonly onSilent: (url: string, sentAt: number) => void;
+    /** Called with a usable response that comes after the round; `sentAt`: when it was asked for. */
+    readonly onLate: (response: ConfirmResponse, sentAt: number) => void;
     /** Whether a response is about the document that is held, or a newer one. */
     readonly isUsable: (response: ConfirmResponse) => boolean;
 }
@@ -94,7 +100,10 @@
         while (!this.isOver && eventLoop.readUntil < this.deadline) {
             const sentAt = steadyNow();
             try {
-                const response = await this.options.call(url, Math.max(1, this.deadline - sentAt));
+                const response = await this.callInTime(url, sentAt);
+                if (response === undefined) {
+                    break;
+                }
                 this.responding.add(url);
                 if (this.options.isUsable(response)) {
                     return { kind: "confirmed", response, sentAt };
@@ -113,4 +122,27 @@
         }
         throw new Error("no confirmation");
     }
+
+    /** Resolves to undefined once the time of the round is over; the call goes on. */
+    private async callInTime(url: string, sentAt: number): Promise<ConfirmResponse | undefined> {
+        const call = this.options.call(url);
+        let inTime = true;
+        const onDeadline = new Deferred<undefined>();
+        const timer = startFairTimer(() => {
+            inTime = false;
+            this.options.onSilent(url, sentAt);
+            onDeadline.resolve(undefined);
+        }, Math.max(1, this.deadline - sentAt));
+        // A failure is reported by the caller of this method, or has been logged if it comes later.
+        call.then(
+            response => inTime || !this.options.isUsable(response) || this.options.onLate(response, sentAt),
+            () => undefined,
+        );
+        try {
+            return await Promise.race([call, onDeadline.promise]);
+        }
+        finally {
+            timer.cancel();
+        }
+    }
 }
--- a/packages/fleet/src/tests/configurationconfirmers.test.ts
+++ b/packages/fleet/src/tests/configurationconfirmers.test.ts
@@ -1,7 +1,7 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import { Code, ConnectError } from "@connectrpc/connect";
 import { Metrics, silentLog } from "@winchpath/core";
-import { type PeerClients } from "@winchpath/rpc";
+import { type RpcClients } from "@winchpath/rpc";
 import { expect } from "earl";
 import { afterEach, beforeEach, describe, it, mock } from "node:test";
 import { ConfirmResponseSchema, PollResponseSchema } from "../gen/winchpath/fleet/v1/fleet_pb.js";
@@ -17,9 +17,12 @@
     public readonly calls: string[] = [];
 
     /** `endsCalls`: whether calls end at their timeout. */
+    /** Hosts whose connections were given up for further calls. */
+    public readonly silent: string[] = [];
+
     public constructor(private readonly replies: Record<string, Reply>, private readonly endsCalls = false) {}
 
-    public clients(): PeerClients {
+    public clients(): Pick<RpcClients, "client" | "retireSilent"> {
         const open = (_service: unknown, url: string) => ({
             confirm: async (_req: unknown, { timeoutMs }: { readonly timeoutMs: number; }) => {
                 this.calls.push(url);
@@ -30,7 +33,10 @@
                 return create(ConfirmResponseSchema, await Promise.race([this.replies[url](), timeout]));
             },
         });
-        return { client: open as unknown as PeerClients["client"], disconnect: () => undefined };
+        return {
+            client: open as unknown as RpcClients["client"],
+            retireSilent: url => void this.silent.push(url),
+        };
     }
 }
 
@@ -83,6 +89,22 @@
         expect(confirmer.isCutOff).toEqual(false);
     });
 
+    /** Guards against rejecting requests for want of a confirmation that control hosts give, but later than a round lasts. */
+    it("is confirmed as of the question by a response that comes after its round", async () => {
+        const late: Reply = async () => {
+            await new Promise(resolve => setTimeout(resolve, 900));
+            return { documentVersion: 0n };
+        };
+        const hosts = new TestControlHosts({ a: late, b: late, c: late }, true);
+        const confirmer = confirmerFor(hosts);
+        const askedAt = Date.now();
+        expect(await resultOf(confirmer.confirm(600), 650)).toEqual(false);
+        expect(hosts.silent.includes("a")).toEqual(true);
+        await advanceTime(300);
+        expect(view.confirmedAt >= askedAt && view.confirmedAgeMs >= 900).toEqual(true);
+        expect(confirmer.isCutOff).toEqual(false);
+    });
+
     it("confirms and applies a newer document", async () => {
         const hosts = new TestControlHosts({ a: async () => ({ documentVersion: 4n, documentText: "four" }) });
         expect(await resultOf(confirmerFor(hosts).confirm(500), 50)).toEqual(true);
--- a/packages/fleet/src/tests/confirmationworlds.test.ts
+++ b/packages/fleet/src/tests/confirmationworlds.test.ts
@@ -4,7 +4,7 @@
  */
 import { create } from "@bufbuild/protobuf";
 import { Metrics, silentLog } from "@winchpath/core";
-import { type PeerClients } from "@winchpath/rpc";
+import { type RpcClients } from "@winchpath/rpc";
 import { expect } from "earl";
 import { describe, it, mock } from "node:test";
 import { ConfirmResponseSchema, PollResponseSchema } from "../gen/winchpath/fleet/v1/fleet_pb.js";
@@ -62,8 +62,8 @@
         return create(ConfirmResponseSchema, { documentVersion: BigInt(version), documentText: `v${version}` });
     };
     const clients = {
-        client: (() => ({ confirm })) as unknown as PeerClients["client"],
-        disconnect: () => undefined,
+        client: (() => ({ confirm })) as unknown as RpcClients["client"],
+        retireSilent: () => undefined,
     };
     const options = {
         entry: "e",
--- a/packages/forwarding/src/tests/allowedworlds.test.ts
+++ b/packages/forwarding/src/tests/allowedworlds.test.ts
@@ -121,6 +121,7 @@
                 answer(world, Number(url), timeoutMs),
         }),
         disconnect: () => undefined,
+        retireSilent: () => undefined,
     };
     const options = {
         entry: "e",
--- a/packages/rpc/src/clients.ts
+++ b/packages/rpc/src/clients.ts
@@ -51,6 +51,18 @@
         this.peers.delete(url);
     }
 
+    /**
+     * Opens another session for further calls if nothing has arrived on the present one since `since`, a monotonic time.
+     * Calls that are open go on.
+     */
+    public retireSilent(url: string, since: number): void {
+        const peer = this.peers.get(url);
+        if (peer !== undefined && peer.lastResponseAt <= since) {
+            this.replaced.add(peer);
+            this.peers.delete(url);
+        }
+    }
+
     /** Aborts all sessions. */
     public close(): void {
         [...this.peers.keys()].forEach(url => this.disconnect(url));
@@ -102,9 +114,8 @@
         if (responded) {
             peer.lastResponseAt = steadyNow();
         }
-        if (timedOut && peer.lastResponseAt <= startedAt && this.peers.get(url) === peer) {
-            this.replaced.add(peer);
-            this.peers.delete(url);
+        if (timedOut && this.peers.get(url) === peer) {
+            this.retireSilent(url, startedAt);
         }
         if (this.replaced.has(peer) && peer.openCalls === 0 && !peer.hasStreams) {
             // A client that was obtained before opens another one when it is used again.
