Departures bar a name for a minute only, in later leaderships too

An upstream that starts again under its name without a start time would have been barred once more by each new leader, and by the first one until another departure came: recorded departures were only dropped when one was added. Found by reading, before it was seen. Leaders inherit those of the last minute by the wall clock, and drop them in time. A test fails without it.

--- a/packages/fleet/src/departures.ts
+++ b/packages/fleet/src/departures.ts
@@ -88,12 +88,9 @@
         this.byName.clear();
     }
 
-    private of({ name }: NamedStart): readonly T[] {
-        return this.byName.get(name) ?? [];
-    }
-
-    /** Names are in the order of their latest departure. */
-    private removeExpired(now: number): void {
+    /** Removes what is older than the retention time at `now`, and what is beyond the bound. */
+    public removeExpired(now: number): void {
+        // Names are in the order of their latest departure.
         for (const [name, departures] of this.byName) {
             const latest = departures[departures.length - 1];
             if (this.byName.size <= maxDepartures && now - latest.at <= departureRetentionMs) {
@@ -102,4 +99,8 @@
             this.byName.delete(name);
         }
     }
+
+    private of({ name }: NamedStart): readonly T[] {
+        return this.byName.get(name) ?? [];
+    }
 }
--- a/packages/fleet/src/departurestates.ts
+++ b/packages/fleet/src/departurestates.ts
@@ -2,6 +2,7 @@
 import Type, { type Static } from "typebox";
 import Value from "typebox/value";
 import { type Departure, DepartureSet, type TimedDeparture } from "./departures.js";
+import { departureRetentionMs } from "./incarnations.js";
 
 const RecordedDeparture = Type.Object({
     name: Type.String(),
@@ -43,6 +44,12 @@
         return this.departures.all();
     }
 
+    /** Departures within the retention time, by the wall clock, which the leader's clock was at their commit. */
+    public recent(): readonly Departure[] {
+        const from = Date.now() - departureRetentionMs;
+        return this.departures.all().filter(({ at }) => at >= from);
+    }
+
     /** Whether the departure is committed. */
     public includes(departure: Departure): boolean {
         return this.departures.find(departure) !== undefined;
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -309,6 +309,7 @@
         }
         this.endedIncarnations.removeExpired();
         this.delayedAnnouncements.removeExpired();
+        this.departures.removeExpired(steadyNow());
     }
 
     public changesSince(position: number): RegistryChanges {
--- a/packages/fleet/src/tests/departures.test.ts
+++ b/packages/fleet/src/tests/departures.test.ts
@@ -137,6 +137,25 @@
             expect([registry.changesSince(0).changed.length, told(registry)]).toEqual([0, ["u@100"]]);
         });
 
+        /** Guards against an upstream that starts again under its name, without a start time, and is barred for good. */
+        it("without a start time bar its name for a minute only, in later leaderships too", () => {
+            const state = new DepartureState();
+            const registry = new Registry(silentLog);
+            const { departure } = registry.leave("u");
+            state.apply(encodeDepartures([departure]), { term: 1, time: Date.now() });
+            mock.timers.tick(59_000);
+            registry.clear({ term: 2, departures: state.recent() });
+            registry.announce(createAnnouncement("u", 1));
+            expect(registry.all().length).toEqual(0);
+            mock.timers.tick(61_000);
+            registry.removeExpired();
+            registry.announce(createAnnouncement("u", 2));
+            expect(registry.get("u")?.upstream.state).toEqual(UpstreamState.READY);
+            registry.clear({ term: 3, departures: state.recent() });
+            registry.announce(createAnnouncement("u", 3));
+            expect(registry.get("u")?.upstream.state).toEqual(UpstreamState.READY);
+        });
+
         it("of an earlier leadership are told to every entry, and bar late announcements", () => {
             const registry = new Registry(silentLog);
             registry.clear({ term: 2, departures: [departureOf("u", { born: 100n })] });
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -340,7 +340,7 @@
         const { revision } = this.departures;
         if (this.leadership !== undefined && this.leadership.departureRevision !== revision) {
             this.leadership.departureRevision = revision;
-            this.departures.all().forEach(departure => this.registry.recordDeparture(departure));
+            this.departures.recent().forEach(departure => this.registry.recordDeparture(departure));
         }
     }
 
@@ -377,7 +377,7 @@
     /** Discards state from an earlier leadership of this host, which may be stale. */
     private beginLeadership(epoch: string): void {
         const { revision: departureRevision } = this.departures;
-        this.registry.clear({ term: this.term, departures: this.departures.all() });
+        this.registry.clear({ term: this.term, departures: this.departures.recent() });
         this.demand = new DemandTracker(this.log);
         this.accountLimits = new AccountLimitCoordinator(this.settings.current.limitTolerance, this.log);
         this.accountLimits.setAccounts(this.configuration?.accounts ?? []);
