--- a/packages/forwarding/src/connectiongates.ts
+++ b/packages/forwarding/src/connectiongates.ts
@@ -34,7 +34,8 @@
     /** Whether turns of the event loop are being watched, and whether a connection has arrived in the current one. */
     private watching = false;
     private arrivedInTurn = false;
-    private enabled = false;
+    /** Whether this host is known to lack processor time that others have, so that the queue may stand for less time. */
+    private isHostScarce = false;
 
     public constructor(private readonly log: EventLog, private readonly metrics: Metrics) {}
 
@@ -72,15 +73,15 @@
         });
     }
 
-    /** Called at short intervals while the gate is in use; reports what has been rejected since the last call. */
+    /** Called at short intervals while this host lacks processor time; reports what has been rejected since the last call. */
     public sample(): void {
-        this.enabled = true;
+        this.isHostScarce = true;
         this.report();
     }
 
-    /** Rejects connections only once they have waited for long, from now on. */
+    /** Called in place of `sample` while no lack is known: connections are rejected only once they have waited for long. */
     public reset(): void {
-        this.enabled = false;
+        this.isHostScarce = false;
         this.report();
     }
 
@@ -102,7 +103,7 @@
             this.watching = true;
             void this.watchTurns();
         }
-        return this.limiter.admit(this.enabled);
+        return this.limiter.admit(this.isHostScarce);
     }
 
     /** Runs until a turn of the event loop finds no connection. */
--- a/packages/forwarding/src/hostguards.ts
+++ b/packages/forwarding/src/hostguards.ts
@@ -25,7 +25,10 @@
 
 export interface HostGuardOptions {
     readonly limits: HostLimits;
-    /** Whether the feature `host-capacity` is active; otherwise only the memory for slow readers is bounded. */
+    /**
+     * Whether the feature `host-capacity` is active; otherwise only the memory for slow readers, and a queue of new
+     * connections that stands for long, are bounded.
+     */
     readonly isActive: () => boolean;
     /** Whether this entry is ready to serve, leaving aside its load. */
     readonly isReady: () => boolean;
