Log the models and adapters that are requested and not served, and why

Cause: nothing told since when an item's requests go unserved, why they were rejected, and why the plan orders nothing: demand.lacking counts rejections for lack of the item only, plan.unmet lists models without any replica only.

Change: entries report, for each item, the requests that an upstream began to answer and those that none answered by reason, and to a new leader the span of unserved requests. No decision changes.

--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -1,6 +1,6 @@
 /** Plans loads of adapters, and the unloads that free slots or memory for them. */
 import { type ItemNeed } from "./demands.js";
-import { type EngineSnapshot, type PlannedOrder } from "./plans.js";
+import { type EngineSnapshot, type PlannedOrder, type UnmetNeed } from "./plans.js";
 import { type PlanState } from "./planstates.js";
 
 /** Share of an engine's request slots that one adapter may use before it is loaded on another engine. */
@@ -24,6 +24,25 @@
         return candidates.flatMap(need => this.orderFor(need) ?? []);
     }
 
+    /** Adapters with unserved requests that no engine holds or loads although one holds their model. */
+    public unmet(): UnmetNeed[] {
+        return this.state.input.needs
+            .filter(({ key, unserved }) => key.adapter !== "" && unserved > 0)
+            .filter(({ key }) => this.readyHolders(key.model).length > 0 && !this.isPlacedAnywhere(key))
+            .map(({ key: { model, adapter }, rate, unserved }) => {
+                const available = this.readyHolders(model).filter(engine => this.isAvailable(engine));
+                return {
+                    model,
+                    adapter,
+                    rate,
+                    unserved,
+                    availableEngines: available.length,
+                    bestNetBenefit: undefined,
+                    reason: available.length === 0 ? "engines-busy" : "no-place",
+                };
+            });
+    }
+
     /**
      * Whether an engine could load an adapter that has unserved requests. It accepts no adapter orders while
      * it loads a model.
@@ -40,7 +59,7 @@
     private orderFor(need: ItemNeed): PlannedOrder | undefined {
         const { model, adapter } = need.key;
         const { state } = this;
-        const holders = state.holders(model).filter(engine => engine.models.get(model)!.isReady);
+        const holders = this.readyHolders(model);
         const stageAt = (engine: EngineSnapshot) => engine.models.get(model)!.adapters.get(adapter);
         const replicas = holders.filter(engine => stageAt(engine) === "coming" || stageAt(engine) === "held");
         const isSufficient =
@@ -49,9 +68,7 @@
             return undefined;
         }
         const candidates = holders
-            .filter(engine =>
-                stageAt(engine) === undefined && engine.freeAdapterLoads > 0 && !state.assignedEngines.has(engine.id)
-            )
+            .filter(engine => stageAt(engine) === undefined && this.isAvailable(engine))
             .sort((a, b) => this.adapterDemand(a) - this.adapterDemand(b));
         for (const engine of candidates) {
             const order = this.placementOrder(engine, need);
@@ -107,6 +124,22 @@
         return victim === undefined ? undefined : { model: victim.model, adapter: victim.adapter };
     }
 
+    private readyHolders(model: string): EngineSnapshot[] {
+        return this.state.holders(model).filter(engine => engine.models.get(model)!.isReady);
+    }
+
+    private isAvailable(engine: EngineSnapshot): boolean {
+        return engine.freeAdapterLoads > 0 && !this.state.assignedEngines.has(engine.id);
+    }
+
+    /** Whether an engine holds or loads the adapter. */
+    private isPlacedAnywhere({ model, adapter }: { readonly model: string; readonly adapter: string; }): boolean {
+        return this.state.holders(model).some(engine => {
+            const stage = engine.models.get(model)!.adapters.get(adapter);
+            return stage === "held" || stage === "coming";
+        });
+    }
+
     private isLoadedAnywhere(model: string, adapter: string): boolean {
         return this.state.holders(model).some(engine => engine.models.get(model)!.adapters.get(adapter) === "held");
     }
--- a/packages/fleet/src/demandhistories.ts
+++ b/packages/fleet/src/demandhistories.ts
@@ -2,6 +2,7 @@
 import { steadyNow } from "@winchpath/core";
 import { halfLifeMs } from "./demands.js";
 import { type ItemKey, itemMapKey } from "./items.js";
+import { type UnservedRequests, UnservedSpan } from "./unservedspans.js";
 
 /** Items without requests for ten half-lives are removed, as almost nothing of their demand remains. */
 const retentionMs = 10 * halfLifeMs;
@@ -17,6 +18,7 @@
 
 export class DemandHistory {
     private readonly byItem = new Map<string, DecayedDemand>();
+    private readonly unservedSpans = new Map<string, UnservedSpan>();
 
     public record(key: ItemKey, work: number): void {
         const name = itemMapKey(key);
@@ -34,6 +36,23 @@
         return { requests: past.requests * decay, work: past.work * decay };
     }
 
+    /** Records that an upstream has begun to answer a request for an item. */
+    public recordServed(name: string): void {
+        this.unservedSpans.delete(name);
+    }
+
+    /** Records that no upstream answered a request for an item. */
+    public recordUnserved(name: string): void {
+        const span = this.unservedSpans.get(name) ?? new UnservedSpan();
+        this.unservedSpans.set(name, span);
+        span.add(1);
+    }
+
+    /** Requests for an item that have gone unserved since the last served one; undefined if there are none. */
+    public unserved(name: string): UnservedRequests | undefined {
+        return this.unservedSpans.get(name)?.current;
+    }
+
     public keys(): ItemKey[] {
         return [...this.byItem.values()].map(({ key }) => key);
     }
@@ -43,6 +62,7 @@
         for (const [name, { updatedAt }] of this.byItem) {
             if (updatedAt < limit) {
                 this.byItem.delete(name);
+                this.unservedSpans.delete(name);
             }
         }
     }
--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -2,6 +2,7 @@
 import { type EventLog, steadyNow } from "@winchpath/core";
 import { type DemandRequest, type EnginePace, type ItemDemand } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type ItemKey, itemMapKey, modelMapKey } from "./items.js";
+import { UnservedSpan } from "./unservedspans.js";
 
 /** An entry's counts are ignored after this long without a report, in milliseconds; covers three missed reports. */
 const reportExpiryMs = 2000;
@@ -44,6 +45,22 @@
     readonly unserved: number;
     /** Milliseconds since the last request. */
     readonly idleMs: number;
+    /** Milliseconds since the first of the requests that have all gone unserved; 0 if the item is served or not requested. */
+    readonly unservedMs: number;
+    /** Number of these requests. */
+    readonly unservedRequests: number;
+}
+
+/** What has become of the requests for an item that is not being served. */
+export interface UnservedItem {
+    readonly key: ItemKey;
+    readonly unservedMs: number;
+    /** Requests, and responses that upstreams began, since the leadership began. */
+    readonly requested: number;
+    readonly served: number;
+    readonly waiting: number;
+    /** Requests that no upstream answered since the last served one, by reason. */
+    readonly rejections: Readonly<Record<string, number>>;
 }
 
 interface EntryCounts {
@@ -60,6 +77,11 @@
     updatedAt: number;
     lastRequestAt: number;
     refusals: { readonly at: number; readonly count: number; }[];
+    readonly unservedSpan: UnservedSpan;
+    requested: number;
+    served: number;
+    /** Requests that no upstream answered since the last served one, by reason. */
+    rejections: Record<string, number>;
 }
 
 /** Demand and throughput per item, from the reports of all entries. */
@@ -107,6 +129,22 @@
         return [...this.items.values()].map(item => needOf(item, observedShare));
     }
 
+    /** Items of which all requests of at least `minMs` have gone unserved, the longest first. */
+    public unservedItems(minMs: number): UnservedItem[] {
+        return [...this.items.values()]
+            .map(item => ({ item, unservedMs: item.unservedSpan.durationMs }))
+            .filter(({ unservedMs }) => unservedMs >= minMs)
+            .sort((a, b) => b.unservedMs - a.unservedMs)
+            .map(({ item: { key, requested, served, rejections, countsByEntry }, unservedMs }) => ({
+                key,
+                unservedMs,
+                requested,
+                served,
+                waiting: sum(freshCounts(countsByEntry).map(counts => counts.waiting)),
+                rejections,
+            }));
+    }
+
     private updateThroughput(report: EnginePace): void {
         const name = modelMapKey(report.service, report.model);
         const previous = this.throughputs.get(name) ?? report.tokensPerSecond;
@@ -127,6 +165,10 @@
                 updatedAt: now,
                 lastRequestAt: now,
                 refusals: [],
+                unservedSpan: new UnservedSpan(),
+                requested: 0,
+                served: 0,
+                rejections: {},
             };
             this.items.set(name, item);
         }
@@ -144,6 +186,7 @@
         if (demand.arrived + demand.running + demand.waiting > 0) {
             item.lastRequestAt = now;
         }
+        updateService(item, demand);
         if (demand.waiting + demand.refused > 0) {
             this.log.info("demand.lacking", { entry, item: name, waiting: demand.waiting, refused: demand.refused });
         }
@@ -160,6 +203,33 @@
     }
 }
 
+/** Updates since when the item's requests go unserved. */
+function updateService(item: ItemRecord, { arrived, waiting, served, rejections, earlierUnserved }: ItemDemand): void {
+    item.requested += arrived;
+    item.served += served;
+    if (served > 0) {
+        item.unservedSpan.end();
+        item.rejections = {};
+        return;
+    }
+    for (const { reason, count } of rejections) {
+        item.rejections[reason] = (item.rejections[reason] ?? 0) + count;
+    }
+    if (earlierUnserved !== undefined) {
+        const now = steadyNow();
+        const { firstMs, lastMs, requests } = earlierUnserved;
+        item.unservedSpan.merge({ firstAt: now - firstMs, lastAt: now - lastMs, count: requests });
+    }
+    else if (rejections.length + waiting > 0) {
+        item.unservedSpan.add(sum(rejections.map(({ count }) => count)));
+    }
+}
+
+function freshCounts(countsByEntry: ReadonlyMap<string, EntryCounts>): EntryCounts[] {
+    const now = steadyNow();
+    return [...countsByEntry.values()].filter(counts => now - counts.receivedAt < reportExpiryMs);
+}
+
 function needOf(item: ItemRecord, observedShare: number): ItemNeed {
     const now = steadyNow();
     const idleMs = now - item.lastRequestAt;
@@ -167,7 +237,7 @@
     const average = item.rate * decayFactor(item, now) / observedShare;
     const rate = Math.min(average, 1000 / Math.max(1, idleMs - maxReportDelayMs));
     const workPerRequest = item.rate > 0 ? item.work / item.rate : 0;
-    const fresh = [...item.countsByEntry.values()].filter(counts => now - counts.receivedAt < reportExpiryMs);
+    const fresh = freshCounts(item.countsByEntry);
     const waiting = sum(fresh.map(counts => counts.waiting));
     return {
         key: item.key,
@@ -176,6 +246,8 @@
         running: sum(fresh.map(counts => counts.running)),
         unserved: waiting + sum(item.refusals.map(refusal => refusal.count)),
         idleMs,
+        unservedMs: item.unservedSpan.durationMs,
+        unservedRequests: item.unservedSpan.current?.count ?? 0,
     };
 }
 
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -21,6 +21,7 @@
     AnnouncementSchema,
     type DemandRequest,
     DemandRequestSchema,
+    EarlierUnservedSchema,
     type EngineTiming,
     EngineTimingSchema,
     FleetService,
@@ -56,5 +57,6 @@
 export * from "./registrychanges.js";
 export * from "./softwareversions.js";
 export * from "./storeloadlimiters.js";
+export * from "./unservedspans.js";
 export * from "./versionadmissions.js";
 export * from "./workencodings.js";
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -12,13 +12,17 @@
 import { minResponseIntervalMs } from "./feedintervals.js";
 import {
     type AccountAllowance,
+    type EarlierUnserved,
+    EarlierUnservedSchema,
     FleetService,
     type ItemDemand,
     ItemDemandSchema,
     type Mismatch,
+    RejectionSchema,
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type ItemKey, itemMapKey, modelMapKey } from "./items.js";
 import { encodeRate } from "./rateencodings.js";
+import { type UnservedRequests } from "./unservedspans.js";
 import { encodeWork } from "./workencodings.js";
 
 /** Interval between regular reports, in milliseconds; a model load takes a second or more. */
@@ -150,6 +154,25 @@
         this.urgent.notify();
     }
 
+    /** An upstream has begun to answer a request. */
+    public served(key: ItemKey): void {
+        this.itemFor(key).served += 1;
+        this.history.recordServed(itemMapKey(key));
+    }
+
+    /** No upstream answered a request. @param reason as in the response */
+    public unserved(key: ItemKey, reason: string): void {
+        const { rejections } = this.itemFor(key);
+        const rejection = rejections.find(one => one.reason === reason);
+        if (rejection === undefined) {
+            rejections.push(create(RejectionSchema, { reason, count: 1 }));
+        }
+        else {
+            rejection.count += 1;
+        }
+        this.history.recordUnserved(itemMapKey(key));
+    }
+
     /** An upstream reported that it does not hold a model or adapter that it is listed with. */
     public recordMismatch(mismatch: Mismatch): void {
         if (this.mismatches.length < maxMismatches) {
@@ -279,6 +302,7 @@
             // The history includes arrivals since the last report, which are counted separately.
             copy.earlier = Math.max(0, requests - item.arrived);
             copy.earlierWork = Math.max(0, work - Number(item.work));
+            copy.earlierUnserved = encodeUnserved(this.history.unserved(name));
             return copy;
         });
     }
@@ -299,6 +323,8 @@
         for (const [key, item] of this.items) {
             item.arrived = 0;
             item.refused = 0;
+            item.served = 0;
+            item.rejections = [];
             item.work = 0n;
             if (item.running === 0 && item.waiting === 0) {
                 this.items.delete(key);
@@ -332,6 +358,18 @@
     return BigInt(Math.round(units));
 }
 
+function encodeUnserved(requests: UnservedRequests | undefined): EarlierUnserved | undefined {
+    if (requests === undefined) {
+        return undefined;
+    }
+    const now = steadyNow();
+    return create(EarlierUnservedSchema, {
+        firstMs: Math.round(now - requests.firstAt),
+        lastMs: Math.round(now - requests.lastAt),
+        requests: requests.count,
+    });
+}
+
 function decodeAllowance(allowance: AccountAllowance): Allowance {
     return { ...allowance, grant: Number(allowance.grant), reportAfter: Number(allowance.reportAfter) };
 }
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -3,6 +3,7 @@
 import { type Configuration, type EngineSpec } from "@winchpath/declarations";
 import { type DemandTracker } from "./demands.js";
 import { type HeldModel, type Mismatch, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { itemMapKey } from "./items.js";
 import { OrderDispatcher, type OrderDispatcherOwner } from "./orderdispatchers.js";
 import { describeOrder, type EngineClient, type Fence } from "./orders.js";
 import {
@@ -16,6 +17,7 @@
 import { type RegisteredUpstream } from "./registeredupstreams.js";
 import { type Registry } from "./registries.js";
 import { StoreLoadLimiter } from "./storeloadlimiters.js";
+import { UnservedItemLog } from "./unserveditemlogs.js";
 
 /** Interval of plans while nothing changes, in milliseconds. */
 const planIntervalMs = 500;
@@ -69,6 +71,7 @@
     /** Duration of the last plan, without sending its orders. */
     private planDurationMs = 0;
     private unmetLoggedAt = Number.NEGATIVE_INFINITY;
+    private readonly unservedLog: UnservedItemLog;
 
     public constructor(
         private readonly control: PlacementContext,
@@ -76,7 +79,9 @@
         private readonly demand: DemandTracker,
         private readonly engineClient: EngineClient,
         private readonly log: EventLog,
-    ) {}
+    ) {
+        this.unservedLog = new UnservedItemLog(demand, registry, log);
+    }
 
     /** Triggers a new plan after a change of its input. */
     public notify(): void {
@@ -167,6 +172,7 @@
         });
         this.planDurationMs += steadyNow() - startedAt;
         this.logUnmetNeeds(plan.unmet);
+        this.unservedLog.write(service, plan.unmet);
         plan.orders.forEach(planned => this.sendOrder(service, planned, spec));
     }
 
@@ -183,17 +189,18 @@
 
     private logUnmetNeeds(unmet: readonly UnmetNeed[]): void {
         const now = steadyNow();
-        if (unmet.length === 0 || now - this.unmetLoggedAt < unmetLogIntervalMs) {
+        if (unmet.every(({ adapter }) => adapter !== "") || now - this.unmetLoggedAt < unmetLogIntervalMs) {
             return;
         }
         this.unmetLoggedAt = now;
         this.log.info("plan.unmet", {
-            models: unmet.map(({ model, rate, unserved, availableEngines, bestNetBenefit }) => ({
+            models: unmet.filter(({ adapter }) => adapter === "").map(({ model, rate, unserved, ...need }) => ({
                 model,
                 rate: Number(rate.toFixed(1)),
                 lacking: unserved,
-                freeEngines: availableEngines,
-                bestNet: bestNetBenefit === undefined ? undefined : Number(bestNetBenefit.toFixed(1)),
+                freeEngines: need.availableEngines,
+                bestNet: need.bestNetBenefit === undefined ? undefined : Number(need.bestNetBenefit.toFixed(1)),
+                reason: need.reason,
             })),
         });
     }
@@ -229,6 +236,10 @@
             reason: planned.reason,
             capacity: Math.round(this.demand.throughputOf(service, planned.freesMemoryFor ?? planned.order.model) ?? 0),
         });
+        this.unservedLog.ordered(itemMapKey({ ...planned.order, service }));
+        if (planned.freesMemoryFor !== undefined) {
+            this.unservedLog.ordered(itemMapKey({ service, model: planned.freesMemoryFor, adapter: "" }));
+        }
         if (planned.fromStore) {
             this.storeLimiter.recordStart();
         }
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -60,17 +60,31 @@
     readonly freesMemoryFor?: string;
 }
 
-/** A model with unserved requests that has no replica and that the plan loads nowhere, with details for the log. */
+/** Why a plan orders nothing for an item that has unserved requests and that no engine holds. */
+export type UnmetReason =
+    /** No engine accepts an order now. */
+    | "engines-busy"
+    /** All loads cost more requests than they save, or evict what is in use. */
+    | "not-worthwhile"
+    /** The weight store bears no further load now. */
+    | "store-limit"
+    /** All adapter places of the engines that hold the model are in use. */
+    | "no-place";
+
+/** An item with unserved requests that no engine holds or loads, and that the plan loads nowhere. */
 export interface UnmetNeed {
     readonly model: string;
+    /** Empty for a model. */
+    readonly adapter: string;
     /** Requests per second. */
     readonly rate: number;
-    /** Requests that wait for a replica, or were recently rejected for lack of one. */
+    /** Requests that wait for the item, or were recently rejected for lack of it. */
     readonly unserved: number;
-    /** Number of engines that accept an order now. */
+    /** Number of engines that accept an order for it now. */
     readonly availableEngines: number;
-    /** Net benefit of the best possible load, in requests; undefined if no load is possible. */
+    /** Net benefit of the best possible load of a model, in requests; undefined if no load is possible. */
     readonly bestNetBenefit: number | undefined;
+    readonly reason: UnmetReason;
 }
 
 export interface PlacementPlan {
@@ -85,7 +99,8 @@
     const adapterPlanner = new AdapterPlanner(state);
     const adapterOrders = adapterPlanner.orders();
     const modelPlanner = new ModelPlanner(state, adapterPlanner);
-    return { orders: [...adapterOrders, ...modelPlanner.orders()], unmet: modelPlanner.unmet() };
+    const orders = [...adapterOrders, ...modelPlanner.orders()];
+    return { orders, unmet: [...modelPlanner.unmet(), ...adapterPlanner.unmet()] };
 }
 
 /** Plans loads of models that have too few replicas, and the unloads that free memory for them. */
@@ -116,14 +131,24 @@
                 );
                 return {
                     model: need.model.name,
+                    adapter: "",
                     rate: need.rate,
                     unserved: need.unserved,
                     availableEngines: available.length,
                     bestNetBenefit: netBenefits.length === 0 ? undefined : Math.max(...netBenefits),
+                    reason: this.unmetReason(need, available),
                 };
             });
     }
 
+    private unmetReason(need: ModelNeed, available: readonly EngineSnapshot[]): UnmetReason {
+        if (available.length === 0) {
+            return "engines-busy";
+        }
+        const lacksStore = this.storeLoadBudget <= 0 && available.every(engine => needsStore(engine, need));
+        return lacksStore ? "store-limit" : "not-worthwhile";
+    }
+
     /** Continues replacements whose unload was ordered by an earlier plan, by descending demand. */
     private pendingOrders(): PlannedOrder[] {
         const pending = this.state.input.engines.flatMap(engine => {
--- a/packages/fleet/src/tests/fixtures.ts
+++ b/packages/fleet/src/tests/fixtures.ts
@@ -64,6 +64,8 @@
         running: 0,
         unserved: 0,
         idleMs: 0,
+        unservedMs: 0,
+        unservedRequests: 0,
         ...values,
     };
 }
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -67,6 +67,13 @@
         let longestPauseMs = 0;
         let sentDelayMs = 0;
         let isPostponed = false;
+        let isServed = false;
+        const recordServed = () => {
+            if (!isServed) {
+                isServed = true;
+                meter.served(key);
+            }
+        };
         const { tracked, prompt } = reservation;
         const output = this.deps.quarantine.trackOutput(request);
         meter.started(key);
@@ -89,7 +96,13 @@
                     return maySend;
                 },
                 headTimeoutMs: this.headTimeoutMs(request, tracked.tokensAhead),
-                mayForwardEvents: () => this.deps.streamVersions.begin(request, endpoint),
+                mayForwardEvents: () => {
+                    const mayForward = this.deps.streamVersions.begin(request, endpoint);
+                    if (mayForward) {
+                        recordServed();
+                    }
+                    return mayForward;
+                },
                 onPause: ms => {
                     longestPauseMs = Math.max(longestPauseMs, ms);
                     prompt?.recordEventInterval(ms);
@@ -115,6 +128,9 @@
                 },
             });
             isPostponed = outcome.kind === "postponed";
+            if (outcome.kind === "answered" && outcome.status < 500) {
+                recordServed();
+            }
             if (firstByteMs === undefined && timedOutWithoutResponse(outcome)) {
                 // The connection may be dead, and so may the idle ones of the same pool.
                 endpoint.renewConnections();
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -1,6 +1,6 @@
 /** Forwards requests to upstreams: selection, waiting, attempts, retries and the final response. */
 import { type AccountShares } from "@winchpath/accounts";
-import { type EventLog, eventLoop, type Metrics } from "@winchpath/core";
+import { type EventFields, type EventLog, eventLoop, type Metrics } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { type DemandMeter, type FleetView } from "@winchpath/fleet";
 import { EjectionTracker } from "@winchpath/routing";
@@ -19,7 +19,7 @@
 import { LaxityOrder } from "./laxityorders.js";
 import { LoadFacts } from "./loadfacts.js";
 import { LoadWaitPolicy } from "./loadwaitpolicies.js";
-import { LocalResponse } from "./localresponses.js";
+import { leavesDemandUnserved, LocalResponse } from "./localresponses.js";
 import { OutcomeRecorder } from "./outcomerecorders.js";
 import { type CrashReports, Quarantine } from "./quarantines.js";
 import { Reservations } from "./reservations.js";
@@ -216,6 +216,7 @@
         }
         this.quarantine.endTrial(request);
         if (request.abortSignal.aborted) {
+            this.deps.meter.unserved(itemKeyOf(request), "caller-gone");
             this.responder.recordClientGone(request, attemptIndex === 0 ? "queue" : "between-attempts");
         }
         else if (assignment.kind === "refused") {
@@ -254,10 +255,23 @@
         }
         if (request.attemptedUpstreams.length > 0 && refusal.response !== LocalResponse.barred) {
             // An upstream may have executed the request, so a "not executed" response would be wrong.
-            this.responder.respond(request, res, LocalResponse.failed);
+            this.respond(request, res, LocalResponse.failed);
             return;
         }
         const { response, retryAfterMs, details } = this.sharedAdmission.withReturn(request, refusal);
+        this.respond(request, res, response, retryAfterMs, details);
+    }
+
+    private respond(
+        request: InboundRequest,
+        res: ServerResponse,
+        response: LocalResponse,
+        retryAfterMs?: number,
+        details?: EventFields,
+    ): void {
+        if (leavesDemandUnserved(response)) {
+            this.deps.meter.unserved(itemKeyOf(request), response.reason);
+        }
         this.responder.respond(request, res, response, retryAfterMs, details);
     }
 
@@ -287,7 +301,7 @@
                 this.deps.metrics.count("callers_gone_total", { stage: outcome.sent ? "sent" : "connection" });
                 return "done";
             case "late":
-                this.responder.respond(request, res, LocalResponse.late);
+                this.respond(request, res, LocalResponse.late);
                 return "done";
             case "postponed":
                 request.attemptedUpstreams.splice(request.attemptedUpstreams.lastIndexOf(endpoint.id), 1);
@@ -304,6 +318,9 @@
                 ) {
                     return "again";
                 }
+                if (outcome.response.status >= 500) {
+                    this.deps.meter.unserved(itemKeyOf(request), LocalResponse.failed.reason);
+                }
                 this.responder.forward(request, res, outcome.response);
                 return "done";
             case "unknown":
@@ -334,7 +351,7 @@
     private handleFailed(request: InboundRequest, res: ServerResponse, broken: boolean): NextStep {
         if (this.endpoints.lacksVersionOf(request)) {
             // Ended before a retry is taken from the budget.
-            this.responder.respond(request, res, LocalResponse.failed);
+            this.respond(request, res, LocalResponse.failed);
             return "done";
         }
         const resumable = !broken || (request.route.resumable && request.lastEventId !== undefined);
@@ -344,7 +361,7 @@
         ) {
             return "again";
         }
-        this.responder.respond(request, res, LocalResponse.failed);
+        this.respond(request, res, LocalResponse.failed);
         return "done";
     }
 }
--- a/packages/forwarding/src/localresponses.ts
+++ b/packages/forwarding/src/localresponses.ts
@@ -61,6 +61,24 @@
         || response === LocalResponse.hostLoaded || response === LocalResponse.streamVersionUnreachable;
 }
 
+/** Whether the response means that demand for the request's model or adapter went unserved. */
+export function leavesDemandUnserved(response: LocalResponse): boolean {
+    return unservedResponses.has(response);
+}
+
+/** Without those for reasons of the request itself, the client account or this process. */
+const unservedResponses: ReadonlySet<LocalResponse> = new Set([
+    LocalResponse.overloaded,
+    LocalResponse.overShare,
+    LocalResponse.resting,
+    LocalResponse.limited,
+    LocalResponse.lacking,
+    LocalResponse.noUpstream,
+    LocalResponse.declined,
+    LocalResponse.failed,
+    LocalResponse.late,
+]);
+
 /** Writes a generated response. `retryAfterMs` is set only if the request was not executed and may be retried. */
 export function writeLocalResponse(
     res: ServerResponse,
