What callers ask for again and again is planned until it is served

Cause: demand that no decision sees, or that loses to other demand for ever. A replica was valued by prompt throughput only, so adapters without a place asked for nothing. Who held a place kept it while one of its requests ran anywhere. A model without replica was compared by its rate and the last 3 s of rejections, however long it had been left out. A model that had just been loaded was weighed without its own unserved callers, so the next rare model replaced it 10 ms after its load. Rejections for other reasons than lack of the item weren't told.

Overdue items (5 s for models, 3 s for adapters, three requests or more, the last one within 8 s) are planned first, whatever that costs: from redundant replicas and surplus copies, and from last ones once their turn is over, which is in proportion to demand. Replicas count the adapter places that they add or take away. A loaded model or adapter waits for its callers before it is replaced, and keeps its place for some seconds after it was overdue. Holders that serve nothing at all are given another one beside them, up to three.

--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -1,5 +1,6 @@
 /** Plans loads of adapters, and the unloads that free slots or memory for them. */
 import { type ItemNeed } from "./demands.js";
+import { isAdapterOverdue, isRequestedAgain, needsOtherHolder, patienceMsOf } from "./overdueneeds.js";
 import { type EngineSnapshot, type PlannedOrder, type UnmetNeed } from "./plans.js";
 import { type PlanState } from "./planstates.js";
 
@@ -7,6 +8,15 @@
 const slotShareBeforeReplication = 0.25;
 /** An adapter that was requested within this time stays loaded, unless all places are as busy. */
 const adapterIdleThresholdMs = 1500;
+/** An adapter that was overdue keeps its place for this long once it is served, in milliseconds. */
+const minHoldMs = 2000;
+/**
+ * Turn of an adapter whose place an overdue one of the same demand takes, in milliseconds; it is longer the more its demand
+ * exceeds the other's.
+ */
+const turnMs = 3000;
+/** Share of an engine's adapter places that may be emptied for overdue adapters at the same time. */
+const emptiedPlacesShare = 0.25;
 /** Requests per second that each loaded adapter adds to its engine's adapter demand, to spread adapters evenly. */
 const baseRatePerAdapter = 0.5;
 
@@ -14,21 +24,27 @@
     /** Demand for adapters that have unserved requests and are loaded nowhere; computed on first use. */
     private unservedNeeds: readonly ItemNeed[] | undefined;
 
+    /** Number of places that overdue adapters wait for while they are being emptied, by engine. */
+    private readonly awaitedPlaces = new Map<string, number>();
+
     public constructor(private readonly state: PlanState) {}
 
     /** Orders for adapters that are in demand and loaded on too few ready engines. */
     public orders(): PlannedOrder[] {
-        const candidates = this.state.input.needs
-            .filter(need => need.key.adapter !== "" && (need.unserved > 0 || need.idleMs < adapterIdleThresholdMs))
+        const needs = this.state.input.needs.filter(({ key }) => key.adapter !== "");
+        const overdue = needs.filter(isAdapterOverdue).sort((a, b) => b.unservedMs - a.unservedMs);
+        const others = needs
+            .filter(need => need.unserved > 0 || need.idleMs < adapterIdleThresholdMs)
             .sort((a, b) => b.unserved - a.unserved || b.rate - a.rate);
-        return candidates.flatMap(need => this.orderFor(need) ?? []);
+        const orders = overdue.flatMap(need => this.orderFor(need, true) ?? []);
+        return [...orders, ...others.flatMap(need => isAdapterOverdue(need) ? [] : this.orderFor(need, false) ?? [])];
     }
 
     /** Adapters with unserved requests that no engine holds or loads although one holds their model. */
     public unmet(): UnmetNeed[] {
         return this.state.input.needs
             .filter(({ key, unserved }) => key.adapter !== "" && unserved > 0)
-            .filter(({ key }) => this.readyHolders(key.model).length > 0 && !this.isPlacedAnywhere(key))
+            .filter(({ key }) => this.readyHolders(key.model).length > 0 && !this.state.isPlaced(key))
             .map(({ key: { model, adapter }, rate, unserved }) => {
                 const available = this.readyHolders(model).filter(engine => this.isAvailable(engine));
                 return {
@@ -56,37 +72,85 @@
         );
     }
 
-    private orderFor(need: ItemNeed): PlannedOrder | undefined {
+    private orderFor(need: ItemNeed, isOverdue: boolean): PlannedOrder | undefined {
         const { model, adapter } = need.key;
         const { state } = this;
         const holders = this.readyHolders(model);
         const stageAt = (engine: EngineSnapshot) => engine.models.get(model)!.adapters.get(adapter);
         const replicas = holders.filter(engine => stageAt(engine) === "coming" || stageAt(engine) === "held");
-        const isSufficient =
-            replicas.length >= 1 + Math.floor(need.running / (state.input.spec.slots * slotShareBeforeReplication));
-        if (isSufficient && replicas.length > 0) {
+        const isSufficient = replicas.length >= this.neededReplicas(need.running);
+        const servesNothing = needsOtherHolder(need.unservedAtHoldersMs, replicas.length, patienceMsOf(need.key));
+        if (isSufficient && replicas.length > 0 && !servesNothing) {
             return undefined;
         }
         const candidates = holders
             .filter(engine => stageAt(engine) === undefined && this.isAvailable(engine))
             .sort((a, b) => this.adapterDemand(a) - this.adapterDemand(b));
-        for (const engine of candidates) {
+        // An overdue adapter takes a place that is free rather than one that has to be emptied.
+        const withPlace = isOverdue ? candidates.filter(engine => this.hasPlace(engine, model)) : [];
+        for (const engine of [...withPlace, ...candidates]) {
             const order = this.placementOrder(engine, need);
             if (order !== undefined) {
                 state.assignedEngines.add(engine.id);
                 return order;
             }
         }
-        return undefined;
+        return isOverdue && replicas.length === 0 && !this.awaitsPlace(holders)
+            ? this.turnOrder(candidates, need)
+            : undefined;
+    }
+
+    /** Whether a place that is being emptied on one of the engines is not yet meant for another overdue adapter. */
+    private awaitsPlace(engines: readonly EngineSnapshot[]): boolean {
+        const engine = engines.find(each => unloadingAdapterCount(each) > (this.awaitedPlaces.get(each.id) ?? 0));
+        if (engine === undefined) {
+            return false;
+        }
+        this.awaitedPlaces.set(engine.id, (this.awaitedPlaces.get(engine.id) ?? 0) + 1);
+        return true;
+    }
+
+    /** The order that takes a place from the adapter that needs it least, if its turn is over. */
+    private turnOrder(engines: readonly EngineSnapshot[], need: ItemNeed): PlannedOrder | undefined {
+        const options = engines.filter(engine => this.mayEmptyPlace(engine)).flatMap(engine =>
+            loadedAdapters(engine).map(held => ({
+                engine,
+                ...held,
+                need: this.state.adapterNeed(held.model, held.adapter),
+            }))
+        ).flatMap(option => {
+            const cost = option.need === undefined ? 0 : this.isSurplus(option.need) ? 0 : option.need.rate;
+            const isOver = need.unservedMs * need.rate >= turnMs * cost;
+            return isOver && !(option.need !== undefined && isHeldBack(option.need)) ? [{ ...option, cost }] : [];
+        });
+        const victim = options.sort((a, b) => a.cost - b.cost)[0];
+        if (victim === undefined) {
+            return undefined;
+        }
+        this.state.assignedEngines.add(victim.engine.id);
+        return unloadOrder(victim.engine, victim, need);
+    }
+
+    private mayEmptyPlace(engine: EngineSnapshot): boolean {
+        const limit = Math.max(1, Math.floor(this.state.input.spec.adapterPlaces * emptiedPlacesShare));
+        return unloadingAdapterCount(engine) < limit;
+    }
+
+    /** Whether more engines hold the adapter than its running requests need. */
+    private isSurplus({ key: { model, adapter }, running }: ItemNeed): boolean {
+        const held = this.state.holders(model)
+            .filter(engine => engine.models.get(model)!.adapters.get(adapter) === "held").length;
+        return held > 1 && held > this.neededReplicas(running);
+    }
+
+    private neededReplicas(running: number): number {
+        return 1 + Math.floor(running / (this.state.input.spec.slots * slotShareBeforeReplication));
     }
 
     /** The order that loads an adapter on an engine or unloads another one for it; undefined if none of its adapters is idle. */
     private placementOrder(engine: EngineSnapshot, need: ItemNeed): PlannedOrder | undefined {
         const { model, adapter } = need.key;
-        const { state } = this;
-        if (
-            adapterCount(engine) < state.input.spec.adapterPlaces && state.fits(engine, state.adapterSizeMb(model))
-        ) {
+        if (this.hasPlace(engine, model)) {
             return {
                 engine: engine.id,
                 order: { kind: "load", model, adapter },
@@ -95,35 +159,36 @@
             };
         }
         const victim = this.longestIdleAdapter(engine);
-        return victim === undefined ? undefined : {
-            engine: engine.id,
-            order: { kind: "unload", ...victim },
-            fromStore: false,
-            reason: `makes room for ${model}/${adapter}`,
-        };
+        return victim === undefined ? undefined : unloadOrder(engine, victim, need);
     }
 
     /** The adapter that has been idle for longest; undefined while another one is being unloaded. */
     private longestIdleAdapter(engine: EngineSnapshot): { model: string; adapter: string; } | undefined {
-        if (isUnloadingAdapter(engine)) {
+        if (unloadingAdapterCount(engine) > 0) {
             return undefined;
         }
-        const loaded = [...engine.models].flatMap(([model, held]) =>
-            [...held.adapters].filter(([, stage]) => stage === "held").map(([adapter]) => {
-                const need = this.state.adapterNeed(model, adapter);
-                return {
-                    model,
-                    adapter,
-                    idleMs: need?.idleMs ?? Number.POSITIVE_INFINITY,
-                    running: need?.running ?? 0,
-                };
-            })
-        );
-        const victim = loaded.filter(({ idleMs, running }) => idleMs > adapterIdleThresholdMs && running === 0)
+        const loaded = loadedAdapters(engine).map(({ model, adapter }) => {
+            const need = this.state.adapterNeed(model, adapter);
+            return {
+                model,
+                adapter,
+                idleMs: need?.idleMs ?? Number.POSITIVE_INFINITY,
+                running: need?.running ?? 0,
+                isHeldBack: need !== undefined && isHeldBack(need),
+            };
+        });
+        const victim = loaded
+            .filter(held => held.idleMs > adapterIdleThresholdMs && held.running === 0 && !held.isHeldBack)
             .sort((a, b) => b.idleMs - a.idleMs)[0];
         return victim === undefined ? undefined : { model: victim.model, adapter: victim.adapter };
     }
 
+    /** Whether an engine has a free place, and memory, for one more adapter of a model. */
+    private hasPlace(engine: EngineSnapshot, model: string): boolean {
+        return adapterCount(engine) < this.state.input.spec.adapterPlaces
+            && this.state.fits(engine, this.state.adapterSizeMb(model));
+    }
+
     private readyHolders(model: string): EngineSnapshot[] {
         return this.state.holders(model).filter(engine => engine.models.get(model)!.isReady);
     }
@@ -132,14 +197,6 @@
         return engine.freeAdapterLoads > 0 && !this.state.assignedEngines.has(engine.id);
     }
 
-    /** Whether an engine holds or loads the adapter. */
-    private isPlacedAnywhere({ model, adapter }: { readonly model: string; readonly adapter: string; }): boolean {
-        return this.state.holders(model).some(engine => {
-            const stage = engine.models.get(model)!.adapters.get(adapter);
-            return stage === "held" || stage === "coming";
-        });
-    }
-
     private isLoadedAnywhere(model: string, adapter: string): boolean {
         return this.state.holders(model).some(engine => engine.models.get(model)!.adapters.get(adapter) === "held");
     }
@@ -160,6 +217,34 @@
     return [...engine.models.values()].reduce((count, held) => count + held.adapters.size, 0);
 }
 
-function isUnloadingAdapter(engine: EngineSnapshot): boolean {
-    return [...engine.models.values()].some(held => [...held.adapters.values()].includes("leaving"));
+function unloadingAdapterCount(engine: EngineSnapshot): number {
+    return [...engine.models.values()]
+        .flatMap(({ adapters }) => [...adapters.values()])
+        .filter(stage => stage === "leaving").length;
+}
+
+/** An adapter that an engine holds. */
+interface LoadedAdapter {
+    readonly model: string;
+    readonly adapter: string;
+}
+
+function loadedAdapters(engine: EngineSnapshot): LoadedAdapter[] {
+    return [...engine.models].flatMap(([model, { adapters }]) =>
+        [...adapters].filter(([, stage]) => stage === "held").map(([adapter]) => ({ model, adapter }))
+    );
+}
+
+function unloadOrder(engine: EngineSnapshot, { model, adapter }: LoadedAdapter, { key }: ItemNeed): PlannedOrder {
+    return {
+        engine: engine.id,
+        order: { kind: "unload", model, adapter },
+        fromStore: false,
+        reason: `makes room for ${key.model}/${key.adapter}`,
+    };
+}
+
+/** Whether an adapter keeps its place: it waits for its first request after a load, or has only just been served. */
+function isHeldBack(need: ItemNeed): boolean {
+    return need.unserved > 0 || isRequestedAgain(need) || need.recoveredMs < minHoldMs;
 }
--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -2,6 +2,7 @@
 import { type EventLog, steadyNow } from "@winchpath/core";
 import { type DemandRequest, type EnginePace, type ItemDemand } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type ItemKey, itemMapKey, modelMapKey } from "./items.js";
+import { patienceMsOf } from "./overdueneeds.js";
 import { UnservedSpan } from "./unservedspans.js";
 
 /** An entry's counts are ignored after this long without a report, in milliseconds; covers three missed reports. */
@@ -30,6 +31,9 @@
 /** The same if entries have reported their history, in milliseconds: enough for one report from each. */
 const minObservationWithHistoryMs = 600;
 
+/** Reason of a rejection because no upstream holds the item. */
+export const lackingReason = "lacking";
+
 const emptySet: ReadonlySet<string> = new Set();
 
 /** Demand for one model or adapter across all entries. */
@@ -49,6 +53,10 @@
     readonly unservedMs: number;
     /** Number of these requests. */
     readonly unservedRequests: number;
+    /** Milliseconds since all requests have gone unserved although an upstream held the item; 0 if some were served. */
+    readonly unservedAtHoldersMs: number;
+    /** Milliseconds since the item was served again after it had been overdue; infinite if it has not been. */
+    readonly recoveredMs: number;
 }
 
 /** What has become of the requests for an item that is not being served. */
@@ -78,6 +86,8 @@
     lastRequestAt: number;
     refusals: { readonly at: number; readonly count: number; }[];
     readonly unservedSpan: UnservedSpan;
+    /** As above, without requests that were rejected because no upstream held the item. */
+    readonly holderSpan: UnservedSpan;
     requested: number;
     served: number;
     /** Requests that no upstream answered since the last served one, by reason. */
@@ -166,6 +176,7 @@
                 lastRequestAt: now,
                 refusals: [],
                 unservedSpan: new UnservedSpan(),
+                holderSpan: new UnservedSpan(),
                 requested: 0,
                 served: 0,
                 rejections: {},
@@ -209,10 +220,14 @@
     item.served += served;
     if (served > 0) {
         item.unservedSpan.end();
+        item.holderSpan.end();
         item.rejections = {};
         return;
     }
     for (const { reason, count } of rejections) {
+        if (reason !== lackingReason) {
+            item.holderSpan.add(count);
+        }
         item.rejections[reason] = (item.rejections[reason] ?? 0) + count;
     }
     if (earlierUnserved !== undefined) {
@@ -248,6 +263,8 @@
         idleMs,
         unservedMs: item.unservedSpan.durationMs,
         unservedRequests: item.unservedSpan.current?.count ?? 0,
+        unservedAtHoldersMs: item.holderSpan.durationMs,
+        recoveredMs: item.unservedSpan.recoveredMs(patienceMsOf(item.key)),
     };
 }
 
--- a/packages/fleet/src/loadscorers.ts
+++ b/packages/fleet/src/loadscorers.ts
@@ -3,6 +3,8 @@
  * what they evict and delay.
  */
 import { type EngineModel } from "@winchpath/declarations";
+import { type ItemNeed } from "./demands.js";
+import { awaitsCallers } from "./overdueneeds.js";
 import { type EngineSnapshot } from "./plans.js";
 import { type ModelNeed, type PlanState } from "./planstates.js";
 
@@ -45,6 +47,20 @@
 const drainMsPerRequest = 400;
 /** Upper bound of that estimate, in milliseconds: about as long as the longest outputs take. */
 const maxDrainMs = 8000;
+/**
+ * An adapter whose requests have gone unserved for this long has found no place, in milliseconds; where there is one, it is
+ * loaded within a few plans.
+ */
+const placeLackMs = 1500;
+/** An adapter without a request for this long gives up its place to another, in milliseconds. */
+const adapterIdleMs = 1500;
+/** A model that was overdue keeps its last replica for this long once it is served, in milliseconds. */
+const minHoldMs = 8000;
+/**
+ * Turn of a model whose last replica an overdue model of the same demand replaces, in milliseconds; several times as long
+ * as a load, and longer the more its demand exceeds the other's.
+ */
+const turnMs = 10_000;
 /** Penalty, in requests, for an engine whose other models are busy, to spread work over engines. */
 const spreadPenalty = 0.5;
 
@@ -63,6 +79,8 @@
     private readonly protectedReplicas: number;
     private readonly hasDemand: boolean;
     private readonly reloadTimesByModel = new Map<string, ReloadTimes>();
+    /** Request rates of adapters that find no place, by model. */
+    private readonly waitingRatesByModel = new Map<string, readonly number[]>();
 
     public constructor(private readonly state: PlanState) {
         const { engines, spec } = state.input;
@@ -78,20 +96,33 @@
      * evaluating every engine for each model of a large fleet, which takes 10 ms a plan with 82 engines and 213 models.
      */
     public mayBenefit(need: ModelNeed): boolean {
-        return this.benefit(need, 0) > fixedLoadCost;
+        return this.benefit(need, 0, this.state.input.spec.adapterPlaces) > fixedLoadCost;
+    }
+
+    /**
+     * The best way to add a replica of a model that is overdue, whatever it costs; undefined if memory would have to be
+     * taken from models that need it as much.
+     */
+    public bestOverdueOption(engine: EngineSnapshot, need: ModelNeed): LoadOption | undefined {
+        return this.bestOptionAmong(engine, need, victim => this.mayReplaceForOverdue(need, victim));
     }
 
     /** The best way to add a replica of a model on one engine; undefined if no model can be evicted for it. */
     public bestOption(engine: EngineSnapshot, need: ModelNeed): LoadOption | undefined {
+        return this.bestOptionAmong(engine, need, victim => this.mayReplace(need, victim));
+    }
+
+    private bestOptionAmong(
+        engine: EngineSnapshot,
+        need: ModelNeed,
+        mayReplace: (victim: ModelNeed) => boolean,
+    ): LoadOption | undefined {
         const loadMs = loadDurationMs(engine, need.model);
         if (this.state.fits(engine, need.model.sizeMb)) {
             return { engine, victim: undefined, netBenefit: this.netLoadBenefit(engine, need, undefined, loadMs) };
         }
         let best: LoadOption | undefined;
-        for (const victim of this.evictionCandidates(engine, need)) {
-            if (this.isIdle(need) && this.state.readyReplicas(victim.model.name) <= this.protectedReplicas) {
-                continue;
-            }
+        for (const victim of this.evictionCandidates(engine, need).filter(mayReplace)) {
             const busyMs = this.drainMs(victim) + loadMs;
             const netBenefit = this.netLoadBenefit(engine, need, victim, busyMs)
                 - this.evictionCost(engine, victim, busyMs);
@@ -102,6 +133,17 @@
         return best;
     }
 
+    private mayReplace(need: ModelNeed, victim: ModelNeed): boolean {
+        const replicas = this.state.readyReplicas(victim.model.name);
+        return !(this.isIdle(need) && replicas <= this.protectedReplicas) && !(replicas <= 1 && isHeldBack(victim));
+    }
+
+    /** A last replica is replaced only once its turn is over, which is in proportion to its demand. */
+    private mayReplaceForOverdue(need: ModelNeed, victim: ModelNeed): boolean {
+        return this.state.readyReplicas(victim.model.name) > 1
+            || (!isHeldBack(victim) && need.unservedMs * need.rate >= turnMs * victim.rate);
+    }
+
     /** Requests that a load saves, less those lost while its engine is busy for `busyMs`. */
     private netLoadBenefit(
         engine: EngineSnapshot,
@@ -109,7 +151,7 @@
         victim: ModelNeed | undefined,
         busyMs: number,
     ): number {
-        const benefit = this.benefit(need, busyMs);
+        const benefit = this.benefit(need, busyMs, this.freePlaces(engine, victim));
         return this.attainableBenefit(engine, need, victim, benefit) - this.interferenceCost(engine, busyMs)
             - (victim === undefined ? 0 : this.busyCostPerSecond(need) * busyMs / 1000);
     }
@@ -142,8 +184,12 @@
             .filter(({ model }) => this.state.fits(engine, replacement.model.sizeMb - model.sizeMb));
     }
 
-    /** Requests that one more replica saves within the horizon if it is ready after `loadMs`. */
-    private benefit(need: ModelNeed, loadMs: number): number {
+    /**
+     * Requests that one more replica saves within the horizon if it is ready after `loadMs`.
+     *
+     * @param places adapter places that it would have
+     */
+    private benefit(need: ModelNeed, loadMs: number, places: number): number {
         const replicas = this.state.expectedReplicas(need.model.name);
         const savedShare = this.unservedShare(need, replicas) - this.unservedShare(need, replicas + 1);
         if (replicas === 0 && this.isIdle(need)) {
@@ -151,8 +197,68 @@
             return this.baselineRate * Math.min(planningHorizonMs, this.reloadMs(need.model)) / 1000;
         }
         const usefulShare = Math.max(0, 1 - loadMs / planningHorizonMs);
-        return (savedShare * this.expectedRate(need) * planningHorizonMs / 1000 + (replicas === 0 ? need.unserved : 0))
-            * usefulShare;
+        const savedRate = savedShare * this.expectedRate(need) + this.rateWithoutPlace(need, places);
+        return (savedRate * planningHorizonMs / 1000 + (replicas === 0 ? need.unserved : 0)) * usefulShare;
+    }
+
+    /** Requests per second for adapters that find no place on the replicas of their model, at most for `places` of them. */
+    private rateWithoutPlace(need: ModelNeed, places: number): number {
+        const { name } = need.model;
+        const expected = this.state.expectedReplicas(name);
+        const waiting = expected === 0 ? [] : this.adapterRatesWithoutPlace(need);
+        if (waiting.length === 0) {
+            return 0;
+        }
+        const holders = this.state.holders(name);
+        const free = sum(holders.map(engine => this.freePlaces(engine, undefined)))
+            + Math.max(0, expected - holders.length) * this.state.input.spec.adapterPlaces;
+        return sum(waiting.slice(free, free + places));
+    }
+
+    /** Request rates of a model's adapters that have gone unserved for lack of a place, in descending order. */
+    private adapterRatesWithoutPlace(need: ModelNeed): readonly number[] {
+        let rates = this.waitingRatesByModel.get(need.model.name);
+        if (rates === undefined) {
+            rates = need.unservedRequests === 0 ? [] : this.state.adapterNeeds(need.model.name)
+                .filter(({ unservedMs, key }) => unservedMs >= placeLackMs && !this.state.isPlaced(key))
+                .map(({ rate }) => rate)
+                .sort((a, b) => b - a);
+            this.waitingRatesByModel.set(need.model.name, rates);
+        }
+        return rates;
+    }
+
+    /** Adapter places of an engine that are free once `victim` is evicted. */
+    private freePlaces(engine: EngineSnapshot, victim: ModelNeed | undefined): number {
+        let used = 0;
+        for (const [name, { adapters }] of engine.models) {
+            used += name === victim?.model.name ? 0 : adapters.size;
+        }
+        return Math.max(0, this.state.input.spec.adapterPlaces - used);
+    }
+
+    /** Requests per second for adapters of a victim that only this engine holds, and that no other replica has a place for. */
+    private rateThatLosesPlace(engine: EngineSnapshot, victim: ModelNeed): number {
+        const others = this.state.holders(victim.model.name).filter(other => other !== engine);
+        const rates = [...engine.models.get(victim.model.name)!.adapters.keys()]
+            .filter(adapter => others.every(other => !other.models.get(victim.model.name)!.adapters.has(adapter)))
+            .flatMap(adapter => this.state.adapterNeed(victim.model.name, adapter) ?? [])
+            .filter(isInUse)
+            .map(({ rate }) => rate)
+            .sort((a, b) => b - a);
+        return rates.length === 0 ? 0 : sum(rates.slice(sum(others.map(other => this.replaceablePlaces(other)))));
+    }
+
+    /** Adapter places of an engine that are free, or taken by adapters that nobody uses. */
+    private replaceablePlaces(engine: EngineSnapshot): number {
+        let used = 0;
+        for (const [name, { adapters }] of engine.models) {
+            for (const adapter of adapters.keys()) {
+                const need = this.state.adapterNeed(name, adapter);
+                used += need !== undefined && isInUse(need) ? 1 : 0;
+            }
+        }
+        return Math.max(0, this.state.input.spec.adapterPlaces - used);
     }
 
     /** Requests that are lost when an engine evicts a model and is busy for `busyMs`. */
@@ -161,8 +267,8 @@
         const remaining = this.state.readyReplicas(name) - 1;
         if (remaining > 0) {
             const lostShare = this.unservedShare(victim, remaining) - this.unservedShare(victim, remaining + 1);
-            return fixedUnloadCost + this.utilization(victim, 0)
-                + lostShare * this.expectedRate(victim) * planningHorizonMs / 1000;
+            const lostRate = lostShare * this.expectedRate(victim) + this.rateThatLosesPlace(engine, victim);
+            return fixedUnloadCost + this.utilization(victim, 0) + lostRate * planningHorizonMs / 1000;
         }
         // Current demand is lost for the whole horizon, baseline demand until the model is loaded again.
         const hereMs = busyMs + loadDurationMs(engine, victim.model);
@@ -247,6 +353,19 @@
     }
 }
 
+/** Whether a model keeps its last replica: it waits for its first request after a load, or has only just been served. */
+function isHeldBack(need: ModelNeed): boolean {
+    return awaitsCallers(need) || need.recoveredMs < minHoldMs;
+}
+
+function isInUse({ idleMs, running }: ItemNeed): boolean {
+    return running > 0 || idleMs < adapterIdleMs;
+}
+
+function sum(numbers: readonly number[]): number {
+    return numbers.reduce((total, number) => total + number, 0);
+}
+
 /** Time to load a model on the fastest engine, and on the fastest of all others. */
 interface ReloadTimes {
     readonly fastestEngine: EngineSnapshot | undefined;
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -4,6 +4,7 @@
 import { type ItemNeed } from "./demands.js";
 import { type LoadOption, LoadScorer } from "./loadscorers.js";
 import { type EngineOrder } from "./orders.js";
+import { isModelOverdue, needsOtherHolder, patienceMsOf } from "./overdueneeds.js";
 import { type ModelNeed, PlanState } from "./planstates.js";
 
 /** State of an engine at the time of planning. */
@@ -93,13 +94,14 @@
     readonly unmet: readonly UnmetNeed[];
 }
 
-/** Plans the next orders; adapters are planned first. */
+/** Plans the next orders: models that are overdue, then adapters, then other models. */
 export function planOrders(input: PlanInput): PlacementPlan {
     const state = new PlanState(input);
     const adapterPlanner = new AdapterPlanner(state);
-    const adapterOrders = adapterPlanner.orders();
     const modelPlanner = new ModelPlanner(state, adapterPlanner);
-    const orders = [...adapterOrders, ...modelPlanner.orders()];
+    const overdueOrders = modelPlanner.overdueOrders();
+    const adapterOrders = adapterPlanner.orders();
+    const orders = [...overdueOrders, ...adapterOrders, ...modelPlanner.orders()];
     return { orders, unmet: [...modelPlanner.unmet(), ...adapterPlanner.unmet()] };
 }
 
@@ -118,7 +120,54 @@
             .filter(need => this.loadScorer.mayBenefit(need))
             .flatMap(need => this.bestLoad(need) ?? [])
             .sort((a, b) => b.option.netBenefit - a.option.netBenefit);
-        return [...this.pendingOrders(), ...candidates.flatMap(({ need }) => this.orderFor(need) ?? [])];
+        return [...this.pendingOrders(undefined), ...candidates.flatMap(({ need }) => this.orderFor(need) ?? [])];
+    }
+
+    /** Orders for models that are overdue, the longest first, whatever other demand there is. */
+    public overdueOrders(): PlannedOrder[] {
+        const overdue = this.state.models.filter(isModelOverdue).sort((a, b) => b.unservedMs - a.unservedMs);
+        if (overdue.length === 0) {
+            return [];
+        }
+        const names = new Set(overdue.map(({ model }) => model.name));
+        const pending = this.pendingOrders(names);
+        return [...pending, ...overdue.flatMap(need => this.overdueOrder(need) ?? [])];
+    }
+
+    private overdueOrder(need: ModelNeed): PlannedOrder | undefined {
+        const { name } = need.model;
+        const replicas = this.state.expectedReplicas(name);
+        const lacksReplica = replicas === 0
+            || (this.state.readyReplicas(name) === replicas
+                && needsOtherHolder(need.unservedAtHoldersMs, replicas, patienceMsOf({ adapter: "" })));
+        const option = lacksReplica ? this.bestOverdueLoad(need) : undefined;
+        if (option === undefined) {
+            return undefined;
+        }
+        const { engine, victim } = option;
+        // Adapter loads keep an engine from loading models, so no further ones are planned there.
+        this.state.assignedEngines.add(engine.id);
+        this.state.addPlannedLoad(name);
+        if (!engine.acceptsModelOrders) {
+            return undefined;
+        }
+        return victim === undefined ? this.load(engine, need) : this.evict(engine, need, victim);
+    }
+
+    private bestOverdueLoad(need: ModelNeed): LoadOption | undefined {
+        let best: LoadOption | undefined;
+        for (const engine of this.state.input.engines) {
+            const isBusy = this.state.assignedEngines.has(engine.id)
+                || (!engine.acceptsModelOrders && engine.freeAdapterLoads <= 0);
+            if (isBusy || !this.mayLoad(engine, need)) {
+                continue;
+            }
+            const option = this.loadScorer.bestOverdueOption(engine, need);
+            if (option !== undefined && (best === undefined || option.netBenefit > best.netBenefit)) {
+                best = option;
+            }
+        }
+        return best;
     }
 
     public unmet(): UnmetNeed[] {
@@ -149,11 +198,16 @@
         return lacksStore ? "store-limit" : "not-worthwhile";
     }
 
-    /** Continues replacements whose unload was ordered by an earlier plan, by descending demand. */
-    private pendingOrders(): PlannedOrder[] {
+    /**
+     * Continues replacements whose unload was ordered by an earlier plan, by descending demand.
+     *
+     * @param models those that are continued; undefined for all
+     */
+    private pendingOrders(models: ReadonlySet<string> | undefined): PlannedOrder[] {
         const pending = this.state.input.engines.flatMap(engine => {
             const need = engine.pendingModel === undefined ? undefined : this.state.modelNeed(engine.pendingModel);
-            const isPending = need !== undefined && this.isAvailable(engine) && !engine.models.has(need.model.name);
+            const isPending = need !== undefined && this.isAvailable(engine) && !engine.models.has(need.model.name)
+                && models?.has(need.model.name) !== false;
             return isPending ? [{ engine, need }] : [];
         });
         pending.sort((a, b) => b.need.unserved - a.need.unserved || b.need.rate - a.need.rate);
@@ -186,10 +240,7 @@
     private bestLoad(need: ModelNeed): { readonly need: ModelNeed; readonly option: LoadOption; } | undefined {
         let best: LoadOption | undefined;
         for (const engine of this.state.input.engines) {
-            if (!this.isAvailable(engine) || engine.pendingModel !== undefined || engine.models.has(need.model.name)) {
-                continue;
-            }
-            if (this.storeLoadBudget <= 0 && needsStore(engine, need)) {
+            if (!this.isAvailable(engine) || !this.mayLoad(engine, need)) {
                 continue;
             }
             const option = this.loadScorer.bestOption(engine, need);
@@ -203,6 +254,11 @@
         return best === undefined ? undefined : { need, option: best };
     }
 
+    private mayLoad(engine: EngineSnapshot, need: ModelNeed): boolean {
+        return engine.pendingModel === undefined && !engine.models.has(need.model.name)
+            && (this.storeLoadBudget > 0 || !needsStore(engine, need));
+    }
+
     private isAvailable(engine: EngineSnapshot): boolean {
         return engine.acceptsModelOrders && !this.state.assignedEngines.has(engine.id);
     }
--- a/packages/fleet/src/planstates.ts
+++ b/packages/fleet/src/planstates.ts
@@ -1,6 +1,7 @@
 /** Indexes a plan's input by model, and tracks the orders that have been planned so far. */
 import { type EngineModel, type EngineSpec } from "@winchpath/declarations";
 import { type ItemNeed } from "./demands.js";
+import { type ItemKey } from "./items.js";
 import { type EngineSnapshot, type PlanInput } from "./plans.js";
 
 /** Demand for a model, including its adapters. */
@@ -16,13 +17,22 @@
     readonly running: number;
     /** Requests that wait for a replica, or were recently rejected for lack of one. */
     readonly unserved: number;
+    /** Milliseconds since the first of the requests that have all gone unserved; 0 if some are served. */
+    readonly unservedMs: number;
+    readonly unservedRequests: number;
+    /** Milliseconds since the last request. */
+    readonly idleMs: number;
+    /** Milliseconds since all requests have gone unserved although an upstream held the model; 0 if some were served. */
+    readonly unservedAtHoldersMs: number;
+    /** Milliseconds since it was served again after it had been overdue; infinite if it has not been. */
+    readonly recoveredMs: number;
 }
 
 export class PlanState {
     /** Identifiers of engines that this plan has an order for. */
     public readonly assignedEngines = new Set<string>();
     private readonly modelNeeds: ReadonlyMap<string, ModelNeed>;
-    private readonly adapterNeeds: ReadonlyMap<string, ItemNeed>;
+    private readonly needsByAdapter: ReadonlyMap<string, ItemNeed>;
     private readonly holdersByModel = new Map<string, EngineSnapshot[]>();
     private readonly pendingLoads = new Map<string, number>();
     private readonly plannedUnloads = new Map<string, number>();
@@ -30,7 +40,7 @@
 
     public constructor(public readonly input: PlanInput) {
         this.modelNeeds = sumNeedsByModel(input.spec, input.needs);
-        this.adapterNeeds = new Map(input.needs.map(need => [adapterKey(need.key.model, need.key.adapter), need]));
+        this.needsByAdapter = new Map(input.needs.map(need => [adapterKey(need.key.model, need.key.adapter), need]));
         for (const engine of input.engines) {
             this.indexEngine(engine);
         }
@@ -46,7 +56,20 @@
     }
 
     public adapterNeed(model: string, adapter: string): ItemNeed | undefined {
-        return this.adapterNeeds.get(adapterKey(model, adapter));
+        return this.needsByAdapter.get(adapterKey(model, adapter));
+    }
+
+    /** Demand for a model's adapters. */
+    public adapterNeeds(model: string): readonly ItemNeed[] {
+        return this.input.needs.filter(({ key }) => key.model === model && key.adapter !== "");
+    }
+
+    /** Whether an engine holds or loads an adapter. */
+    public isPlaced({ model, adapter }: Pick<ItemKey, "model" | "adapter">): boolean {
+        return this.holders(model).some(engine => {
+            const stage = engine.models.get(model)!.adapters.get(adapter);
+            return stage === "held" || stage === "coming";
+        });
     }
 
     /** Engines on which a model is loaded or loading, and not being unloaded. */
@@ -111,21 +134,32 @@
 }
 
 function sumNeedsByModel(spec: EngineSpec, items: readonly ItemNeed[]): Map<string, ModelNeed> {
-    const needs = new Map<string, ModelNeed>(
-        spec.models.map(model => [model.name, { model, rate: 0, adapterRate: 0, work: 0, running: 0, unserved: 0 }]),
-    );
-    for (const item of items) {
-        const before = needs.get(item.key.model);
-        if (before !== undefined) {
-            needs.set(item.key.model, {
-                model: before.model,
-                rate: before.rate + item.rate,
-                adapterRate: before.adapterRate + (item.key.adapter === "" ? 0 : item.rate),
-                work: before.work + item.work,
-                running: before.running + item.running,
-                unserved: before.unserved + item.unserved,
-            });
-        }
-    }
-    return needs;
+    const itemsByModel = new Map<string, ItemNeed[]>(spec.models.map(({ name }) => [name, []]));
+    items.forEach(item => itemsByModel.get(item.key.model)?.push(item));
+    return new Map(spec.models.map(model => [model.name, sumNeeds(model, itemsByModel.get(model.name)!)]));
+}
+
+function sumNeeds(model: EngineModel, items: readonly ItemNeed[]): ModelNeed {
+    const sum = (valueOf: (item: ItemNeed) => number) => items.reduce((total, item) => total + valueOf(item), 0);
+    return {
+        model,
+        rate: sum(({ rate }) => rate),
+        adapterRate: sum(({ key, rate }) => key.adapter === "" ? 0 : rate),
+        work: sum(({ work }) => work),
+        running: sum(({ running }) => running),
+        unserved: sum(({ unserved }) => unserved),
+        unservedMs: unservedMsOf(items, ({ unservedMs }) => unservedMs),
+        unservedRequests: sum(({ unservedRequests }) => unservedRequests),
+        idleMs: Math.min(Number.POSITIVE_INFINITY, ...items.map(({ idleMs }) => idleMs)),
+        unservedAtHoldersMs: unservedMsOf(items, ({ unservedAtHoldersMs }) => unservedAtHoldersMs),
+        recoveredMs: Math.min(Number.POSITIVE_INFINITY, ...items.map(({ recoveredMs }) => recoveredMs)),
+    };
+}
+
+/** Milliseconds since requests for any of the items have gone unserved, but at most since one was last served. */
+function unservedMsOf(items: readonly ItemNeed[], valueOf: (item: ItemNeed) => number): number {
+    const longest = Math.max(0, ...items.map(valueOf));
+    // The last request for an item that is not unserved was served.
+    const served = items.filter(item => item.unservedMs === 0).map(({ idleMs }) => idleMs);
+    return Math.min(longest, ...served);
 }
--- a/packages/fleet/src/unservedspans.ts
+++ b/packages/fleet/src/unservedspans.ts
@@ -1,11 +1,8 @@
 /** Tracks since when all requests for an item have gone unserved. */
 import { steadyNow } from "@winchpath/core";
 
-/**
- * Without an unserved request for this long, in milliseconds, callers have given an item up. Rarely requested items are
- * requested every few seconds.
- */
-const abandonedMs = 15_000;
+/** Without an unserved request for this long, in milliseconds, callers have given an item up. */
+const abandonedMs = 60_000;
 
 /** Unserved requests for an item since the last served one. */
 export interface UnservedRequests {
