--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -1,6 +1,6 @@
 /** Plans loads of adapters, and the unloads that free slots or memory for them. */
 import { type ItemNeed } from "./demands.js";
-import { isAdapterOverdue, isRequestedAgain, needsOtherHolder, patienceMsOf } from "./overdueneeds.js";
+import { isAdapterOverdue, isAdapterRequestedAgain, needsOtherHolder, patienceMsOf } from "./overdueneeds.js";
 import { type EngineSnapshot, type PlannedOrder, type UnmetNeed } from "./plans.js";
 import { type PlanState } from "./planstates.js";
 
@@ -246,5 +246,5 @@
 
 /** Whether an adapter keeps its place: it waits for its first request after a load, or has only just been served. */
 function isHeldBack(need: ItemNeed): boolean {
-    return need.unserved > 0 || isRequestedAgain(need) || need.recoveredMs < minHoldMs;
+    return need.unserved > 0 || isAdapterRequestedAgain(need) || need.recoveredMs < minHoldMs;
 }
--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -31,6 +31,9 @@
 /** The same if entries have reported their history, in milliseconds: enough for one report from each. */
 const minObservationWithHistoryMs = 600;
 
+/** An unserved item is listed for this long after its last request, in milliseconds. */
+const unservedListMs = 10_000;
+
 /** Reason of a rejection because no upstream holds the item. */
 export const lackingReason = "lacking";
 
@@ -139,9 +142,11 @@
         return [...this.items.values()].map(item => needOf(item, observedShare));
     }
 
-    /** Items of which all requests of at least `minMs` have gone unserved, the longest first. */
+    /** Items of which all requests have gone unserved for `minMs` or more, and still do, the longest first. */
     public unservedItems(minMs: number): UnservedItem[] {
+        const now = steadyNow();
         return [...this.items.values()]
+            .filter(({ lastRequestAt }) => now - lastRequestAt < unservedListMs)
             .map(item => ({ item, unservedMs: item.unservedSpan.durationMs }))
             .filter(({ unservedMs }) => unservedMs >= minMs)
             .sort((a, b) => b.unservedMs - a.unservedMs)
--- a/packages/fleet/src/overdueneeds.ts
+++ b/packages/fleet/src/overdueneeds.ts
@@ -11,8 +11,10 @@
 /** Number of unserved requests from which an item is overdue: fewer may be one caller that has left. */
 const minRequests = 3;
 
-/** Callers of an unserved item are expected back for this long after its last request, in milliseconds. */
-const recentMs = 8000;
+/** Callers of an unserved model are expected back for this long after its last request, in milliseconds. */
+const modelRecentMs = 8000;
+/** The same for an adapter; shorter, as its place can be taken again within milliseconds. */
+const adapterRecentMs = 3000;
 
 /** How long the requests for an item have gone unserved. */
 interface UnservedDemand {
@@ -28,22 +30,22 @@
     return adapter === "" ? modelPatienceMs : adapterPatienceMs;
 }
 
-/** Whether the callers of an unserved item may come back. */
+/** Whether the callers of an unserved model may come back. */
 export function awaitsCallers({ unservedMs, idleMs }: UnservedDemand): boolean {
-    return unservedMs > 0 && idleMs < recentMs;
+    return unservedMs > 0 && idleMs < modelRecentMs;
 }
 
-/** Whether callers have asked for an item again after it was not served, and may come back. */
-export function isRequestedAgain({ unservedRequests, idleMs }: UnservedDemand): boolean {
-    return unservedRequests >= minRequests && idleMs < recentMs;
+export function isModelOverdue(need: UnservedDemand): boolean {
+    return awaitsCallers(need) && need.unservedRequests >= minRequests && need.unservedMs >= modelPatienceMs;
 }
 
-export function isModelOverdue(need: UnservedDemand): boolean {
-    return isRequestedAgain(need) && need.unservedMs >= modelPatienceMs;
+/** Whether callers have asked for an adapter again after it was not served, and may come back. */
+export function isAdapterRequestedAgain({ unservedRequests, idleMs }: UnservedDemand): boolean {
+    return unservedRequests >= minRequests && idleMs < adapterRecentMs;
 }
 
 export function isAdapterOverdue(need: UnservedDemand): boolean {
-    return isRequestedAgain(need) && need.unservedMs >= adapterPatienceMs;
+    return isAdapterRequestedAgain(need) && need.unservedMs >= adapterPatienceMs;
 }
 
 /** Whether a model or adapter needs another holder, as the present ones serve nothing for the given time each. */
--- a/packages/fleet/src/tests/unserveddemands.test.ts
+++ b/packages/fleet/src/tests/unserveddemands.test.ts
@@ -100,3 +100,104 @@
         expect(loop.unusedLoads).toEqual(0);
     });
 });
+
+describe("a bound on the time that an item goes unserved", () => {
+    const names = Array.from({ length: 16 }, (_, index) => `m${index}`);
+    const spec = loopSpec(names.map((name, index) => ({ name, adapters: index < 2 ? 24 : 0 })));
+    const engines = Array.from({ length: 10 }, (_, index) => [names[index % 8], names[(index + 1) % 8]]);
+    /** Patience, the drain of what runs, a load, and the time until callers ask again. */
+    const maxUnservedMs = 20_000;
+
+    /** Steady demand for eight models and some adapters, which moves on by `offset` models. */
+    const demandFrom = (offset: number) => [
+        ...names.slice(offset, offset + 8).map((model, index) => ({ model, adapter: "", perSecond: 12 / (1 + index) })),
+        ...adaptersOf("m0", 20, even),
+    ];
+
+    it("holds though the leader is lost midway", t => {
+        const loop = new PlacementLoop(t, {
+            spec,
+            engines,
+            requestMs: 1000,
+            seed: 3,
+            isSteady: true,
+            demandAt: () => demandFrom(0),
+        });
+        for (let time = 0; time < 8; time++) {
+            loop.play(4000);
+            loop.changeLeader();
+        }
+        loop.play(6000);
+        t.diagnostic(`unserved for ${loop.longestUnservedMs} ms at most, ${loop.loads.length} loads`);
+        expect(loop.neverServed).toEqual([]);
+        expect(loop.longestUnservedMs <= maxUnservedMs).toEqual(true);
+    });
+
+    it("holds though engines are lost for good", t => {
+        const loop = new PlacementLoop(t, {
+            spec,
+            engines,
+            requestMs: 1000,
+            seed: 4,
+            isSteady: true,
+            demandAt: () => demandFrom(0),
+        });
+        loop.play(5000);
+        loop.engines = loop.engines.slice(4);
+        loop.play(40_000);
+        t.diagnostic(`unserved for ${loop.longestUnservedMs} ms at most, ${loop.loads.length} loads`);
+        expect(loop.neverServed).toEqual([]);
+        expect(loop.longestUnservedMs <= maxUnservedMs).toEqual(true);
+    });
+
+    it("holds while demand moves to other models", t => {
+        const demandAt = (ms: number) => demandFrom(Math.floor(ms / 10_000) * 2);
+        const loop = play(t, 40_000, { spec, engines, requestMs: 1000, seed: 5, isSteady: true, demandAt });
+        t.diagnostic(`unserved for ${loop.longestUnservedMs} ms at most, ${loop.loads.length} loads`);
+        expect(loop.neverServed).toEqual([]);
+        expect(loop.longestUnservedMs <= maxUnservedMs).toEqual(true);
+    });
+
+    const fleetCount = 60;
+    it(`holds in ${fleetCount} random fleets with memory for all models (seeds 1 to ${fleetCount})`, t => {
+        let longestMs = 0;
+        let unused = 0;
+        for (let seed = 1; seed <= fleetCount; seed++) {
+            const loop = randomFleet(t, seed);
+            loop.play(45_000);
+            longestMs = Math.max(longestMs, loop.longestUnservedMs);
+            unused += loop.unusedLoads;
+            expect([seed, loop.neverServed]).toEqual([seed, []]);
+        }
+        t.diagnostic(`unserved for ${longestMs} ms at most, ${unused} loads unused`);
+        expect(longestMs <= maxUnservedMs).toEqual(true);
+    });
+
+    /** A fleet with memory for each model once and places for each adapter once, whatever it holds at first. */
+    function randomFleet(t: TestContext, seed: number): PlacementLoop {
+        const engineCount = 3 + seed % 6;
+        const models = names.slice(0, Math.min(names.length, 2 * engineCount - 1 - seed % 2));
+        const adapterCount = seed * 7 % (4 * engineCount);
+        const demand = [
+            ...models.map((model, index) => ({
+                model,
+                adapter: "",
+                perSecond: index === seed % 3 ? 25 : 0.5 + seed % 4 / 2,
+            })),
+            ...adaptersOf("m0", adapterCount, even),
+        ];
+        const held = Array.from(
+            { length: engineCount },
+            (_, index) => seed % 5 === 0 ? [] : [models[index % 2], models[2]],
+        );
+        const fleetSpec = loopSpec(names.map(name => ({ name, adapters: name === "m0" ? 80 : 0 })));
+        return new PlacementLoop(t, {
+            spec: fleetSpec,
+            engines: held.map(list => [...new Set(list)]),
+            requestMs: 400 + seed % 5 * 400,
+            seed,
+            isSteady: true,
+            demandAt: () => demand,
+        });
+    }
+});
--- a/packages/placement/src/memoryreclaimers.ts
+++ b/packages/placement/src/memoryreclaimers.ts
@@ -21,7 +21,7 @@
         }
         if (
             !this.unloadEarlierVersion(candidates, requiredBytes, model)
-            && !this.unloadSurplus(candidates, requiredBytes, model) && unreachable
+            && !this.unloadSurplus(candidates, requiredBytes, model, unreachable) && unreachable
         ) {
             this.relocateNeighbour(candidates, requiredBytes);
         }
@@ -47,10 +47,15 @@
         return false;
     }
 
-    /** Unloads replicas that are neither the last one nor needed for demand. */
-    private unloadSurplus(candidates: readonly AcceleratorView[], requiredBytes: number, model: Model): boolean {
+    /** Unloads replicas that are neither the last one nor needed for demand, or not declared if the model is unreachable. */
+    private unloadSurplus(
+        candidates: readonly AcceleratorView[],
+        requiredBytes: number,
+        model: Model,
+        unreachable: boolean,
+    ): boolean {
         for (const accelerator of candidates) {
-            const surplus = this.surplusModelsAt(accelerator, model);
+            const surplus = this.surplusModelsAt(accelerator, model, unreachable);
             let free = accelerator.free + unloadingBytes(accelerator);
             const chosen = surplus.filter(other => {
                 const wanted = free < requiredBytes;
@@ -67,12 +72,14 @@
         return false;
     }
 
-    private surplusModelsAt(accelerator: AcceleratorView, model: Model): Model[] {
+    private surplusModelsAt(accelerator: AcceleratorView, model: Model, unreachable: boolean): Model[] {
         return this.plan.view.catalogue.models.filter(other => {
             const ready = this.plan.replicasOf(other).filter(replica => this.plan.isReadyAt(other, replica));
             const needed = Math.max(other.priority > model.priority ? other.minReplicas : 1, 1);
             const spare = ready.length > needed && ready.some(replica => replica === accelerator);
-            return other !== model && spare && replicaShortfall(this.plan, other) <= -1;
+            // A model without any replica is served before another one's demand for more than its declared ones.
+            const isBeyondDeclared = unreachable && ready.length > Math.max(1, other.minReplicas);
+            return other !== model && spare && (isBeyondDeclared || replicaShortfall(this.plan, other) <= -1);
         });
     }
 
--- a/packages/placement/src/tests/placers.test.ts
+++ b/packages/placement/src/tests/placers.test.ts
@@ -100,6 +100,14 @@
         expect(plan(view(resources, accelerators))).toEqual(["unload m@1 x"]);
     });
 
+    // Guards against a model that is never loaded as long as another one's replicas are all busy.
+    it("unloads a busy replica beyond the declared ones for a model that has none", () => {
+        const accelerators = () => [accelerator("x", 8, { "m@1": 6 }), accelerator("y", 8, { "m@1": 6 })];
+        expect(plan(view([model("m", 6), model("n", 6)], accelerators(), { m: 20 }))).toEqual(["unload m@1 x"]);
+        const declared = [model("m", 6, { minReplicas: 2 }), model("n", 6)];
+        expect(plan(view(declared, accelerators(), { m: 20 }))).toEqual([]);
+    });
+
     it("relocates a model by loading it elsewhere first", () => {
         const resources = [model("m", 2), model("huge", 8)];
         const accelerators = [accelerator("x", 8, { "m@1": 2 }), accelerator("y", 4, {})];
--- a/packages/quarantine/src/quarantinestates.ts
+++ b/packages/quarantine/src/quarantinestates.ts
@@ -5,8 +5,9 @@
 import { Notifier } from "@winchpath/core";
 import Type, { type Static } from "typebox";
 import Value from "typebox/value";
+import { type CrashSuspect } from "./causefinders.js";
 import { type QuarantineCommand, QuarantineCommand as Command, type Suspect, type UpstreamEnded } from "./commands.js";
-import { CrashAttribution, type CrashSuspect } from "./crashattributions.js";
+import { CrashAttribution } from "./crashattributions.js";
 import { StoredCrash } from "./crashes.js";
 import { featuresOf, implies, isPart, withoutFeature } from "./features.js";
 import { type ListingMatch } from "./listings.js";
