--- a/packages/fleet/src/loadscorers.ts
+++ b/packages/fleet/src/loadscorers.ts
@@ -209,25 +209,33 @@
         if (waiting.length === 0) {
             return 0;
         }
-        const holders = this.state.holders(name);
-        const free = sum(holders.map(engine => this.freePlaces(engine, undefined)))
-            + Math.max(0, expected - holders.length) * this.state.input.spec.adapterPlaces;
-        return sum(waiting.slice(free, free + places));
+        // Replicas that are yet to be loaded have all their places free.
+        const pending = Math.max(0, expected - this.state.holders(name).length);
+        return sum(waiting.slice(pending * this.state.input.spec.adapterPlaces).slice(0, places));
     }
 
-    /** Request rates of a model's adapters that have gone unserved for lack of a place, in descending order. */
+    /**
+     * Request rates of a model's adapters that have gone unserved, without those for which its replicas have a free place,
+     * in descending order.
+     */
     private adapterRatesWithoutPlace(need: ModelNeed): readonly number[] {
         let rates = this.waitingRatesByModel.get(need.model.name);
         if (rates === undefined) {
-            rates = need.unservedRequests === 0 ? [] : this.state.adapterNeeds(need.model.name)
-                .filter(({ unservedMs, key }) => unservedMs >= placeLackMs && !this.state.isPlaced(key))
-                .map(({ rate }) => rate)
-                .sort((a, b) => b - a);
+            rates = need.unservedRequests === 0 ? [] : this.computeRatesWithoutPlace(need.model.name);
             this.waitingRatesByModel.set(need.model.name, rates);
         }
         return rates;
     }
 
+    private computeRatesWithoutPlace(model: string): number[] {
+        const free = sum(this.state.holders(model).map(engine => this.freePlaces(engine, undefined)));
+        return this.state.adapterNeeds(model)
+            .filter(({ unservedMs, key }) => unservedMs >= placeLackMs && !this.state.isPlaced(key))
+            .map(({ rate }) => rate)
+            .sort((a, b) => b - a)
+            .slice(free);
+    }
+
     /** Adapter places of an engine that are free once `victim` is evicted. */
     private freePlaces(engine: EngineSnapshot, victim: ModelNeed | undefined): number {
         let used = 0;
