A model keeps its last replica for its callers only while none of its requests is served

Cause, found by reading: a model was taken to wait for its callers whenever one of its adapters went unserved, also if its other requests were served, so that busier models could not replace its last replica for as long as the adapter found no place.

Change: it waits only if nothing of it has been served since the first of the unserved requests. A test of plans, which fails before.

--- a/packages/fleet/src/overdueneeds.ts
+++ b/packages/fleet/src/overdueneeds.ts
@@ -30,13 +30,15 @@
     return adapter === "" ? modelPatienceMs : adapterPatienceMs;
 }
 
-/** Whether the callers of an unserved model may come back. */
-export function awaitsCallers({ unservedMs, idleMs }: UnservedDemand): boolean {
-    return unservedMs > 0 && idleMs < modelRecentMs;
+/** Whether the callers of a model of which nothing is served may come back. */
+export function awaitsCallers(
+    { isUnserved, idleMs }: { readonly isUnserved: boolean; readonly idleMs: number; },
+): boolean {
+    return isUnserved && idleMs < modelRecentMs;
 }
 
 export function isModelOverdue(need: UnservedDemand): boolean {
-    return awaitsCallers(need) && need.unservedRequests >= minRequests && need.unservedMs >= modelPatienceMs;
+    return need.idleMs < modelRecentMs && need.unservedRequests >= minRequests && need.unservedMs >= modelPatienceMs;
 }
 
 /** Whether callers have asked for an adapter again after it was not served, and may come back. */
--- a/packages/fleet/src/planstates.ts
+++ b/packages/fleet/src/planstates.ts
@@ -20,6 +20,8 @@
     /** Milliseconds since the first of the requests that have all gone unserved; 0 if some are served. */
     readonly unservedMs: number;
     readonly unservedRequests: number;
+    /** Whether no request has been served since the first of the unserved ones, for the model or any of its adapters. */
+    readonly isUnserved: boolean;
     /** Milliseconds since the last request. */
     readonly idleMs: number;
     /** Milliseconds since all requests have gone unserved although an upstream held the model; 0 if some were served. */
@@ -150,12 +152,18 @@
         unserved: sum(({ unserved }) => unserved),
         unservedMs: unservedMsOf(items, ({ unservedMs }) => unservedMs),
         unservedRequests: sum(({ unservedRequests }) => unservedRequests),
+        isUnserved: isUnserved(items),
         idleMs: Math.min(Number.POSITIVE_INFINITY, ...items.map(({ idleMs }) => idleMs)),
         unservedAtHoldersMs: unservedMsOf(items, ({ unservedAtHoldersMs }) => unservedAtHoldersMs),
         recoveredMs: Math.min(Number.POSITIVE_INFINITY, ...items.map(({ recoveredMs }) => recoveredMs)),
     };
 }
 
+function isUnserved(items: readonly ItemNeed[]): boolean {
+    const longest = Math.max(0, ...items.map(({ unservedMs }) => unservedMs));
+    return longest > 0 && items.every(({ unservedMs, idleMs }) => unservedMs > 0 || idleMs >= longest);
+}
+
 /** Milliseconds since requests for any of the items have gone unserved, but at most since one was last served. */
 function unservedMsOf(items: readonly ItemNeed[], valueOf: (item: ItemNeed) => number): number {
     const longest = Math.max(0, ...items.map(valueOf));
--- a/packages/fleet/src/tests/plans.test.ts
+++ b/packages/fleet/src/tests/plans.test.ts
@@ -1,7 +1,14 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { type EngineSnapshot, type ModelSnapshot, type PlanInput, type PlannedOrder, planOrders } from "../index.js";
+import {
+    type EngineSnapshot,
+    type ItemNeed,
+    type ModelSnapshot,
+    type PlanInput,
+    type PlannedOrder,
+    planOrders,
+} from "../index.js";
 import { createEngine, createNeed, spec } from "./fixtures.js";
 
 const base: PlanInput = {
@@ -102,6 +109,20 @@
             expect(planFor("m4", { engines, needs }).length).toEqual(1);
         });
 
+        // Guards against loads that are given up for the next rare model before they have served anyone.
+        it("replaces the last replica of a model that waits for its callers only once it has served them", () => {
+            const engines = [createEngine("e1", ["m1"], { onDisk: new Set(["m4"]) })];
+            const unservedAdapter = createNeed("m1", { rate: 0.2, unservedMs: 4000, unservedRequests: 4 }, "a1");
+            const needsWith = (values: Partial<ItemNeed>) => [
+                createNeed("m4", { rate: 20, unserved: 20 }),
+                createNeed("m1", { rate: 0.2, ...values }),
+                unservedAdapter,
+            ];
+            const oneModel = { spec: { ...spec, memoryMb: 100 }, engines };
+            expect(plan({ ...oneModel, needs: needsWith({ unservedMs: 4000, unservedRequests: 1 }) })).toEqual([]);
+            expect(plan({ ...oneModel, needs: needsWith({ idleMs: 300 }) })).toEqual(["e1: unload m1"]);
+        });
+
         it("does not cause a model that it replaces to evict a third one", () => {
             const engines = [
                 createEngine("e1", ["m1"], { onDisk: new Set(["m4"]) }),
