--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -24,8 +24,8 @@
     /** Demand for adapters that have unserved requests and are loaded nowhere; computed on first use. */
     private unservedNeeds: readonly ItemNeed[] | undefined;
 
-    /** Number of places that overdue adapters wait for while they are being emptied, by engine. */
-    private readonly awaitedPlaces = new Map<string, number>();
+    /** Number of places that are being emptied and that overdue adapters have claimed, by engine. */
+    private readonly claimedPlaces = new Map<string, number>();
 
     public constructor(private readonly state: PlanState) {}
 
@@ -95,18 +95,18 @@
                 return order;
             }
         }
-        return isOverdue && replicas.length === 0 && !this.awaitsPlace(holders)
+        return isOverdue && replicas.length === 0 && !this.claimEmptiedPlace(holders)
             ? this.turnOrder(candidates, need)
             : undefined;
     }
 
-    /** Whether a place that is being emptied on one of the engines is not yet meant for another overdue adapter. */
-    private awaitsPlace(engines: readonly EngineSnapshot[]): boolean {
-        const engine = engines.find(each => unloadingAdapterCount(each) > (this.awaitedPlaces.get(each.id) ?? 0));
+    /** Claims a place that is being emptied on one of the engines for an overdue adapter; false if all are claimed. */
+    private claimEmptiedPlace(engines: readonly EngineSnapshot[]): boolean {
+        const engine = engines.find(each => unloadingAdapterCount(each) > (this.claimedPlaces.get(each.id) ?? 0));
         if (engine === undefined) {
             return false;
         }
-        this.awaitedPlaces.set(engine.id, (this.awaitedPlaces.get(engine.id) ?? 0) + 1);
+        this.claimedPlaces.set(engine.id, (this.claimedPlaces.get(engine.id) ?? 0) + 1);
         return true;
     }
 
--- a/packages/fleet/src/overdueneeds.ts
+++ b/packages/fleet/src/overdueneeds.ts
@@ -10,7 +10,8 @@
 const adapterPatienceMs = 3000;
 /** Number of unserved requests from which an item is overdue: fewer may be one caller that has left. */
 const minRequests = 3;
-
+/** Number of holders that serve nothing beyond which no other one is added: the requests may fail anywhere. */
+const maxHoldersReplaced = 3;
 /** Callers of an unserved model are expected back for this long after its last request, in milliseconds. */
 const modelRecentMs = 8000;
 /** The same for an adapter; shorter, as its place can be taken again within milliseconds. */
@@ -54,6 +55,3 @@
 export function needsOtherHolder(unservedAtHoldersMs: number, holders: number, patienceMs: number): boolean {
     return holders < maxHoldersReplaced && unservedAtHoldersMs >= patienceMs * Math.max(1, holders);
 }
-
-/** Number of holders that serve nothing beyond which no other one is added: the requests may fail anywhere. */
-const maxHoldersReplaced = 3;
