Attempts log whether the client left or this entry had ended its connection

It has a reason now if this process ended the response, or had ended its side of the connection before the request arrived.

--- a/packages/forwarding/src/attemptoutcomes.ts
+++ b/packages/forwarding/src/attemptoutcomes.ts
@@ -1,7 +1,6 @@
 /** The results of attempts to send a request to one upstream. */
 import { excessiveFramingReason } from "@winchpath/core";
 import { type BufferedResponse } from "./bufferedresponses.js";
-import { type slowReaderReason } from "./hostguards.js";
 
 /** Reason of an attempt that timed out without response headers. */
 export const headTimeoutReason = "silent";
@@ -9,6 +8,20 @@
 /** Reasons of attempts that were given up because the upstream sent more than it may. */
 export const longEventReason = "an event exceeds its bound";
 export const longFailureReason = "the body of the failure exceeds its bound";
+/**
+ * Reasons with which the signal of a request is aborted if this process, not the client, ended the response or its
+ * connection.
+ */
+export const slowReaderReason = "slow reader";
+export const connectionEndedReason = "connection ended by this entry";
+export type LocalEndReason = typeof slowReaderReason | typeof connectionEndedReason;
+
+/** The reason for which this process ended the response; undefined if the client left. */
+export function localEndReason(signal: AbortSignal): LocalEndReason | undefined {
+    const { reason } = signal as { readonly reason: unknown; };
+    return reason === slowReaderReason || reason === connectionEndedReason ? reason : undefined;
+}
+
 const endlessReasons: ReadonlySet<string> = new Set([excessiveFramingReason, longEventReason, longFailureReason]);
 
 /** Whether an attempt was given up because the upstream sent more than it may, or what is no response. */
@@ -40,7 +53,7 @@
     /** The deadline passed. */
     | { readonly kind: "late"; }
     /** The client left; `sent`: whether the request had been sent; `reason`: set if this process ended the response. */
-    | { readonly kind: "caller-gone"; readonly sent: boolean; readonly reason?: typeof slowReaderReason; };
+    | { readonly kind: "caller-gone"; readonly sent: boolean; readonly reason?: LocalEndReason; };
 
 /** The outcome of an attempt of which nothing was sent. */
 export function unsentOutcome(reason: string, unreachable: boolean): AttemptOutcome {
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -21,13 +21,13 @@
 import {
     type AttemptOutcome,
     headTimeoutReason,
+    localEndReason,
     longEventReason,
     longFailureReason,
     unsentOutcome,
 } from "./attemptoutcomes.js";
 import { withoutContentLength, writeBufferedResponse } from "./bufferedresponses.js";
 import { type HeaderCodec, headerValue, type ResponseMetadata, withoutConnectionHeaders } from "./headercodecs.js";
-import { slowReaderReason } from "./hostguards.js";
 import { type InboundRequest, remainingMs } from "./inboundrequests.js";
 import { type UpstreamEndpoint } from "./upstreamendpoints.js";
 
@@ -129,8 +129,7 @@
     public async run(): Promise<AttemptOutcome> {
         const { request, endpoint } = this;
         const onClientGone = () => {
-            const reason = request.abortSignal.reason === slowReaderReason ? slowReaderReason : undefined;
-            this.cancel({ kind: "caller-gone", sent: this.sent, reason });
+            this.cancel({ kind: "caller-gone", sent: this.sent, reason: localEndReason(request.abortSignal) });
         };
         const deadlineTimer = startFairTimer(() => this.cancel({ kind: "late" }), Math.max(0, remainingMs(request)));
         const connectionTimer = startFairTimer(
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -18,6 +18,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import { type AddressInfo } from "node:net";
 import { type AdmissionController, type Refusal } from "./admissioncontrollers.js";
+import { connectionEndedReason } from "./attemptoutcomes.js";
 import { type AllowedRequest, ConfigurationDecider } from "./configurationdecisions.js";
 import { type ConfirmationPolicy } from "./confirmationpolicies.js";
 import { type Forwarder } from "./forwarders.js";
@@ -135,7 +136,8 @@
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const startedAt = steadyNow();
         const clientAbort = new AbortController();
-        onClientGone(req, res, () => clientAbort.abort());
+        const endReason = req.socket.writableEnded ? connectionEndedReason : undefined;
+        onClientGone(req, res, () => clientAbort.abort(endReason));
         // Closes the connection even if the response headers, sent before the shutdown, did not announce it.
         res.once("finish", () => this.deps.stopping() && req.socket.end());
         res.sendDate = false;
--- a/packages/forwarding/src/hostguards.ts
+++ b/packages/forwarding/src/hostguards.ts
@@ -13,13 +13,12 @@
 import { type ServerResponse } from "node:http";
 import { type Server } from "node:net";
 import { type Refusal } from "./admissioncontrollers.js";
+import { slowReaderReason } from "./attemptoutcomes.js";
 import { ConnectionGate } from "./connectiongates.js";
 import { type InboundRequest } from "./inboundrequests.js";
 import { LocalResponse } from "./localresponses.js";
 import { type Unavailable, type WaitDecisions } from "./waitpolicies.js";
 
-/** Reason with which the signal of a request is aborted if its response was ended for a slow reader. */
-export const slowReaderReason = "slow reader";
 /** Retry-After of requests that are shed, in milliseconds: the client connects anew, mostly to another host. */
 const shedRetryMs = 100;
 
