A request is passed on only if its connection can still carry the response; responses count until they are sent

Cause: after a response that began before SIGTERM the entry ended its side of the connection, but went on reading requests from it and passed them on. Of the same class: a pipelined request behind a response that announces the close, or that is broken off, ran and was lost; and a shutdown counted a response as done once it was ended, and destroyed what was unsent.

Ruled out: clients that leave first, slow upstreams, the end of the grace period.

Change: core's ClientConnections holds one state per connection, and one sentence: what is passed on is answered; what can't be answered isn't passed on. Requests of one connection are admitted in turn, once the response before is sent and if the connection is still open on this side. The stream's connection stays open: its next request is answered with "Connection: close". At the end of a shutdown a connection is closed 500 ms after its last response or input, so that an immediate next request is answered (a true 503 there) and not reset; one that is closed is left a second for its client to take the end of the response.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./boundedbodies.js";
 export * from "./brokenresponses.js";
+export * from "./clientconnections.js";
 export * from "./clocks.js";
 export * from "./debuglogs.js";
 export * from "./departures.js";
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -1,13 +1,13 @@
 /** HTTP listener for clients. Reads and validates requests and passes them to the forwarder. */
 import {
     breakOffResponse,
+    ClientConnections,
     type EventLog,
     eventLoop,
     listenBacklog,
     type Metrics,
     Notifier,
     onClientGone,
-    sleep,
     startFairTimer,
     steadyNow,
 } from "@winchpath/core";
@@ -43,8 +43,6 @@
 const responseTransitMs = 20;
 /** Retry-After while shutting down, in milliseconds; the client should use another entry. */
 const stoppingRetryMs = 50;
-/** Interval at which idle connections are closed during shutdown, in milliseconds. */
-const idleCheckMs = 50;
 
 /** What a request brings, whatever the configuration says of it. */
 type ReceivedRequest = Pick<
@@ -71,11 +69,11 @@
         connectionsCheckingInterval: timeoutCheckMs,
         noDelay: true,
     }, (req, res) => void this.handle(req, res));
+    private readonly connections = new ClientConnections(this.server);
     private readonly decider: ConfigurationDecider;
     private routeTable: RouteTable | undefined;
     /** Notified when a configuration becomes available. */
     private readonly configured = new Notifier();
-    private active = 0;
     private closing = false;
 
     public constructor(private readonly deps: ListenerDependencies) {
@@ -87,9 +85,9 @@
         return (this.server.address() as AddressInfo).port;
     }
 
-    /** Number of requests in progress. */
+    /** Number of requests whose responses have not been sent completely. */
     public get activeRequests(): number {
-        return this.active;
+        return this.connections.pendingResponses;
     }
 
     public async listen(address: { readonly host: string; readonly port: number; }): Promise<void> {
@@ -117,31 +115,30 @@
         return this.routeTable!;
     }
 
-    /** Stops accepting connections and waits for active requests, up to `graceMs`. */
+    /** Stops accepting connections and waits until all responses are sent, up to `graceMs`. */
     public async close(graceMs: number): Promise<void> {
-        const deadline = steadyNow() + graceMs;
         this.closing = true;
-        this.server.close();
-        while (this.active > 0 && steadyNow() < deadline) {
-            this.server.closeIdleConnections();
-            await sleep(idleCheckMs);
-        }
-        this.server.closeIdleConnections();
-        if (this.active > 0) {
-            this.deps.log.warn("requests.cut", { count: this.active });
+        const cut = await this.connections.close(steadyNow() + graceMs);
+        if (cut > 0) {
+            this.deps.log.warn("requests.cut", { count: cut });
         }
-        this.server.closeAllConnections();
+        this.server.close();
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const startedAt = steadyNow();
+        const connection = this.connections.of(req.socket);
+        if (!await connection.awaitTurn(res)) {
+            this.recordUnanswerable(req);
+            return;
+        }
         const clientAbort = new AbortController();
-        const endReason = req.socket.writableEnded ? connectionEndedReason : undefined;
-        onClientGone(req, res, () => clientAbort.abort(endReason));
-        // Closes the connection even if the response headers, sent before the shutdown, did not announce it.
-        res.once("finish", () => this.deps.stopping() && req.socket.end());
+        onClientGone(
+            req,
+            res,
+            () => clientAbort.abort(connection.isClosedHere ? connectionEndedReason : undefined),
+        );
         res.sendDate = false;
-        this.active += 1;
         const held = this.deps.hostGuard?.requestStarted(res, clientAbort);
         try {
             // The client may have left by now; its departure is read after its request.
@@ -157,10 +154,11 @@
             breakOffResponse(res);
         }
         finally {
-            this.active -= 1;
             if (req.socket.destroyed) {
                 held?.release();
             }
+            // Unread input would hold up the end of the connection.
+            req.resume();
             if (clientAbort.signal.aborted) {
                 // Output that the client will never take must not keep the connection open.
                 res.destroy();
@@ -286,6 +284,14 @@
         };
     }
 
+    /** Records a request that is not handled because its connection can't carry a response any more. */
+    private recordUnanswerable(req: IncomingMessage): void {
+        const { id } = this.deps.codec.requestMetadata(req.rawHeaders);
+        this.deps.metrics.count("requests_unanswerable_total");
+        this.deps.log.warn("request.unanswerable", { request: id, path: req.url });
+        req.resume();
+    }
+
     /** Records a client that left before its request was passed to the forwarder. */
     private recordClientGone(id: string | undefined, stage: "arrival" | "body"): void {
         this.deps.metrics.count("callers_gone_total", { stage });
