A voter that stops as planned hands its vote over first

Cause: a learner got a vote only once a voter had been silent for replaceVoterAfterMs (1.5 s). A host that stops as planned handed over its leadership, not its vote, so that for that time the group bore one loss less than it tolerates: safety leaned on a timer.

Change: a stopping host asks the leader, after its own leadership is handed over, to give its vote to a learner that has caught up (HandOverVote, may be repeated). The learner becomes a voter first, then the leaving voter a learner that wants no vote until it joins again. Lost disks that each step bears, five voters tolerated: adding first 2 (six voters, four needed), 2 (five); removing first 1 (four voters, three needed), 2. Where the old voter is already gone both orders bear 1 in between, so that the replacement of a silent voter stays as it is. Without a waiting learner a stop doesn't wait; with one it waits 2.5 s at most. A voter that is killed between the two steps is dropped as surplus once it is silent.

The sentence: a group that is told of a departure bears as many lost disks after it as before, at each step.

--- a/packages/consensus/src/formations.ts
+++ b/packages/consensus/src/formations.ts
@@ -8,6 +8,7 @@
     MembershipSchema,
     type ProbeResponse,
 } from "./gen/winchpath/consensus/v1/consensus_pb.js";
+import { findMember } from "./members.js";
 import { type PeerConnector } from "./peers.js";
 import { type ReplicaState } from "./states.js";
 
@@ -25,6 +26,8 @@
 }
 
 export class Formation {
+    private joins = true;
+
     public constructor(
         private readonly state: ReplicaState,
         private readonly peers: PeerConnector,
@@ -32,12 +35,17 @@
         private readonly seeds: () => readonly string[],
     ) {}
 
+    /** Leaves it to the next start to join again, since this replica is about to stop. */
+    public stopJoining(): void {
+        this.joins = false;
+    }
+
     /** Keeps the replica a member of its group until the signal is aborted. */
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
             await this.joinOrFormGroup(signal);
             await sleep(membershipCheckMs, signal);
-            if (!signal.aborted && this.hasLostLeader()) {
+            if (!signal.aborted && this.joins && this.hasLostLeader()) {
                 await this.rejoin();
             }
             else {
@@ -54,7 +62,7 @@
      * network partition.
      */
     public async joinOrFormGroup(signal: AbortSignal): Promise<void> {
-        while (!signal.aborted && !this.isMember()) {
+        while (!signal.aborted && this.joins && !this.isMember()) {
             const results = await this.probeAll();
             const groupMembers = results.filter(result => result.response.group !== "");
             if (groupMembers.length > 0) {
@@ -91,8 +99,10 @@
     }
 
     private isMember(): boolean {
-        const self = this.state.membership?.members.find(member => member.id === this.state.memberId);
-        return self?.url === this.state.identity.url;
+        const { membership, memberId, identity, store } = this.state;
+        const self = findMember(membership, memberId);
+        // A member that has handed its vote over before its stop asks for one again.
+        return self?.url === identity.url && (self.voter || self.wantsVote === store.durable);
     }
 
     /** Probes all seeds, the known members, and the hosts that their responses list. */
--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -131,9 +131,13 @@
         this.responseReceived.notify();
     }
 
-    public isCaughtUp(id: string): boolean {
+    public isCaughtUp(id: string, index = this.state.commitIndex): boolean {
         const replication = this.replications.get(id);
-        return replication !== undefined && this.isResponsive(id) && replication.matchIndex >= this.state.commitIndex;
+        return replication !== undefined && this.isResponsive(id) && replication.matchIndex >= index;
+    }
+
+    public async waitForResponse(timeoutMs: number): Promise<void> {
+        await this.responseReceived.wait(timeoutMs);
     }
 
     /** Milliseconds since the member's last response, or since the start of this leadership if that is later. */
@@ -201,7 +205,7 @@
     }
 
     /** Whether the member has responded within the election timeout. */
-    private isResponsive(id: string): boolean {
+    public isResponsive(id: string): boolean {
         return this.silentMs(id) < this.state.options.electionMs;
     }
 
@@ -277,6 +281,7 @@
             }
             void this.members.promoteLearners();
             void this.members.removeUnresponsiveLearners();
+            void this.members.removeSurplusVoter();
         }
         this.responseReceived.notify();
     }
--- a/packages/consensus/src/members.ts
+++ b/packages/consensus/src/members.ts
@@ -14,6 +14,11 @@
     return membership?.members.find(member => member.id === id);
 }
 
+/** Whether a learner is to become a voter. */
+export function hasWaitingLearner(membership: Membership | undefined): boolean {
+    return membership?.members.some(member => !member.voter && member.wantsVote) ?? false;
+}
+
 /** A copy of the membership with `member` added, replacing any member with the same id. */
 export function withMember(membership: Membership, member: Member): Membership {
     const next = clone(MembershipSchema, membership);
--- a/packages/consensus/src/memberships.ts
+++ b/packages/consensus/src/memberships.ts
@@ -1,6 +1,6 @@
 /** Membership changes by the leader, one at a time. */
 import { create } from "@bufbuild/protobuf";
-import { Failure, FailureCode, messageOf, waitUntil } from "@winchpath/core";
+import { Failure, FailureCode, messageOf, steadyNow, waitUntil } from "@winchpath/core";
 import { type Applier } from "./appliers.js";
 import { type Entry, type Member, MemberSchema, type Membership } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 import { findMember, votersOf, withMember, withoutMember } from "./members.js";
@@ -8,6 +8,11 @@
 
 /** Timeout for the preceding change, as a multiple of `electionMs`. */
 const changeTimeoutFactor = 10;
+/** How long a planned stop waits for a learner to catch up, as a multiple of `electionMs`. */
+const successorWaitFactor = 0.5;
+
+/** Computes the next membership; undefined if there is nothing to change. */
+type MembershipUpdate = (membership: Membership) => Membership | undefined;
 
 /** The part of the leadership that membership changes need. */
 export interface MembershipLeader {
@@ -16,8 +21,12 @@
     /** Whether all entries of earlier terms are applied. */
     readonly ready: boolean;
     appendEntry(payload: Entry["payload"]): bigint;
-    /** Whether the member is responsive and has the log up to the commit index. */
-    isCaughtUp(id: string): boolean;
+    /** Whether the member is responsive and has synced the log up to `index`, by default the commit index. */
+    isCaughtUp(id: string, index?: bigint): boolean;
+    /** Whether the member has responded within the election timeout. */
+    isResponsive(id: string): boolean;
+    /** Resolves on the next response of a member, or after `timeoutMs`. */
+    waitForResponse(timeoutMs: number): Promise<void>;
     /** Milliseconds since the member's last response. */
     silentMs(id: string): number;
 }
@@ -35,7 +44,8 @@
 
     /** Adds a member as a learner, or updates its URL. Replaces an earlier learner of the same host. */
     public async join(joining: Member): Promise<void> {
-        if (findMember(this.state.membership, joining.id)?.url === joining.url) {
+        const current = findMember(this.state.membership, joining.id);
+        if (current?.url === joining.url && (current.voter || current.wantsVote === joining.wantsVote)) {
             return;
         }
         await this.enqueueChange(membership => {
@@ -47,6 +57,43 @@
         });
     }
 
+    /**
+     * Gives the vote of a member that stops as planned to a learner that has caught up, so that the group can lose as many
+     * disks as before. Resolves to whether the member is no voter any more; without such a learner it remains one.
+     *
+     * The learner becomes a voter first, beyond `maxVoters` for that moment: as the member still runs, any two of five voters
+     * can be lost at each step. With the opposite order only one of the four voters in between could be.
+     */
+    public async handOverVote(id: string): Promise<boolean> {
+        const { commitIndex } = this.state;
+        await this.waitForSuccessor(id, commitIndex);
+        let changed = true;
+        while (changed && findMember(this.state.membership, id)?.voter) {
+            changed = await this.enqueueChange(membership => this.handOverStep(membership, id, commitIndex));
+        }
+        return !findMember(this.state.membership, id)?.voter;
+    }
+
+    /** Removes an unresponsive voter beyond `maxVoters`: one that was killed while its vote was handed over. */
+    public async removeSurplusVoter(): Promise<void> {
+        if (this.changeInProgress || !this.leader.ready || this.surplusVoter(this.state.membership) === undefined) {
+            return;
+        }
+        this.changeInProgress = true;
+        try {
+            await this.enqueueChange(membership => {
+                const surplus = this.surplusVoter(membership);
+                return surplus === undefined ? undefined : withoutMember(membership, surplus.id);
+            });
+        }
+        catch (err) {
+            this.state.events.warn("members.drop-failed", { error: messageOf(err) });
+        }
+        finally {
+            this.changeInProgress = false;
+        }
+    }
+
     /** Promotes a learner that has caught up to a voter, replacing its host's earlier member if there is one. */
     public async promoteLearners(): Promise<void> {
         const learner = this.promotableLearner();
@@ -87,12 +134,56 @@
         }
     }
 
+    /** Waits briefly for a learner to catch up to `index`, if one that wants a vote is responsive. */
+    private async waitForSuccessor(leaving: string, index: bigint): Promise<void> {
+        const { leader, state } = this;
+        const deadline = steadyNow() + state.options.electionMs * successorWaitFactor;
+        const candidates = () =>
+            possibleSuccessors(state.membership, leaving).filter(({ id }) => leader.isResponsive(id));
+        while (
+            leader.active && steadyNow() < deadline && candidates().length > 0
+            && !candidates().some(({ id }) => leader.isCaughtUp(id, index))
+        ) {
+            await leader.waitForResponse(deadline - steadyNow());
+        }
+    }
+
+    /** Next step of a planned stop: makes a learner a voter, then the leaving voter a learner that wants no vote. */
+    private handOverStep(membership: Membership, id: string, index: bigint): Membership | undefined {
+        const leaving = findMember(membership, id);
+        const voters = votersOf(membership);
+        const { maxVoters } = this.state.options;
+        if (!leaving?.voter || maxVoters === undefined || voters.length < maxVoters) {
+            return undefined;
+        }
+        if (voters.length > maxVoters) {
+            return withMember(membership, create(MemberSchema, { ...leaving, voter: false, wantsVote: false }));
+        }
+        const successor = possibleSuccessors(membership, id).find(learner => this.leader.isCaughtUp(learner.id, index));
+        return successor === undefined
+            ? undefined
+            : withMember(membership, create(MemberSchema, { ...successor, voter: true }));
+    }
+
     /** Next step of a promotion: removes the voter that the learner replaces, then makes the learner a voter. */
-    private promotionStep(membership: Membership, learner: Member): Membership {
+    private promotionStep(membership: Membership, { id }: Member): Membership | undefined {
+        const learner = findMember(membership, id);
+        if (learner === undefined || learner.voter) {
+            return undefined;
+        }
         const obsolete = this.voterToRemove(membership, learner);
-        return obsolete === undefined
-            ? withMember(membership, create(MemberSchema, { ...learner, voter: true }))
-            : withoutMember(membership, obsolete.id);
+        if (obsolete !== undefined) {
+            return withoutMember(membership, obsolete.id);
+        }
+        return this.hasMaxVoters(votersOf(membership))
+            ? undefined
+            : withMember(membership, create(MemberSchema, { ...learner, voter: true }));
+    }
+
+    private surplusVoter(membership: Membership | undefined): Member | undefined {
+        const voters = votersOf(membership);
+        const { maxVoters } = this.state.options;
+        return maxVoters !== undefined && voters.length > maxVoters ? this.unresponsiveVoter(voters) : undefined;
     }
 
     /** The voter to remove first: that of the same host or, at the voter limit, an unresponsive one. */
@@ -123,13 +214,14 @@
         );
     }
 
-    private enqueueChange(update: (membership: Membership) => Membership): Promise<void> {
+    /** Resolves to whether something was changed. */
+    private enqueueChange(update: MembershipUpdate): Promise<boolean> {
         const changed = this.lastChange.then(() => this.applyChange(update));
-        this.lastChange = changed.catch(() => undefined);
+        this.lastChange = changed.then(() => undefined, () => undefined);
         return changed;
     }
 
-    private async applyChange(update: (membership: Membership) => Membership): Promise<void> {
+    private async applyChange(update: MembershipUpdate): Promise<boolean> {
         const { leader, state, applier } = this;
         const timeoutMs = state.options.electionMs * changeTimeoutFactor;
         await waitUntil(
@@ -142,11 +234,15 @@
             throw Failure.of(FailureCode.noLeader, "leadership was lost");
         }
         const updated = update(state.membership!);
+        if (updated === undefined) {
+            return false;
+        }
         state.timeline.record("members.changed", {
             detail: updated.members.map(member => `${member.host}${member.voter ? "" : " (learner)"}`).join(", "),
         });
         const index = leader.appendEntry({ case: "membership", value: updated });
         await applier.waitForEntry(index, leader.term);
+        return true;
     }
 
     /** Whether both the leader's first entry and the latest membership are committed. */
@@ -155,3 +251,11 @@
         return this.leader.ready && newest !== undefined && newest.index <= this.state.commitIndex;
     }
 }
+
+/** Learners that may take the vote of a member, without those that are to replace a voter of their own host. */
+function possibleSuccessors(membership: Membership | undefined, leaving: string): Member[] {
+    const voterHosts = new Set(votersOf(membership).map(({ host }) => host));
+    return membership?.members.filter(({ id, host, voter, wantsVote }) =>
+        id !== leaving && !voter && wantsVote && !voterHosts.has(host)
+    ) ?? [];
+}
--- a/packages/consensus/src/peerdiscoveries.ts
+++ b/packages/consensus/src/peerdiscoveries.ts
@@ -43,6 +43,7 @@
             append: rejectWithoutLog,
             probe: req => this.handleProbe(req),
             join: rejectWithoutLog,
+            handOverVote: rejectWithoutLog,
             propose: rejectWithoutLog,
             readIndex: rejectWithoutLog,
             elect: rejectWithoutLog,
--- a/packages/consensus/src/peers.ts
+++ b/packages/consensus/src/peers.ts
@@ -25,6 +25,8 @@
     /** `sender` identifies the calling replica, if it has a durable log. */
     probe(timeoutMs: number, sender?: ProbeSender): Promise<ProbeResponse>;
     join(member: Member, timeoutMs: number): Promise<void>;
+    /** Resolves to whether the member is no voter any more. */
+    handOverVote(memberId: string, timeoutMs: number): Promise<boolean>;
     propose(command: Uint8Array, timeoutMs: number): Promise<{ index: bigint; result: Uint8Array; }>;
     readIndex(timeoutMs: number): Promise<{ index: bigint; term: bigint; }>;
     elect(term: bigint, timeoutMs: number): Promise<void>;
@@ -67,6 +69,10 @@
         await this.convertErrors(this.client.join({ member }, { timeoutMs }));
     }
 
+    public async handOverVote(memberId: string, timeoutMs: number): Promise<boolean> {
+        return (await this.convertErrors(this.client.handOverVote({ memberId }, { timeoutMs }))).handedOver;
+    }
+
     public propose(command: Uint8Array, timeoutMs: number): Promise<{ index: bigint; result: Uint8Array; }> {
         return this.convertErrors(this.client.propose({ command }, { timeoutMs }));
     }
--- a/packages/consensus/src/replicas.ts
+++ b/packages/consensus/src/replicas.ts
@@ -3,6 +3,7 @@
     type EventLog,
     Failure,
     FailureCode,
+    messageOf,
     silentLog,
     sleep,
     steadyNow,
@@ -18,6 +19,7 @@
 import { type Member } from "./gen/winchpath/consensus/v1/consensus_pb.js";
 import { Leadership } from "./leaderships.js";
 import { type StateMachine } from "./machines.js";
+import { hasWaitingLearner } from "./members.js";
 import { type PeerConnector } from "./peers.js";
 import { type ConsensusOptions, defaultConsensusOptions, type ReplicaIdentity, ReplicaState } from "./states.js";
 import { type LogStore } from "./stores.js";
@@ -160,6 +162,36 @@
         await this.leaderPeer().join(member, attemptTimeoutMs);
     }
 
+    /**
+     * Gives this replica's vote to a learner that has caught up, before it stops as planned: the group can then lose as many
+     * disks as before. Returns at once if no learner waits for a vote, and within `timeoutMs` otherwise.
+     */
+    public async handOverVote(timeoutMs: number): Promise<void> {
+        const { state, formation } = this;
+        formation.stopJoining();
+        const deadline = steadyNow() + timeoutMs;
+        while (state.isVoter && hasWaitingLearner(state.membership) && steadyNow() < deadline) {
+            try {
+                const handedOver = await this.leaderPeer().handOverVote(state.memberId, deadline - steadyNow());
+                state.timeline.record("vote.handed-over", { detail: String(handedOver) });
+                return;
+            }
+            catch (err) {
+                // The leadership may be changing, not least because this replica has just handed it over.
+                state.events.warn("vote.not-handed-over", { error: messageOf(err) });
+                await sleep(Math.min(retryDelayMs, deadline - steadyNow()));
+            }
+        }
+    }
+
+    /** Gives the vote of a member that stops as planned to a learner. Only on the leader; may be repeated. */
+    public async handOverVoteOf(memberId: string): Promise<boolean> {
+        if (!this.leadership?.active) {
+            throw Failure.of(FailureCode.noLeader, "not the leader");
+        }
+        return this.leadership.members.handOverVote(memberId);
+    }
+
     /** Starts an election immediately if `term` is still the current term. */
     public campaign(term: bigint): void {
         if (term === this.state.term) {
--- a/packages/consensus/src/services.ts
+++ b/packages/consensus/src/services.ts
@@ -29,6 +29,7 @@
             await convertErrors(replica.join(req.member!));
             return { group: replica.state.group };
         },
+        handOverVote: async req => ({ handedOver: await convertErrors(current().handOverVoteOf(req.memberId)) }),
         propose: req => convertErrors(current().proposeAsLeader(req.command)),
         readIndex: async () => {
             const replica = current();
--- a/packages/consensus/src/tests/groups.ts
+++ b/packages/consensus/src/tests/groups.ts
@@ -1,6 +1,6 @@
 /** A control group within one process, with simulated crashes and network partitions. */
 import { create } from "@bufbuild/protobuf";
-import { Deferred, Failure, FailureCode, sleep } from "@winchpath/core";
+import { Deferred, Failure, FailureCode, sleep, withTimeout } from "@winchpath/core";
 import { Timeline } from "@winchpath/timeline";
 import { type FileHandle, mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -91,6 +91,8 @@
     removeLearnerAfterMs: 500,
 };
 
+const plannedStopTimeoutMs = 1500;
+
 export class TestGroup {
     public readonly nodes = new Map<string, TestNode>();
     /** Hosts without a disk that only provide peer discovery. */
@@ -176,6 +178,14 @@
         await node?.replica.stop();
     }
 
+    /** Stops a node as planned: it hands leadership and vote over first. */
+    public async stopAsPlanned(name: string): Promise<void> {
+        const { replica } = this.nodes.get(name)!;
+        await replica.transferLeadership(plannedStopTimeoutMs);
+        await replica.handOverVote(plannedStopTimeoutMs);
+        await this.crash(name);
+    }
+
     public async deleteData(name: string): Promise<void> {
         await rm(this.folderOf(name), { recursive: true, force: true });
     }
@@ -274,7 +284,9 @@
                     })
                 );
             },
-            join: member => call(replica => replica.join(member)),
+            // Without a majority no change of members is ever committed.
+            join: (member, timeoutMs) => withTimeout(call(replica => replica.join(member)), timeoutMs, "joining"),
+            handOverVote: memberId => call(replica => replica.handOverVoteOf(memberId)),
             propose: command => call(replica => replica.proposeAsLeader(command)),
             readIndex: async timeoutMs => ({ index: await call(replica => replica.readIndex(timeoutMs)), term: 0n }),
             elect: term => call(replica => this.group.ignoresElections ? undefined : replica.campaign(term)),
--- a/packages/consensus/src/tests/supervisors.test.ts
+++ b/packages/consensus/src/tests/supervisors.test.ts
@@ -97,6 +97,7 @@
             vote: unexpectedCall,
             append: unexpectedCall,
             join: unexpectedCall,
+            handOverVote: unexpectedCall,
             propose: unexpectedCall,
             readIndex: unexpectedCall,
             elect: unexpectedCall,
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -47,7 +47,7 @@
 import { OriginRecordStore, StreamOriginService, streamOriginService } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
 import { LeaderCrashDecisions } from "./crashdecisions.js";
-import { createPlatformReplica } from "./platformreplicas.js";
+import { createPlatformReplica, handOverLeadership, handOverVote } from "./platformreplicas.js";
 import { type ReloadableSettings } from "./platformsettings.js";
 import { Proposals } from "./proposals.js";
 import { ReplicatedState } from "./replicatedstates.js";
@@ -56,7 +56,6 @@
 const maxOrderQuorumAgeMs = 700;
 /** Shorter than the one second after which operators' clients try another host. */
 const callTimeoutMs = 900;
-const leadershipTransferTimeoutMs = 1500;
 const rpcCloseTimeoutMs = 300;
 /** Events kept in memory; the structured log has all of them. */
 const timelineCapacity = 200;
@@ -154,13 +153,14 @@
         await this.httpServer.listen({ ...cfg.controlAddress!, backlog: listenBacklog });
     }
 
-    /** Transfers leadership to another host; this one remains a voter until `stop`. */
+    /** Transfers leadership to another host; this one keeps its vote until `stop`. */
     public async prepareStop(): Promise<void> {
-        await this.replica?.transferLeadership(leadershipTransferTimeoutMs);
+        await handOverLeadership(this.replica);
     }
 
     public async stop(): Promise<void> {
-        await this.replica?.transferLeadership(leadershipTransferTimeoutMs);
+        await handOverLeadership(this.replica);
+        await handOverVote(this.replica);
         this.endLeadership();
         await this.httpServer.close();
         this.stopping.abort();
--- a/packages/winchpathd/src/platformreplicas.ts
+++ b/packages/winchpathd/src/platformreplicas.ts
@@ -1,5 +1,11 @@
 /** The consensus replica of a platform host with a disk. */
-import { FileLogStore, ReplicaSupervisor, RpcPeerConnector, type StateMachine } from "@winchpath/consensus";
+import {
+    FileLogStore,
+    type Replica,
+    ReplicaSupervisor,
+    RpcPeerConnector,
+    type StateMachine,
+} from "@winchpath/consensus";
 import { type EventLog } from "@winchpath/core";
 import { peerUrl } from "@winchpath/platform";
 import { type RpcClients } from "@winchpath/rpc";
@@ -13,6 +19,10 @@
 /** Snapshots are frequent because configuration documents, and so log entries, may be large. */
 const snapshotEvery = 64;
 const trailing = 16;
+const leadershipTransferTimeoutMs = 1500;
+/** Covers an election after the leadership was transferred, or after the leader was lost meanwhile. */
+const voteHandoverTimeoutMs = 2500;
+
 export interface PlatformReplicaOptions {
     readonly settings: ReloadableSettings;
     /** Creates the empty replicated state, each time that the replica is opened. */
@@ -43,3 +53,13 @@
         log,
     });
 }
+
+/** Transfers leadership to another host before a planned stop; `replica`: undefined while the data folder is unusable. */
+export async function handOverLeadership(replica: Replica | undefined): Promise<void> {
+    await replica?.transferLeadership(leadershipTransferTimeoutMs);
+}
+
+/** Gives the vote to a learner before a planned stop, once leadership has been handed over. */
+export async function handOverVote(replica: Replica | undefined): Promise<void> {
+    await replica?.handOverVote(voteHandoverTimeoutMs);
+}
