The product's own client listener passes on only what its connections can still answer

It uses the connections' state of the entry now, and its responses announce the close from the beginning of a stop.

--- a/packages/requests/src/clientservers.ts
+++ b/packages/requests/src/clientservers.ts
@@ -1,7 +1,8 @@
 /** HTTP server for clients. */
-import { eventLoop, messageOf, onClientGone } from "@winchpath/core";
+import { ClientConnections, eventLoop, messageOf, onClientGone, steadyNow } from "@winchpath/core";
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import { once } from "node:events";
+import { type AddressInfo } from "node:net";
 import { type RequestHandler } from "./handlers.js";
 import { type Job, type ResponseEvent } from "./jobs.js";
 import { ProblemCode, problemDetails, RequestFailure, retryAfterSeconds } from "./problems.js";
@@ -16,8 +17,54 @@
     readonly connections: number;
 }
 
-/** Creates the HTTP server without starting to listen. */
-export function createClientServer(options: ClientServerOptions): FastifyInstance {
+/** Serves clients over HTTP. */
+export class ClientServer {
+    private readonly app: FastifyInstance;
+    private readonly connections: ClientConnections;
+    private isStopping = false;
+
+    public constructor(options: ClientServerOptions) {
+        this.app = createApp(options);
+        this.connections = new ClientConnections(this.app.server);
+        this.app.addHook("onRequest", (req, reply) => this.awaitTurn(req, reply));
+        addRoutes(this.app, options);
+    }
+
+    public async listen(address: { readonly host: string; readonly port: number; }): Promise<void> {
+        await this.app.listen(address);
+    }
+
+    public get port(): number {
+        return (this.app.server.address() as AddressInfo).port;
+    }
+
+    /** From now on responses announce the close of their connections. */
+    public prepareClose(): void {
+        this.isStopping = true;
+    }
+
+    /** Stops accepting connections and waits until all responses are sent, up to `graceMs`. Resolves to how many were cut. */
+    public async close(graceMs: number): Promise<number> {
+        this.prepareClose();
+        const cut = await this.connections.close(steadyNow() + graceMs);
+        await this.app.close();
+        return cut;
+    }
+
+    /** Drops a request whose connection can't carry its response any more. */
+    private async awaitTurn(req: FastifyRequest, reply: FastifyReply): Promise<void> {
+        if (!await this.connections.of(req.raw.socket).awaitTurn(reply.raw)) {
+            reply.hijack();
+            req.raw.resume();
+            return;
+        }
+        if (this.isStopping) {
+            reply.raw.shouldKeepAlive = false;
+        }
+    }
+}
+
+function createApp(options: ClientServerOptions): FastifyInstance {
     const app = fastify({
         bodyLimit: options.bodyBytes,
         http: { maxHeaderSize: options.headerBytes },
@@ -29,10 +76,13 @@
     app.addContentTypeParser("*", { parseAs: "buffer" }, async (_req: FastifyRequest, body: Buffer) => body);
     app.setErrorHandler((err, req, reply) => sendProblem(reply, failureOf(err), req.id));
     app.setNotFoundHandler((req, reply) => sendProblem(reply, notFound(req), req.id));
+    return app;
+}
+
+function addRoutes(app: FastifyInstance, options: ClientServerOptions): void {
     app.get("/v1/models", () => listModels(options));
     app.post("/v1/chat/completions", (req, reply) => respond(options, req, reply, parseChat));
     app.all("/services/:name/*", (req, reply) => respond(options, req, reply, parseServiceCall));
-    return app;
 }
 
 type Parse = (req: FastifyRequest, signal: AbortSignal, context: ParseContext) => Job;
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -30,7 +30,7 @@
 import { type QuarantineResult, QuarantineState } from "@winchpath/quarantine";
 import {
     type ClaimResult,
-    createClientServer,
+    ClientServer,
     IdempotencyClaims,
     RequestHandler,
     RequestQuarantine,
@@ -54,8 +54,6 @@
 const quarantineTimeoutMs = 1000;
 /** Time for requests of operators to end; watches never do. */
 const operatorCloseTimeoutMs = 1000;
-/** How often idle connections are closed while running requests drain. */
-const drainPollMs = 50;
 /** A host without contact to a leader for this long reports not ready, since its declarations may be stale. */
 const leaderTimeoutMs = 3000;
 
@@ -94,7 +92,7 @@
     private replica!: Replica;
     private placementController!: PlacementController;
     private rpcServer!: RpcServer;
-    private callerListener: ReturnType<typeof createClientServer> | undefined;
+    private clientServer: ClientServer | undefined;
     private operatorListener!: ReturnType<typeof createOperatorServer>;
     private isReady = false;
 
@@ -139,9 +137,13 @@
         const deadline = Date.now() + this.cfg.limits.drain;
         this.isReady = false;
         this.timeline.record("process.stopping");
+        this.clientServer?.prepareClose();
         await this.replica.transferLeadership(leadershipTransferTimeoutMs);
         await sleep(loadBalancerDelayMs);
-        await this.closeCallers(deadline);
+        const cut = await this.clientServer?.close(Math.max(0, deadline - Date.now()));
+        if (cut !== undefined && cut > 0) {
+            this.log("responses cut off at the deadline", { count: cut });
+        }
         this.handler.close();
         this.stopping.abort();
         await this.replica.stop();
@@ -150,25 +152,6 @@
         await this.rpcServer.close(loadBalancerDelayMs);
     }
 
-    /** Stops accepting connections and waits for running requests until the deadline. */
-    private async closeCallers(deadline: number): Promise<void> {
-        if (this.callerListener === undefined) {
-            return;
-        }
-        const { server } = this.callerListener;
-        let isOpen = true;
-        const closed = this.callerListener.close().then(() => {
-            isOpen = false;
-        });
-        while (isOpen && Date.now() < deadline) {
-            // Keep-alive connections become idle as requests finish after the listener has closed.
-            server.closeIdleConnections();
-            await Promise.race([closed, sleep(drainPollMs)]);
-        }
-        server.closeAllConnections();
-        await closed;
-    }
-
     private async openReplica(): Promise<void> {
         const { cfg, clients, timeline } = this;
         const options: Partial<ConsensusOptions> = {
@@ -246,7 +229,7 @@
         await this.replica.waitUntilJoined(joinTimeoutMs);
         await this.replica.barrier(joinTimeoutMs);
         if (cfg.listen.callers !== undefined) {
-            this.callerListener = createClientServer({
+            this.clientServer = new ClientServer({
                 handler: this.handler,
                 catalogue: () => this.catalogues.current,
                 table: new RoutingTable({
@@ -261,7 +244,7 @@
                 headerBytes: cfg.limits.header,
                 connections: cfg.limits.connections,
             });
-            await this.callerListener.listen(cfg.listen.callers);
+            await this.clientServer.listen(cfg.listen.callers);
         }
         this.isReady = true;
         this.timeline.record("process.ready", { revision: this.declarations.revision });
