A response of an upstream that is taken away at short notice isn't complete if the upstream ended with it

Cause: whether the process of an upstream has ended with a connection is asked only of upstreams that don't drain, since one that drains finishes its responses before it ends. One that is taken away at a set time doesn't. Nothing told entries the difference: the remaining time stopped at the leader.

Change: an upstream's description says whether it drains at short notice; entries ask of those as of any other. What may be cut is asked for; only what is promised to be finished is believed.

--- a/packages/core/src/responseends.ts
+++ b/packages/core/src/responseends.ts
@@ -16,7 +16,10 @@
     readonly connection: ConnectionState;
     /** State of an event stream; undefined for other responses. */
     readonly stream: StreamEndFacts | undefined;
-    /** Whether the upstream's process has ended as well, although it was not draining; undefined if nobody has asked. */
+    /**
+     * Whether the upstream's process has ended as well, although it need not have finished its responses first; undefined if
+     * nobody has asked.
+     */
     readonly upstreamEnded?: boolean;
 }
 
--- a/packages/fleet/src/announcementbatchers.ts
+++ b/packages/fleet/src/announcementbatchers.ts
@@ -104,7 +104,7 @@
 /** Serializes an announcement for comparison, without its sequence number and with durations reduced to flags. */
 function serializeContent(announcement: Announcement): string {
     const { upstream, inMemory, onDisk, remainingMs } = announcement;
-    const { service, softwareVersion, address, dataCentre, slots, state, models, coldMs } = upstream!;
+    const { service, softwareVersion, address, dataCentre, slots, state, models, coldMs, shortNotice } = upstream!;
     return JSON.stringify([
         service,
         softwareVersion,
@@ -114,6 +114,7 @@
         state,
         coldMs > 0,
         remainingMs > 0,
+        shortNotice,
         inMemory,
         onDisk,
         models.map(serializeModel),
--- a/packages/fleet/src/registries.ts
+++ b/packages/fleet/src/registries.ts
@@ -373,6 +373,7 @@
         else if (this.drainingIds.has(next.id) || this.departures.covers(next)) {
             // The announcement is stale, or the upstream reports draining in its responses only.
             next.state = UpstreamState.DRAINING;
+            next.shortNotice ||= record.upstream.shortNotice;
         }
         if (!isNew) {
             if (record.modelsFromOrders) {
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -73,8 +73,8 @@
     /** Called when a valid response has started. */
     readonly onResponseStart: () => void;
     /**
-     * Whether the process of the upstream has ended although it was not draining. Asked after a response that ended with its
-     * connection, which a crash closes as well.
+     * Whether the process of the upstream has ended although it need not have finished its responses first. Asked after a
+     * response that ended with its connection, which a crash closes as well.
      */
     readonly hasUpstreamEnded: () => Promise<boolean>;
     /** Called when a response has ended, before its outcome is known. */
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -116,8 +116,7 @@
                     }
                     this.deps.signals.handle(request, endpoint, metadata, startedAt);
                 },
-                hasUpstreamEnded: async () =>
-                    !this.deps.view.availability.isDraining(endpoint.id) && await endpoint.hasEnded(),
+                hasUpstreamEnded: async () => this.mayEndInsideResponses(endpoint) && await endpoint.hasEnded(),
                 onResponseEnd: facts => responseEnd = facts,
                 onResponseStart: () => {
                     firstByteMs = Math.round(ageMs(request));
@@ -176,6 +175,11 @@
         }
     }
 
+    /** Whether the end of the upstream's process may cut responses. One that drains finishes them first, given the time. */
+    private mayEndInsideResponses({ id, description }: UpstreamEndpoint): boolean {
+        return description.shortNotice || !this.deps.view.availability.isDraining(id);
+    }
+
     /** Checks again once a connection is available: the upstream may have set a rate limit while the request waited. */
     private maySend(request: InboundRequest, endpoint: UpstreamEndpoint, permitDecision: PermitDecision): boolean {
         return this.deps.endpoints.isReady(endpoint) && isOfVersion(request, endpoint)
--- a/packages/forwarding/src/tests/responseends.test.ts
+++ b/packages/forwarding/src/tests/responseends.test.ts
@@ -1,4 +1,5 @@
 /** Guards against responses that their upstream broke off and that reach callers as complete. */
+import { UpstreamState } from "@winchpath/fleet";
 import { expect } from "earl";
 import { once } from "node:events";
 import { type IncomingMessage } from "node:http";
@@ -293,6 +294,41 @@
         expect({ body, whole }).toEqual({ body: events.join(""), whole: true });
     });
 
+    // Guards against streams of an upstream that is taken away at short notice and that reach callers as complete.
+    it("is broken off if its upstream was draining at short notice and ended between two events", async () => {
+        setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [({ id, socket }) => {
+            socket.write(encodeHead(id, "close", 0) + events[0]);
+        }]);
+        const [upstream] = setup.upstreams;
+        const response = setup.entry.call("q1");
+        while (upstream.received.length === 0) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        setup.entry.setUpstreams({
+            id: "u0",
+            address: upstream.address,
+            state: UpstreamState.DRAINING,
+            shortNotice: true,
+        });
+        upstream.stop();
+        const { status, body, whole } = await response;
+        expect({ status, body, whole }).toEqual({ status: 200, body: events[0], whole: false });
+    });
+
+    it("is complete if its upstream was draining at short notice and lives on", async () => {
+        setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [({ id, socket }) => {
+            setup.entry.setUpstreams({
+                id: "u0",
+                address: setup.upstreams[0].address,
+                state: UpstreamState.DRAINING,
+                shortNotice: true,
+            });
+            socket.end(encodeHead(id, "close", 0) + events.join(""));
+        }]);
+        const { body, whole } = await setup.entry.call("q1");
+        expect({ body, whole }).toEqual({ body: events.join(""), whole: true });
+    });
+
     it("is complete if its upstream lives on, which an open connection proves without a probe", async () => {
         const respond = (received: ReceivedRequest) =>
             (received.id === "long" ? () => undefined : respondUnframed(events.join("")))(received);
