A host with an empty disk finds its group through the leader that calls it

Cause: a replica without a group asks only its seeds, while its leader calls it all the time under its earlier identity and is turned away. It asks that leader now.

On the platform a restarted process is given current seeds, so that callers haven't been seen to meet this.

--- a/packages/consensus/src/followers.ts
+++ b/packages/consensus/src/followers.ts
@@ -43,8 +43,11 @@
 
     /** Appends the leader's entries or installs its snapshot; both are synced before the response. */
     public async append(req: AppendRequest): Promise<AppendResponse> {
-        this.checkRecipient(req.group, req.to);
         const { state } = this;
+        if (state.group === "") {
+            state.callingLeaderUrl = req.leaderUrl;
+        }
+        this.checkRecipient(req.group, req.to);
         if (req.term < state.term) {
             return this.appendResponse(false, 0n);
         }
--- a/packages/consensus/src/formations.ts
+++ b/packages/consensus/src/formations.ts
@@ -105,9 +105,11 @@
         return self?.url === identity.url && (self.voter || self.wantsVote === store.durable);
     }
 
-    /** Probes all seeds, the known members, and the hosts that their responses list. */
+    /** Probes all seeds, the known members or a leader that has called, and the hosts that their responses list. */
     private async probeAll(): Promise<ProbeResult[]> {
-        const memberUrls = this.state.membership?.members.map(member => member.url) ?? [];
+        const { membership, callingLeaderUrl } = this.state;
+        const memberUrls = membership?.members.map(member => member.url)
+            ?? [callingLeaderUrl].filter(url => url !== "");
         const probedUrls = new Set([...this.seeds(), ...memberUrls]);
         const results = await this.probe([...probedUrls]);
         const discoveredUrls = new Set(
--- a/packages/consensus/src/states.ts
+++ b/packages/consensus/src/states.ts
@@ -68,6 +68,8 @@
     public lastHeardAt = Number.NEGATIVE_INFINITY;
     public commitIndex: bigint;
     public appliedIndex: bigint;
+    /** URL of a leader that takes this replica, which has no group, for an earlier one at its address; empty if none does. */
+    public callingLeaderUrl = "";
     /** Set once the store has failed or was closed; the replica must be stopped. */
     public fatalError: Error | undefined;
     private currentTerm: bigint;
--- a/packages/consensus/src/tests/replacements.test.ts
+++ b/packages/consensus/src/tests/replacements.test.ts
@@ -191,6 +191,20 @@
         await expectKept("c");
     });
 
+    // Guards against hosts that never find their group again, since all of their seeds have lost their disks or are gone.
+    it("is followed by the return of hosts with empty disks, none of whose seeds knows the group", async () => {
+        await start(["a", "b", "c", "d", "e"], "f");
+        await group.stopAsPlanned("a");
+        await loseDisks("b", "c");
+        for (const name of ["b", "c"]) {
+            await group.waitFor(
+                `the group at ${name}`,
+                () => group.nodes.get(name)!.replica.state.isVoter || undefined,
+            );
+        }
+        await expectKept("b");
+    });
+
     it("keeps the vote, without waiting, if there is no spare", async () => {
         await start(["a", "b", "c", "d", "e"]);
         const startedAt = Date.now();
