A log that an earlier process has left is synced before it counts as stored

A doubt of the review, not seen at callers: a process that is killed between a write and its sync leaves records that the next one read as durable. A leader's repeated append of them was acknowledged without a sync, so that a loss of power could take what was acknowledged.

--- a/packages/consensus/src/files.ts
+++ b/packages/consensus/src/files.ts
@@ -65,8 +65,9 @@
         this.file = await open(path, "a");
         if (validBytes < bytes.length) {
             await this.file.truncate(validBytes);
-            await this.file.sync();
         }
+        // An earlier process may have written records and ended before they were synced; they count as durable from now on.
+        await this.disk.sync(this.file);
         return state;
     }
 
--- a/packages/consensus/src/tests/files.test.ts
+++ b/packages/consensus/src/tests/files.test.ts
@@ -65,6 +65,16 @@
         return state.entries.map(stored => Number(stored.index));
     }
 
+    // Guards against acknowledged entries that a power loss takes, since only a process that has ended has written them.
+    it("syncs what an earlier process has left before it counts as stored", async () => {
+        await writeEntries(3);
+        const disk = new CountingDisk();
+        const store = new FileLogStore(folder, disk);
+        await store.open();
+        expect(disk.syncs).toEqual(1);
+        await store.close();
+    });
+
     it("restores its identity and synced records", async () => {
         const first = new FileLogStore(folder);
         const { memberId } = await first.open();
