The log of the control group is bounded by its size, from the disk that it has

A rewrite that failed left its file, and the file open, so that the disk stayed full.

A failed rewrite frees what it took. The disk's size comes from the settings (64 MB if they name none).

--- a/packages/consensus/src/appliers.ts
+++ b/packages/consensus/src/appliers.ts
@@ -2,6 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import { Deferred, Failure, FailureCode, Notifier, waitUntil } from "@winchpath/core";
 import { type Entry, type Snapshot, SnapshotSchema } from "./gen/winchpath/consensus/v1/consensus_pb.js";
+import { commandBytes } from "./logs.js";
 import { type StateMachine } from "./machines.js";
 import { type ReplicaState } from "./states.js";
 
@@ -21,6 +22,8 @@
     public readonly applied = new Notifier();
     private readonly pendingProposals = new Map<bigint, PendingProposal>();
     private compacting = false;
+    /** Size of the commands applied since the last snapshot, in bytes. */
+    private appliedBytes = 0;
 
     public constructor(private readonly state: ReplicaState, private readonly machine: StateMachine) {
         if (state.log.snapshot !== undefined) {
@@ -65,6 +68,7 @@
     public installSnapshot(snapshot: Snapshot): Promise<void> {
         this.machine.restore(snapshot.state);
         this.state.log.reset(snapshot);
+        this.appliedBytes = 0;
         this.state.commitIndex = snapshot.index;
         this.state.appliedIndex = snapshot.index;
         for (const [index, pending] of this.pendingProposals) {
@@ -93,6 +97,7 @@
     private applyEntry(entry: Entry): void {
         const result = this.applyCommand(entry);
         this.state.appliedIndex = entry.index;
+        this.appliedBytes += commandBytes(entry);
         const pending = this.pendingProposals.get(entry.index);
         if (pending === undefined) {
             return;
@@ -127,7 +132,9 @@
     private compactIfNeeded(): void {
         const { log, appliedIndex, options } = this.state;
         const entriesSinceSnapshot = appliedIndex - (log.snapshot?.index ?? 0n);
-        if (this.compacting || entriesSinceSnapshot < BigInt(options.snapshotEvery)) {
+        const isDue = entriesSinceSnapshot >= BigInt(options.snapshotEvery)
+            || this.appliedBytes >= options.snapshotBytes;
+        if (this.compacting || !isDue) {
             return;
         }
         const snapshot = create(SnapshotSchema, {
@@ -137,7 +144,8 @@
             membership: this.state.appliedMembership(),
             state: this.machine.snapshot(),
         });
-        log.compact(snapshot, options.trailingEntries);
+        log.compact(snapshot, options.trailingEntries, options.trailingBytes);
+        this.appliedBytes = 0;
         this.compacting = true;
         const onRewriteSettled = () => {
             this.compacting = false;
--- a/packages/consensus/src/files.ts
+++ b/packages/consensus/src/files.ts
@@ -132,10 +132,7 @@
 
     private async replaceFile(bytes: Buffer): Promise<void> {
         const temporary = join(this.folder, temporaryFileName);
-        const next = await open(temporary, "w");
-        await this.disk.write(next, bytes);
-        await this.disk.sync(next);
-        await next.close();
+        await this.writeFile(temporary, bytes);
         await rename(temporary, join(this.folder, logFileName));
         const folder = await open(this.folder, "r");
         await folder.sync();
@@ -144,6 +141,21 @@
         this.file = await open(join(this.folder, logFileName), "a");
     }
 
+    /** Writes and syncs a new file. If that fails, the space that it takes on the disk is freed. */
+    private async writeFile(path: string, bytes: Buffer): Promise<void> {
+        const file = await open(path, "w");
+        try {
+            await this.disk.write(file, bytes);
+            await this.disk.sync(file);
+        }
+        catch (err) {
+            await file.close();
+            await rm(path, { force: true });
+            throw err;
+        }
+        await file.close();
+    }
+
     /** Rejects all later jobs too: after a failed sync the kernel may have dropped dirty pages. */
     private fail(err: unknown, batch: readonly WriteJob[]): void {
         this.failure = Failure.of(FailureCode.storage, messageOf(err), [this.folder]);
--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -56,6 +56,11 @@
         if (!this.active || this.transferring) {
             return Promise.reject(Failure.of(FailureCode.noLeader, "not the leader"));
         }
+        const { log, commitIndex, options } = this.state;
+        if (log.bytesAfter(commitIndex) >= options.uncommittedBytes) {
+            // Entries can't be compacted before they are committed, so these would fill the disks.
+            return Promise.reject(Failure.of(FailureCode.overloaded, "too many uncommitted changes"));
+        }
         const index = this.appendEntry({ case: "command", value: command });
         return this.applier.waitForEntry(index, this.term);
     }
--- a/packages/consensus/src/logs.ts
+++ b/packages/consensus/src/logs.ts
@@ -78,7 +78,7 @@
         let bytes = 0;
         for (let next = index; next <= this.lastIndex && batch.length < maxBatchEntries; next += 1n) {
             const entry = this.entryAt(next)!;
-            bytes += entry.payload.case === "command" ? entry.payload.value.length : 0;
+            bytes += commandBytes(entry);
             if (bytes > maxBatchBytes && batch.length > 0) {
                 break;
             }
@@ -87,14 +87,26 @@
         return batch;
     }
 
-    /** Compacts the log up to a snapshot, retaining the last `trailing` entries before it for slow followers. */
-    public compact(snapshot: Snapshot, trailing: number): void {
+    /** Total size of the commands after the entry at `index`, in bytes. */
+    public bytesAfter(index: bigint): number {
+        let bytes = 0;
+        for (let next = index + 1n; next <= this.lastIndex; next += 1n) {
+            bytes += commandBytes(this.entryAt(next)!);
+        }
+        return bytes;
+    }
+
+    /**
+     * Compacts the log up to a snapshot. For slow followers it retains the last `trailing` entries before the snapshot, or
+     * fewer if these exceed `trailingBytes`.
+     */
+    public compact(snapshot: Snapshot, trailing: number, trailingBytes = Number.POSITIVE_INFINITY): void {
         this.newestSnapshot = snapshot;
         this.memberships = [
             ...indexedMemberships(snapshot, []),
             ...this.memberships.filter(indexed => indexed.index > snapshot.index),
         ];
-        const base = snapshot.index - BigInt(trailing);
+        const base = this.trailingBase(snapshot.index, trailing, trailingBytes);
         if (base > this.baseIndex) {
             this.baseTerm = this.termAt(base)!;
             this.entries = this.entries.slice(Number(base - this.baseIndex));
@@ -102,6 +114,20 @@
         }
     }
 
+    /** Index of the last entry that isn't retained before the one at `index`. */
+    private trailingBase(index: bigint, trailing: number, trailingBytes: number): bigint {
+        let base = index;
+        let bytes = 0;
+        while (base > this.baseIndex && index - base < BigInt(trailing)) {
+            bytes += commandBytes(this.entryAt(base)!);
+            if (bytes > trailingBytes) {
+                return base;
+            }
+            base -= 1n;
+        }
+        return base;
+    }
+
     /** Replaces the whole log with a snapshot from the leader. */
     public reset(snapshot: Snapshot): void {
         this.newestSnapshot = snapshot;
@@ -140,3 +166,8 @@
     }
     return indexed;
 }
+
+/** Size of the entry's command, in bytes; other entries are small. */
+export function commandBytes({ payload }: Entry): number {
+    return payload.case === "command" ? payload.value.length : 0;
+}
--- a/packages/consensus/src/peers.ts
+++ b/packages/consensus/src/peers.ts
@@ -104,6 +104,7 @@
 
 /** Converts a failure to an RPC error. */
 export function toConnectError(err: unknown): ConnectError {
-    const notProposed = err instanceof Failure && err.code === FailureCode.noLeader;
+    const notProposed = err instanceof Failure
+        && (err.code === FailureCode.noLeader || err.code === FailureCode.overloaded);
     return new ConnectError(messageOf(err), notProposed ? Code.FailedPrecondition : Code.Unknown);
 }
--- a/packages/consensus/src/states.ts
+++ b/packages/consensus/src/states.ts
@@ -24,6 +24,12 @@
     readonly snapshotEvery: number;
     /** Number of entries before a snapshot that are retained for slow followers. */
     readonly trailingEntries: number;
+    /** Size of the commands between snapshots, in bytes; the log is compacted by whichever bound is reached first. */
+    readonly snapshotBytes: number;
+    /** Size of the commands before a snapshot that are retained for slow followers, in bytes. */
+    readonly trailingBytes: number;
+    /** Size of the uncommitted commands from which on the leader accepts no further ones, in bytes. */
+    readonly uncommittedBytes: number;
     /** Maximum number of voters; undefined for no limit. */
     readonly maxVoters: number | undefined;
     /** Time without a response after which a voter may be replaced by a caught-up learner, in milliseconds. */
@@ -39,6 +45,9 @@
     electionMs: 800,
     snapshotEvery: 2000,
     trailingEntries: 500,
+    snapshotBytes: 32 * 1024 * 1024,
+    trailingBytes: 16 * 1024 * 1024,
+    uncommittedBytes: 32 * 1024 * 1024,
     maxVoters: undefined,
     replaceVoterAfterMs: 1500,
     removeLearnerAfterMs: 30_000,
--- a/packages/winchpathd/src/platformreplicas.ts
+++ b/packages/winchpathd/src/platformreplicas.ts
@@ -23,6 +23,17 @@
 /** Covers an election after the leadership was transferred, or after the leader was lost meanwhile. */
 const voteHandoverTimeoutMs = 2500;
 
+const bytesPerMb = 1024 * 1024;
+/** Used where the settings name no disk size. */
+const defaultDiskMb = 64;
+/**
+ * Shares of the disk. While a log is compacted the old file (a snapshot, trailing and later commands, the last of which may
+ * be uncommitted) and the new one (a snapshot, trailing commands) take 3/8 of it besides two snapshots and one command.
+ */
+const snapshotDiskShare = 1 / 8;
+const uncommittedDiskShare = 1 / 8;
+const trailingDiskShare = 1 / 16;
+
 export interface PlatformReplicaOptions {
     readonly settings: ReloadableSettings;
     /** Creates the empty replicated state, each time that the replica is opened. */
@@ -35,6 +46,7 @@
 export function createPlatformReplica(options: PlatformReplicaOptions): ReplicaSupervisor {
     const { settings, machine, clients, timeline, log } = options;
     const { current: cfg } = settings;
+    const diskBytes = (cfg.hostLimits.diskMb || defaultDiskMb) * bytesPerMb;
     return new ReplicaSupervisor({
         identity: { host: cfg.host, url: peerUrl(cfg.peerAddress.host, cfg.peerAddress.port) },
         store: () => new FileLogStore(cfg.dataDirectory!),
@@ -47,6 +59,9 @@
             electionMs,
             snapshotEvery,
             trailingEntries: trailing,
+            snapshotBytes: diskBytes * snapshotDiskShare,
+            uncommittedBytes: diskBytes * uncommittedDiskShare,
+            trailingBytes: diskBytes * trailingDiskShare,
             maxVoters: 2 * cfg.toleratedFailures + 1,
             mayFormGroup: cfg.firstStart,
         },
