A stopping host that is handed the leadership meanwhile hands it on before its vote

Two hosts that stop at the same time may hand their leadership to each other. The second one would then wait for its own vote to be taken by itself until its time is over (2.5 s), and end as the leader. Read in the diff, not seen; each try hands leadership over first. consensus 49 of 49 pass.

--- a/packages/consensus/src/replicas.ts
+++ b/packages/consensus/src/replicas.ts
@@ -172,6 +172,8 @@
         const deadline = steadyNow() + timeoutMs;
         while (state.isVoter && hasWaitingLearner(state.membership) && steadyNow() < deadline) {
             try {
+                // Another host that stops may have handed its leadership to this one.
+                await this.transferLeadership(deadline - steadyNow());
                 const handedOver = await this.leaderPeer().handOverVote(state.memberId, deadline - steadyNow());
                 state.timeline.record("vote.handed-over", { detail: String(handedOver) });
                 return;
