An entry counts as cut off only if no control host answers it, however much it lacks

What callers saw: requests run by the service that an older version names, though the entry could reach every control host. Cause: evidence of being cut off was the absence of answers in time, and answers held the whole document, from each of up to eighteen hosts and anew in each round, so that the entry that was most behind on a slow link was the first to pass for cut off. The same for members that had been replaced (one round of refusals was enough, whatever a seed answered), and for hosts that hear their leader while its majority is late (six rounds). Class: the absence of an answer is read as an answer. Change: questions are answered with a version only; what an entry lacks is fetched from one host at a time, for up to 5 s, during which it isn't cut off; any answer ends the doubt, a late one too; a host that hears its leader says so in place of "no majority"; refusals count only if all hosts that were asked refuse; answers name the members. configuration.cut-off tells its reason and how many members were asked, configuration.fetched the size and time. Ruled out by reading: confirmations that say too much (the feed's are reckoned from when the poll was sent, the leader's wait and the age of its quorum). Rolling: older control hosts send the text unasked, which is applied; older entries get it as before.

--- a/packages/consensus/src/replicas.ts
+++ b/packages/consensus/src/replicas.ts
@@ -92,6 +92,14 @@
         return this.leadership?.ready ? this.leadership : undefined;
     }
 
+    /** Whether this replica has heard a leader within the election timeout, or a majority has followed it within that time. */
+    public get hasLeaderContact(): boolean {
+        const { state, leadership } = this;
+        return leadership?.active === true
+            ? leadership.quorumAgeMs < state.options.electionMs
+            : state.role === "follower" && state.leaderUrl !== "" && state.hasRecentLeader;
+    }
+
     /** Notified when the role, leader, term, commit index or applied index changes. */
     public get changed(): ReplicaState["changed"] {
         return this.state.changed;
--- a/packages/fleet/src/configurationconfirmers.ts
+++ b/packages/fleet/src/configurationconfirmers.ts
@@ -1,7 +1,17 @@
 /** Asks the control group whether the entry's configuration is the latest one, for decisions that depend on it. */
-import { type EventLog, eventLoop, messageOf, type Metrics, Notifier, sleep, steadyNow } from "@winchpath/core";
+import {
+    type EventFields,
+    type EventLog,
+    eventLoop,
+    messageOf,
+    type Metrics,
+    Notifier,
+    sleep,
+    steadyNow,
+} from "@winchpath/core";
 import { type RpcClients } from "@winchpath/rpc";
-import { callTimeoutMs, ConfirmationRound, type RoundResult } from "./confirmationrounds.js";
+import { type Answer, callTimeoutMs, ConfirmationRound, type RoundResult } from "./confirmationrounds.js";
+import { DocumentFetcher, fetchTimeoutMs } from "./documentfetches.js";
 import { type FleetView } from "./fleetviews.js";
 import { type ConfirmResponse, FleetService } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 
@@ -31,18 +41,36 @@
     readonly controlUrls: () => readonly string[];
     /** URLs of further hosts to ask. */
     readonly seedUrls: () => readonly string[];
+    /** Called with the members of the control group as an answering host knows them. */
+    readonly onMembers?: (controlUrls: readonly string[]) => void;
     /** Age of the last confirmation from which on the control group is asked without a request, in milliseconds. */
     readonly askAfterMs: number;
 }
 
+/** Rounds since the entry last had an answer of a control host that can reach a majority. */
+interface Doubt {
+    readonly rounds: number;
+    /** How many of the last rounds have shown most members to be silent. */
+    readonly unreachable: number;
+    /** Monotonic time at which the last round ended. */
+    readonly at: number;
+}
+
+interface CallOptions {
+    readonly versionOnly: boolean;
+    readonly timeoutMs: number;
+}
+
+type FailedRound = Exclude<RoundResult, { readonly kind: "answered" | "delayed"; }>;
+
 /** Number of unreachable rounds after a further one; a late one shows nothing new, and refused connections show enough. */
-function nextCount(unreachable: number, result: RoundResult): number {
+function nextCount(unreachable: number, result: FailedRound): number {
     switch (result.kind) {
         case "unreachable":
             return result.areDown ? unreachableRounds : unreachable + 1;
         case "late":
             return unreachable;
-        default:
+        case "undecided":
             return 0;
     }
 }
@@ -51,9 +79,9 @@
     /** Notified after each round. */
     private readonly asked = new Notifier();
     private asking = false;
-    /** Rounds since the last confirmation, and how many of the last ones have shown most members to be silent. */
-    private failed: { readonly rounds: number; readonly unreachable: number; readonly at: number; } | undefined;
+    private doubt: Doubt | undefined;
     private wasCutOff = false;
+    private readonly fetcher: DocumentFetcher;
 
     public constructor(
         private readonly view: FleetView<C>,
@@ -61,7 +89,16 @@
         private readonly options: ConfirmerOptions,
         private readonly log: EventLog,
         private readonly metrics: Metrics,
-    ) {}
+    ) {
+        this.fetcher = new DocumentFetcher(
+            {
+                fetch: url => this.call(url, { versionOnly: false, timeoutMs: fetchTimeoutMs }),
+                apply: (response, sentAt) => this.applyDocument(response, sentAt),
+            },
+            log,
+            metrics,
+        );
+    }
 
     /**
      * Asks until aborted whenever the last confirmation is old, so that it is known whether the control group can be reached
@@ -74,7 +111,7 @@
                 await sleep(firstConfigurationPollMs, signal);
             }
             else if (dueMs > 0) {
-                this.logReach([]);
+                this.logReach();
                 await sleep(dueMs, signal);
             }
             else {
@@ -86,11 +123,14 @@
 
     /**
      * Whether the last rounds have shown that no confirmation can be had: most control hosts don't respond, or none could
-     * confirm anything for long.
+     * confirm anything for long. Never while a host answers that can reach a majority, nor while what it has told of is being
+     * fetched, whose bytes delay other answers on a slow link.
      */
     public get isCutOff(): boolean {
-        return this.failed !== undefined && this.isInDoubt && steadyNow() - this.failed.at < evidenceMs
-            && (this.failed.unreachable >= unreachableRounds || this.failed.rounds >= undecidedRounds);
+        const { doubt } = this;
+        return doubt !== undefined && !this.fetcher.isFetching && this.view.confirmedAt < doubt.at
+            && steadyNow() - doubt.at < evidenceMs
+            && (doubt.unreachable >= unreachableRounds || doubt.rounds >= undecidedRounds);
     }
 
     /**
@@ -110,11 +150,6 @@
         return true;
     }
 
-    /** Whether no confirmation has come, by the feed either, since the last round. */
-    private get isInDoubt(): boolean {
-        return this.failed !== undefined && this.view.confirmedAt < this.failed.at;
-    }
-
     private startAsking(): void {
         if (!this.asking) {
             this.asking = true;
@@ -129,69 +164,88 @@
             leaderUrl: this.options.leaderUrl(),
             controlUrls: this.options.controlUrls().slice(0, maxAskedHosts),
             seedUrls: this.options.seedUrls().slice(0, maxAskedHosts),
-            call: url => this.call(url),
+            call: url => this.call(url, { versionOnly: true, timeoutMs: callTimeoutMs }),
             onSilent: (url, sentAt) => this.clients.retireSilent(url, sentAt),
-            onLate: (response, sentAt) => this.recordLate(response, sentAt),
+            onLate: answer => this.recordLate(answer),
             // An older version comes from a host that is still restoring its state.
             isUsable: ({ documentVersion }) => Number(documentVersion) >= this.view.version,
         }).run();
-        this.metrics.count("configuration_confirmations_total", { outcome: result.kind });
-        this.record(result, startedAt);
+        const isConfirmed = this.record(result, startedAt);
+        const outcome = result.kind === "answered" && !isConfirmed ? "newer" : result.kind;
+        this.metrics.count("configuration_confirmations_total", { outcome });
         this.asked.notify();
-        if (result.kind !== "confirmed") {
+        if (!isConfirmed) {
             await sleep(retryMs);
         }
         this.asking = false;
         this.asked.notify();
     }
 
-    /** A confirmation that comes after its round is true as of the time at which it was asked for. */
-    private recordLate(response: ConfirmResponse, sentAt: number): void {
-        this.view.applyConfirmation(response, sentAt);
-        this.metrics.count("configuration_confirmations_total", { outcome: "after-round" });
-        if (this.failed !== undefined) {
-            // The host can be reached, if slowly.
-            this.failed = { ...this.failed, unreachable: 0 };
-        }
-        this.logReach([]);
-        this.asked.notify();
-    }
-
-    private record(result: RoundResult, startedAt: number): void {
-        if (result.kind === "confirmed") {
-            this.view.applyConfirmation(result.response, result.sentAt);
+    /** Returns whether the held configuration is confirmed to be the latest one. */
+    private record(result: RoundResult, startedAt: number): boolean {
+        if (result.kind === "answered") {
+            this.applyAnswer(result.answer);
         }
         // The feed may have confirmed meanwhile. A confirmed document that can't be read here changes nothing.
-        if (this.view.confirmedAt >= startedAt) {
-            this.failed = undefined;
+        const isConfirmed = this.view.confirmedAt >= startedAt;
+        if (isConfirmed || result.kind === "answered" || result.kind === "delayed") {
+            this.doubt = undefined;
+            this.logReach();
         }
         else {
-            const { rounds = 0, unreachable = 0 } = this.isInDoubt ? this.failed! : {};
-            this.failed = {
-                rounds: rounds + 1,
-                unreachable: nextCount(unreachable, result),
-                at: steadyNow(),
-            };
+            this.recordFailed(result);
         }
-        this.logReach(result.kind === "confirmed" ? [] : result.silent);
+        return isConfirmed;
+    }
+
+    private recordFailed(result: FailedRound): void {
+        const isFurther = this.doubt !== undefined && this.view.confirmedAt < this.doubt.at;
+        const { rounds, unreachable } = isFurther ? this.doubt! : { rounds: 0, unreachable: 0 };
+        this.doubt = { rounds: rounds + 1, unreachable: nextCount(unreachable, result), at: steadyNow() };
+        this.logReach({ reason: result.kind, silent: result.silent, members: this.options.controlUrls().length });
+    }
+
+    /** An answer that comes after its round is true as of the time at which it was asked for, and its host can be reached. */
+    private recordLate(answer: Answer): void {
+        this.applyAnswer(answer);
+        this.metrics.count("configuration_confirmations_total", { outcome: "after-round" });
+        this.doubt = undefined;
+        this.logReach();
+        this.asked.notify();
+    }
+
+    private applyAnswer({ url, response, sentAt }: Answer): void {
+        this.options.onMembers?.(response.controlUrls);
+        this.view.applyConfirmation(response, sentAt);
+        if (Number(response.documentVersion) > this.view.version) {
+            this.fetcher.fetchFrom(url);
+        }
+    }
+
+    private applyDocument(response: ConfirmResponse, sentAt: number): void {
+        this.view.applyConfirmation(response, sentAt);
+        this.asked.notify();
     }
 
-    private logReach(silent: readonly string[]): void {
+    private logReach(failure: EventFields = {}): void {
         const { isCutOff } = this;
         if (isCutOff !== this.wasCutOff) {
             this.wasCutOff = isCutOff;
             const confirmedAgeMs = Math.round(this.view.confirmedAgeMs);
-            this.log.warn(isCutOff ? "configuration.cut-off" : "configuration.reachable", { silent, confirmedAgeMs });
+            const event = isCutOff ? "configuration.cut-off" : "configuration.reachable";
+            this.log.warn(event, { ...failure, rounds: this.doubt?.rounds, confirmedAgeMs });
         }
     }
 
-    private async call(url: string): Promise<ConfirmResponse> {
-        const req = { entry: this.options.entry, documentVersion: BigInt(this.view.version) };
+    private async call(url: string, { versionOnly, timeoutMs }: CallOptions): Promise<ConfirmResponse> {
+        const req = { entry: this.options.entry, documentVersion: BigInt(this.view.version), versionOnly };
+        const sentAt = steadyNow();
         try {
-            return await this.clients.client(FleetService, url).confirm(req, { timeoutMs: callTimeoutMs });
+            return await this.clients.client(FleetService, url).confirm(req, { timeoutMs });
         }
         catch (err) {
-            this.log.warn("configuration.not-confirmed", { host: url, error: messageOf(err) });
+            const tookMs = Math.round(steadyNow() - sentAt);
+            this.log.warn("configuration.not-confirmed", { host: url, tookMs, error: messageOf(err) });
             throw err;
         }
     }
--- a/packages/fleet/src/feedfollowers.ts
+++ b/packages/fleet/src/feedfollowers.ts
@@ -69,6 +69,13 @@
         return this.knownControlUrls;
     }
 
+    /** Records the members of the control group as a host has told them that can reach a majority. */
+    public updateControlUrls(urls: readonly string[]): void {
+        if (urls.length > 0) {
+            this.knownControlUrls = urls;
+        }
+    }
+
     /** Polls until the signal is aborted. */
     public async run(signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
@@ -203,9 +210,7 @@
     /** Returns whether the response locates the leader. */
     private handleResponse(response: HostResponse, sentAt: number): boolean {
         const { url, res } = response;
-        if (res.controlUrls.length > 0) {
-            this.knownControlUrls = res.controlUrls;
-        }
+        this.updateControlUrls(res.controlUrls);
         if (res.notLeader) {
             this.forgetLeader(url, "not the leader");
             this.suggestedLeaderUrl = this.locatesLeader(response) ? res.leaderUrl : "";
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -48,6 +48,8 @@
     readonly leadershipAgeMs: number;
     /** Milliseconds since a majority last confirmed the leadership. */
     readonly quorumAgeMs: number;
+    /** Whether this replica leads or hears a leader, so that a majority probably exists and can be reached from here. */
+    readonly hasLeaderContact: boolean;
     readonly leaderUrl: string;
     readonly controlUrls: readonly string[];
     /** The configuration document, and how long ago this host applied it. */
@@ -152,8 +154,9 @@
     }
 
     /**
-     * Answers with the document that a majority has committed by now. Throws `FailedPrecondition` if no majority answers, so
-     * that the entry can tell this host from one that it can't reach.
+     * Answers with the document that a majority has committed by now. If no majority answers in time, throws
+     * `FailedPrecondition` on a host without a leader, which an entry may share its cut with, and `ResourceExhausted` on a
+     * host that hears its leader: the group is late, and the entry that reaches it isn't cut off.
      */
     public async confirmDocument(req: ConfirmRequest): Promise<ConfirmResponse> {
         try {
@@ -162,20 +165,23 @@
         catch (err) {
             throw new ConnectError(
                 `no majority has confirmed the document: ${messageOf(err)}`,
-                Code.FailedPrecondition,
+                this.control.hasLeaderContact ? Code.ResourceExhausted : Code.FailedPrecondition,
             );
         }
         const { current, ageMs } = this.control.documents;
         const isNewer = current !== undefined && current.version > Number(req.documentVersion);
+        const sendsText = isNewer && !req.versionOnly;
         this.log.info("configuration.confirmed", {
             entry: req.entry,
             version: current?.version,
             entryVersion: Number(req.documentVersion),
+            sent: sendsText || undefined,
         });
         return create(ConfirmResponseSchema, {
             documentVersion: BigInt(current?.version ?? 0),
-            documentText: isNewer ? current.text : "",
+            documentText: sendsText ? current.text : "",
             documentAgeMs: isNewer ? Math.round(ageMs) : 0,
+            controlUrls: [...this.control.controlUrls],
         });
     }
 
--- a/packages/fleet/src/tests/departures.test.ts
+++ b/packages/fleet/src/tests/departures.test.ts
@@ -44,6 +44,7 @@
     public readonly isLeader = true;
     public readonly leadershipAgeMs = 0;
     public readonly quorumAgeMs = 0;
+    public readonly hasLeaderContact = true;
     public readonly leaderUrl = "";
     public readonly controlUrls: readonly string[] = [];
     public readonly documents = { current: undefined, ageMs: 0 };
--- a/packages/fleet/src/tests/largefleets.test.ts
+++ b/packages/fleet/src/tests/largefleets.test.ts
@@ -33,6 +33,7 @@
     public readonly epoch = "1/a";
     public readonly quorumAgeMs = 0;
     public readonly leadershipAgeMs = 60_000;
+    public readonly hasLeaderContact = true;
     public readonly leaderUrl = "";
     public readonly controlUrls = [];
     public readonly documents = { current: undefined, ageMs: 0 };
--- a/packages/fleet/src/tests/softwareversions.test.ts
+++ b/packages/fleet/src/tests/softwareversions.test.ts
@@ -37,6 +37,7 @@
     public epoch: string | undefined = "1/a";
     public readonly leadershipAgeMs = 0;
     public quorumAgeMs = 0;
+    public readonly hasLeaderContact = true;
     public readonly leaderUrl = "";
     public readonly controlUrls = [];
     public readonly documents = { current: undefined, ageMs: 0 };
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -41,6 +41,7 @@
     public readonly term = 1;
     public readonly quorumAgeMs = 0;
     public readonly leadershipAgeMs = 60_000;
+    public readonly hasLeaderContact = true;
     public readonly leaderUrl = leaderUrl;
     public readonly controlUrls = [leaderUrl];
     public readonly announceMs = announceMs;
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -35,18 +35,13 @@
     VersionAdmission,
     type VersionKey,
 } from "@winchpath/fleet";
-import {
-    type ControlHandler,
-    createControlServer,
-    parseCommittedDocument,
-    peerUrl,
-    PlatformEngineClient,
-} from "@winchpath/platform";
+import { type ControlHandler, createControlServer, peerUrl, PlatformEngineClient } from "@winchpath/platform";
 import { type QuarantineCommand, type QuarantineResult, type QuarantineState } from "@winchpath/quarantine";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { OriginRecordStore, StreamOriginService, streamOriginService } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
 import { LeaderCrashDecisions } from "./crashdecisions.js";
+import { ParsedDocument } from "./parseddocuments.js";
 import { createPlatformReplica, handOverLeadership, handOverVote } from "./platformreplicas.js";
 import { type ReloadableSettings } from "./platformsettings.js";
 import { Proposals } from "./proposals.js";
@@ -98,9 +93,9 @@
     private keeperStopped: Promise<void> = Promise.resolve();
     private rpcServer!: RpcServer;
     private leadership: Leadership | undefined;
-    private parsedConfig: { readonly version: number; readonly configuration: Configuration | undefined; } | undefined;
     private lastLoggedLeader = "";
     private appliedConfiguration: Configuration | undefined;
+    private readonly parsedDocument: ParsedDocument;
 
     public constructor(
         private readonly settings: ReloadableSettings,
@@ -116,6 +111,7 @@
         this.demand = new DemandTracker(log);
         this.accountLimits = new AccountLimitCoordinator(settings.current.limitTolerance, log);
         this.rateLimits = this.createRateLimits();
+        this.parsedDocument = new ParsedDocument(log);
         this.feed = new Feed(this.registry, this, log);
         this.announcementReceiver = new AnnouncementReceiver(this.registry, this.feed, this, this.clients, {
             log,
@@ -231,6 +227,10 @@
         return Math.min(unknownAgeMs, this.replica?.readyLeadership?.quorumAgeMs ?? unknownAgeMs);
     }
 
+    public get hasLeaderContact(): boolean {
+        return this.replica?.hasLeaderContact ?? false;
+    }
+
     /** URL of the leader; empty if it is this host or unknown. */
     public get leaderUrl(): string {
         const state = this.replica?.state;
@@ -279,16 +279,7 @@
     }
 
     public get configuration(): Configuration | undefined {
-        const { current } = this.documents;
-        if (current !== undefined && current.version !== this.parsedConfig?.version) {
-            const parsed = parseCommittedDocument(current.text);
-            if (parsed.err) {
-                this.log.warn("configuration.unreadable", { version: current.version, error: parsed.val.message });
-            }
-            const configuration = parsed.err ? undefined : parsed.val as Configuration;
-            this.parsedConfig = { version: current.version, configuration };
-        }
-        return this.parsedConfig?.configuration;
+        return this.parsedDocument.configurationOf(this.documents.current);
     }
 
     private fleetServiceDependencies() {
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -125,6 +125,7 @@
                 leaderUrl: () => this.leaderUrl,
                 controlUrls: () => this.controlUrls.length > 0 ? this.controlUrls : leaderSeeds(settings.current),
                 seedUrls: () => leaderSeeds(settings.current),
+                onMembers: controlUrls => this.feedFollower.updateControlUrls(controlUrls),
                 askAfterMs: applyMs * askAfterShare,
             },
             log,
