--- a/packages/fleet/src/feedfollowers.ts
+++ b/packages/fleet/src/feedfollowers.ts
@@ -1,6 +1,6 @@
 /** The entry's client of the change feed: discovers the leader and polls it. */
 import { type EventLog, messageOf, sleep, steadyNow } from "@winchpath/core";
-import { isNoResponseError, type PeerClients } from "@winchpath/rpc";
+import { isNoResponseError, isTimeout, type PeerClients } from "@winchpath/rpc";
 import { type FleetView } from "./fleetviews.js";
 import { FleetService, type PollResponse } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type HostCapacityReport } from "./hostcapacities.js";
@@ -17,6 +17,8 @@
 const initialPollOverdueMs = 600;
 /** Timeout of the first poll of a leader; longer, since a new leader sends all entries a full snapshot at once. */
 const initialPollTimeoutMs = 2500;
+/** Factor of a poll's timeout after one that has timed out: a large response may take longer on a slow link. */
+const longerPollFactor = 2;
 const retryMs = 50;
 const maxParallelProbes = 3;
 /** A host that has failed is skipped for this long; about the duration of an election. */
@@ -44,6 +46,8 @@
     private nextUrlIndex = 0;
     /** Leader URL that another host has named; the host is probed before it is followed. */
     private suggestedLeaderUrl = "";
+    /** Whether the last poll has timed out. */
+    private hasTimedOut = false;
     /** Monotonic time of the last failure of each host, by URL. */
     private readonly lastFailures = new Map<string, number>();
 
@@ -153,6 +157,7 @@
         }
         catch (err) {
             if (!signal.aborted) {
+                this.hasTimedOut ||= !probe && isTimeout(err);
                 this.recordFailure(url, err);
             }
             return undefined;
@@ -203,7 +208,8 @@
             waitMs: pollWaitMs,
             capacity: this.options.capacity?.(),
         };
-        const timeoutMs = isResuming ? pollTimeoutMs : initialPollTimeoutMs;
+        const expectedMs = isResuming ? pollTimeoutMs : initialPollTimeoutMs;
+        const timeoutMs = this.hasTimedOut ? expectedMs * longerPollFactor : expectedMs;
         return this.clients.client(FleetService, url).poll(req, { timeoutMs, signal });
     }
 
@@ -227,6 +233,7 @@
         this.leaderUrl = url;
         this.epoch = res.epoch;
         this.position = res.position;
+        this.hasTimedOut = false;
         this.view.apply(res, sentAt);
         return true;
     }
--- a/packages/fleet/src/tests/feedfollowers.test.ts
+++ b/packages/fleet/src/tests/feedfollowers.test.ts
@@ -1,4 +1,5 @@
 import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
 import { silentLog } from "@winchpath/core";
 import { type PeerClients } from "@winchpath/rpc";
 import { expect } from "earl";
@@ -38,7 +39,7 @@
             throw new Error("silent");
         }
         if (answerMs >= timeoutMs) {
-            throw new Error("timeout");
+            throw new ConnectError("the operation timed out", Code.DeadlineExceeded);
         }
         if (url === this.leader && probe) {
             return create(PollResponseSchema, { leads: true, controlUrls: hosts });
@@ -107,6 +108,20 @@
         end.abort();
     });
 
+    it("gives a response that has timed out twice the time, so that a large one arrives over a slow link", async t => {
+        t.mock.timers.enable({ apis: ["Date", "setTimeout"], now: 1_000_000 });
+        const group = new TestControlGroup();
+        group.fullResponseMs = 4000;
+        const view = new FleetView(() => ({}), silentLog);
+        const options = { entry: "x", dataCentre: "d", seeds: () => hosts.slice(0, 3) };
+        const follower = new FeedFollower(view, group.clients(), options, silentLog);
+        const end = new AbortController();
+        void follower.run(end.signal);
+        await advance(t, 11_000);
+        expect([view.ageMs < 5000, group.fullResponses]).toEqual([true, 3]);
+        end.abort();
+    });
+
     it("gives a busy leader time to send the first snapshot, without repeated polls", async t => {
         t.mock.timers.enable({ apis: ["Date", "setTimeout"], now: 1_000_000 });
         const group = new TestControlGroup();
--- a/packages/rpc/src/errors.ts
+++ b/packages/rpc/src/errors.ts
@@ -27,6 +27,11 @@
     return cause?.code === "ECONNREFUSED";
 }
 
+/** Whether a call has ended at its timeout. */
+export function isTimeout(err: unknown): boolean {
+    return err instanceof ConnectError && err.code === Code.DeadlineExceeded;
+}
+
 /**
  * Whether a call got no response. Its session may use a dead connection, which would fail further calls
  * for seconds after the peer is back, so the caller should disconnect.
