--- a/packages/fleet/src/demands.ts
+++ b/packages/fleet/src/demands.ts
@@ -56,6 +56,8 @@
     readonly unservedMs: number;
     /** Number of these requests. */
     readonly unservedRequests: number;
+    /** Longest time between two successive ones of these, in milliseconds; 0 if there is only one. */
+    readonly longestPauseMs: number;
     /** Milliseconds since all requests have gone unserved although an upstream held the item; 0 if some were served. */
     readonly unservedAtHoldersMs: number;
     /** Milliseconds since the item was served again after it had been overdue; infinite if it has not been. */
@@ -237,8 +239,8 @@
     }
     if (earlierUnserved !== undefined) {
         const now = steadyNow();
-        const { firstMs, lastMs, requests } = earlierUnserved;
-        item.unservedSpan.merge({ firstAt: now - firstMs, lastAt: now - lastMs, count: requests });
+        const { firstMs, lastMs, requests, longestPauseMs } = earlierUnserved;
+        item.unservedSpan.merge({ firstAt: now - firstMs, lastAt: now - lastMs, count: requests, longestPauseMs });
     }
     else if (rejections.length + waiting > 0) {
         item.unservedSpan.add(sum(rejections.map(({ count }) => count)));
@@ -268,6 +270,7 @@
         idleMs,
         unservedMs: item.unservedSpan.durationMs,
         unservedRequests: item.unservedSpan.current?.count ?? 0,
+        longestPauseMs: item.unservedSpan.current?.longestPauseMs ?? 0,
         unservedAtHoldersMs: item.holderSpan.durationMs,
         recoveredMs: item.unservedSpan.recoveredMs(patienceMsOf(item.key)),
     };
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -367,6 +367,7 @@
         firstMs: Math.round(now - requests.firstAt),
         lastMs: Math.round(now - requests.lastAt),
         requests: requests.count,
+        longestPauseMs: Math.round(requests.longestPauseMs),
     });
 }
 
--- a/packages/fleet/src/planstates.ts
+++ b/packages/fleet/src/planstates.ts
@@ -20,6 +20,8 @@
     /** Milliseconds since the first of the requests that have all gone unserved; 0 if some are served. */
     readonly unservedMs: number;
     readonly unservedRequests: number;
+    /** Longest time between two successive ones for one of its items, the least of all items, in milliseconds. */
+    readonly longestPauseMs: number;
     /** Whether no request has been served since the first of the unserved ones, for the model or any of its adapters. */
     readonly isUnserved: boolean;
     /** Milliseconds since the last request. */
@@ -152,6 +154,7 @@
         unserved: sum(({ unserved }) => unserved),
         unservedMs: unservedMsOf(items, ({ unservedMs }) => unservedMs),
         unservedRequests: sum(({ unservedRequests }) => unservedRequests),
+        longestPauseMs: leastPauseMs(items),
         isUnserved: isUnserved(items),
         idleMs: Math.min(Number.POSITIVE_INFINITY, ...items.map(({ idleMs }) => idleMs)),
         unservedAtHoldersMs: unservedMsOf(items, ({ unservedAtHoldersMs }) => unservedAtHoldersMs),
@@ -164,6 +167,12 @@
     return longest > 0 && items.every(({ unservedMs, idleMs }) => unservedMs > 0 || idleMs >= longest);
 }
 
+/** Requests for a model return at least as often as those for any of its items. */
+function leastPauseMs(items: readonly ItemNeed[]): number {
+    const pauses = items.map(({ longestPauseMs }) => longestPauseMs).filter(ms => ms > 0);
+    return pauses.length === 0 ? 0 : Math.min(...pauses);
+}
+
 /** Milliseconds since requests for any of the items have gone unserved, but at most since one was last served. */
 function unservedMsOf(items: readonly ItemNeed[], valueOf: (item: ItemNeed) => number): number {
     const longest = Math.max(0, ...items.map(valueOf));
--- a/packages/fleet/src/tests/fixtures.ts
+++ b/packages/fleet/src/tests/fixtures.ts
@@ -66,6 +66,7 @@
         idleMs: 0,
         unservedMs: 0,
         unservedRequests: 0,
+        longestPauseMs: 0,
         unservedAtHoldersMs: 0,
         recoveredMs: Number.POSITIVE_INFINITY,
         ...values,
--- a/packages/fleet/src/tests/loopengines.ts
+++ b/packages/fleet/src/tests/loopengines.ts
@@ -12,6 +12,8 @@
 interface Held {
     readyAt: number;
     leaving: boolean;
+    /** When an order to unload reaches the engine. */
+    leavesAt?: number;
 }
 
 interface HeldModel extends Held {
@@ -33,6 +35,8 @@
     public unusedLoads = 0;
     private readonly models = new Map<string, HeldModel>();
     private readonly onDisk = new Set<string>();
+    /** Time that an order takes to reach the engine, in milliseconds. */
+    public orderMs = 0;
     private running: RunningRequest[] = [];
     private reservation: { readonly model: string; readonly until: number; } | undefined;
 
@@ -74,11 +78,11 @@
         this.running = this.running.filter(({ endAt }) => endAt > now);
         for (const [model, held] of this.models) {
             for (const [adapter, one] of held.adapters) {
-                if (one.leaving && this.runningFor(model, adapter) === 0) {
+                if (one.leaving && now >= one.leavesAt! && this.runningFor(model, adapter) === 0) {
                     held.adapters.delete(adapter);
                 }
             }
-            if (held.leaving && this.running.every(one => one.model !== model)) {
+            if (held.leaving && now >= held.leavesAt! && this.running.every(one => one.model !== model)) {
                 this.models.delete(model);
                 this.unusedLoads += held.isUsed ? 0 : 1;
             }
@@ -95,7 +99,7 @@
             this.reservation = undefined;
             const loadMs = this.onDisk.has(model) ? this.modelOf(model).diskLoadMs : this.modelOf(model).loadMs;
             this.models.set(model, {
-                readyAt: Date.now() + loadMs,
+                readyAt: Date.now() + this.orderMs + loadMs,
                 leaving: false,
                 isUsed: false,
                 adapters: new Map(),
@@ -104,12 +108,18 @@
         }
         else if (adapter === "") {
             held!.leaving = true;
+            held!.leavesAt = Date.now() + this.orderMs;
         }
         else if (kind === "load") {
-            held!.adapters.set(adapter, { readyAt: Date.now() + adapterLoadMs, leaving: false });
+            held!.adapters.set(adapter, {
+                readyAt: Date.now() + this.orderMs + adapterLoadMs,
+                leaving: false,
+            });
         }
         else {
-            held!.adapters.get(adapter)!.leaving = true;
+            const one = held!.adapters.get(adapter)!;
+            one.leaving = true;
+            one.leavesAt = Date.now() + this.orderMs;
         }
         this.advance();
         this.checkCapacity();
--- a/packages/fleet/src/tests/placementloops.ts
+++ b/packages/fleet/src/tests/placementloops.ts
@@ -1,6 +1,6 @@
 /**
  * A closed loop without a network: callers, one entry, engines, and the plans of a leader that hears the entry's reports.
- * Callers whose request is rejected come back once. Time is mocked.
+ * Callers whose request is rejected come back once, or not at all. Time is mocked.
  */
 import { create } from "@bufbuild/protobuf";
 import { silentLog } from "@winchpath/core";
@@ -25,7 +25,7 @@
 const startTimeMs = 1_000_000;
 /** Reports of a new leader's first seconds are collected before it plans, in milliseconds. */
 const warmUpMs = 2000;
-const retryAfterMs = 400;
+const defaultReturnMs = 400;
 /** Resolution of random numbers. */
 const randomSteps = 2 ** 30;
 const tokensPerRequest = 1000;
@@ -70,6 +70,10 @@
     readonly seed: number;
     /** Whether each item is requested at intervals of half to one and a half times the usual one; at random if false. */
     readonly isSteady?: boolean;
+    /** Time after which callers of a rejected request come back once, in milliseconds; infinite if they don't. */
+    readonly returnMs?: number;
+    /** Time that an order takes to reach its engine, in milliseconds. */
+    readonly orderMs?: number;
 }
 
 /** What callers of one item saw. */
@@ -112,6 +116,7 @@
         t.mock.timers.enable({ apis: ["Date"], now: startTimeMs });
         this.random = xoroshiro128plus(options.seed);
         this.engines = options.engines.map((models, index) => new LoopEngine(`e${index}`, options.spec, models));
+        this.engines.forEach(engine => engine.orderMs = options.orderMs ?? 0);
         this.tracker = new DemandTracker(silentLog);
         this.storeLimiter = new StoreLoadLimiter(0);
     }
@@ -210,8 +215,9 @@
         item.refused += holders.length === 0 ? 1 : 0;
         item.rejections.push({ $typeName: "winchpath.fleet.v1.Rejection", reason, count: 1 });
         this.history.recordUnserved(itemMapKey(key));
-        if (!isRetry) {
-            this.retries.push({ demand, at: Date.now() + retryAfterMs });
+        const { returnMs = defaultReturnMs } = this.options;
+        if (!isRetry && Number.isFinite(returnMs)) {
+            this.retries.push({ demand, at: Date.now() + returnMs });
         }
     }
 
@@ -269,6 +275,7 @@
                 firstMs: Date.now() - unserved.firstAt,
                 lastMs: Date.now() - unserved.lastAt,
                 requests: unserved.count,
+                longestPauseMs: unserved.longestPauseMs,
             });
         }
     }
--- a/packages/fleet/src/unservedspans.ts
+++ b/packages/fleet/src/unservedspans.ts
@@ -10,6 +10,8 @@
     readonly firstAt: number;
     readonly lastAt: number;
     readonly count: number;
+    /** Longest time between two successive ones, in milliseconds; 0 if there is only one. */
+    readonly longestPauseMs: number;
 }
 
 export class UnservedSpan {
@@ -37,17 +39,27 @@
     /** Adds requests that went unserved, or wait. */
     public add(count: number): void {
         const now = steadyNow();
-        const before = this.current;
-        this.requests = { firstAt: before?.firstAt ?? now, lastAt: now, count: (before?.count ?? 0) + count };
+        this.merge({ firstAt: now, lastAt: now, count, longestPauseMs: 0 });
     }
 
     /** Adds requests that went unserved at another process, or before. */
-    public merge({ firstAt, lastAt, count }: UnservedRequests): void {
+    public merge(requests: UnservedRequests): void {
         const before = this.current;
+        if (before === undefined) {
+            this.requests = requests;
+            return;
+        }
+        const { firstAt, lastAt, count, longestPauseMs } = requests;
         this.requests = {
-            firstAt: Math.min(firstAt, before?.firstAt ?? firstAt),
-            lastAt: Math.max(lastAt, before?.lastAt ?? lastAt),
-            count: count + (before?.count ?? 0),
+            firstAt: Math.min(firstAt, before.firstAt),
+            lastAt: Math.max(lastAt, before.lastAt),
+            count: count + before.count,
+            longestPauseMs: Math.max(
+                longestPauseMs,
+                before.longestPauseMs,
+                firstAt - before.lastAt,
+                before.firstAt - lastAt,
+            ),
         };
     }
 
