Rare models and adapters are remembered by their own pace, and kept until their callers come back

Cause: windows in place of the item's pace, and a rate that fades between two requests as the measure of what is owed to it. Change: callers are expected back for twice the longest pause between their unserved requests (20 s at most); what is owed is the number of unserved requests at least; two requests with a pause of 3 s are enough for an adapter; places are emptied for a quarter of an engine's places at most while their adapters wait for callers.

--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -1,6 +1,12 @@
 /** Plans loads of adapters, and the unloads that free slots or memory for them. */
 import { type ItemNeed } from "./demands.js";
-import { isAdapterOverdue, isAdapterRequestedAgain, needsOtherHolder, patienceMsOf } from "./overdueneeds.js";
+import {
+    isAdapterOverdue,
+    isAdapterRequestedAgain,
+    needsOtherHolder,
+    owedRequests,
+    patienceMsOf,
+} from "./overdueneeds.js";
 import { type EngineSnapshot, type PlannedOrder, type UnmetNeed } from "./plans.js";
 import { type PlanState } from "./planstates.js";
 
@@ -17,6 +23,8 @@
 const turnMs = 3000;
 /** Share of an engine's adapter places that may be emptied for overdue adapters at the same time. */
 const emptiedPlacesShare = 0.25;
+/** Share of an engine's adapter places that others are emptied for while their adapters wait for callers. */
+const keptPlacesShare = 0.25;
 /** Requests per second that each loaded adapter adds to its engine's adapter demand, to spread adapters evenly. */
 const baseRatePerAdapter = 0.5;
 
@@ -112,15 +120,16 @@
 
     /** The order that takes a place from the adapter that needs it least, if its turn is over. */
     private turnOrder(engines: readonly EngineSnapshot[], need: ItemNeed): PlannedOrder | undefined {
-        const options = engines.filter(engine => this.mayEmptyPlace(engine)).flatMap(engine =>
-            loadedAdapters(engine).map(held => ({
-                engine,
-                ...held,
-                need: this.state.adapterNeed(held.model, held.adapter),
-            }))
+        const options = engines.filter(engine => this.mayEmptyPlace(engine) && this.mayKeepAnother(engine)).flatMap(
+            engine =>
+                loadedAdapters(engine).map(held => ({
+                    engine,
+                    ...held,
+                    need: this.state.adapterNeed(held.model, held.adapter),
+                })),
         ).flatMap(option => {
             const cost = option.need === undefined ? 0 : this.isSurplus(option.need) ? 0 : option.need.rate;
-            const isOver = need.unservedMs * need.rate >= turnMs * cost;
+            const isOver = owedRequests(need) >= turnMs / 1000 * cost;
             return isOver && !(option.need !== undefined && isHeldBack(option.need)) ? [{ ...option, cost }] : [];
         });
         const victim = options.sort((a, b) => a.cost - b.cost)[0];
@@ -136,6 +145,15 @@
         return unloadingAdapterCount(engine) < limit;
     }
 
+    /** Whether a place may be taken for one more adapter that waits for its callers. */
+    private mayKeepAnother(engine: EngineSnapshot): boolean {
+        const kept = loadedAdapters(engine).filter(({ model, adapter }) => {
+            const need = this.state.adapterNeed(model, adapter);
+            return need !== undefined && isAdapterRequestedAgain(need);
+        });
+        return kept.length < Math.max(1, Math.floor(this.state.input.spec.adapterPlaces * keptPlacesShare));
+    }
+
     /** Whether more engines hold the adapter than its running requests need. */
     private isSurplus({ key: { model, adapter }, running }: ItemNeed): boolean {
         const held = this.state.holders(model)
--- a/packages/fleet/src/loadscorers.ts
+++ b/packages/fleet/src/loadscorers.ts
@@ -4,7 +4,7 @@
  */
 import { type EngineModel } from "@winchpath/declarations";
 import { type ItemNeed } from "./demands.js";
-import { awaitsCallers } from "./overdueneeds.js";
+import { awaitsCallers, owedRequests } from "./overdueneeds.js";
 import { type EngineSnapshot } from "./plans.js";
 import { type ModelNeed, type PlanState } from "./planstates.js";
 
@@ -141,7 +141,7 @@
     /** A last replica is replaced only once its turn is over, which is in proportion to its demand. */
     private mayReplaceForOverdue(need: ModelNeed, victim: ModelNeed): boolean {
         return this.state.readyReplicas(victim.model.name) > 1
-            || (!isHeldBack(victim) && need.unservedMs * need.rate >= turnMs * victim.rate);
+            || (!isHeldBack(victim) && owedRequests(need) >= turnMs / 1000 * victim.rate);
     }
 
     /** Requests that a load saves, less those lost while its engine is busy for `busyMs`. */
--- a/packages/fleet/src/overdueneeds.ts
+++ b/packages/fleet/src/overdueneeds.ts
@@ -12,10 +12,14 @@
 const minRequests = 3;
 /** Number of holders that serve nothing beyond which no other one is added: the requests may fail anywhere. */
 const maxHoldersReplaced = 3;
-/** Callers of an unserved model are expected back for this long after its last request, in milliseconds. */
+/** Callers of an unserved model are expected back for at least this long after its last request, in milliseconds. */
 const modelRecentMs = 8000;
 /** The same for an adapter; shorter, as its place can be taken again within milliseconds. */
 const adapterRecentMs = 3000;
+/** They are also expected back for this many times the longest pause between the requests so far. */
+const expectedPauses = 2;
+/** Longest time for which callers are expected back, in milliseconds: memory or a place is kept for them meanwhile. */
+const maxRecentMs = 20_000;
 
 /** How long the requests for an item have gone unserved. */
 interface UnservedDemand {
@@ -24,6 +28,8 @@
     /** 0 if the item is served or not requested. */
     readonly unservedMs: number;
     readonly unservedRequests: number;
+    /** Longest time between two successive ones, in milliseconds; 0 if there is only one. */
+    readonly longestPauseMs: number;
 }
 
 /** How long requests for an item may go unserved until it is overdue, in milliseconds. */
@@ -31,20 +37,42 @@
     return adapter === "" ? modelPatienceMs : adapterPatienceMs;
 }
 
+/** How long callers are expected back after the last request, in milliseconds, by the pauses that they have made so far. */
+function expectedBackMs({ longestPauseMs }: Pick<UnservedDemand, "longestPauseMs">, leastMs: number): number {
+    return Math.min(maxRecentMs, Math.max(leastMs, longestPauseMs * expectedPauses));
+}
+
+/**
+ * Unserved requests as a measure of what an item is owed; doesn't fade between them, however rare they are.
+ *
+ * @returns number of requests
+ */
+export function owedRequests(
+    { rate, unservedMs, unservedRequests }: Pick<UnservedDemand, "unservedMs" | "unservedRequests"> & {
+        readonly rate: number;
+    },
+): number {
+    return Math.max(rate * unservedMs / 1000, unservedRequests);
+}
+
 /** Whether the callers of a model of which nothing is served may come back. */
 export function awaitsCallers(
-    { isUnserved, idleMs }: { readonly isUnserved: boolean; readonly idleMs: number; },
+    need: Pick<UnservedDemand, "idleMs" | "longestPauseMs"> & { readonly isUnserved: boolean; },
 ): boolean {
-    return isUnserved && idleMs < modelRecentMs;
+    return need.isUnserved && need.idleMs < expectedBackMs(need, modelRecentMs);
 }
 
 export function isModelOverdue(need: UnservedDemand): boolean {
-    return need.idleMs < modelRecentMs && need.unservedRequests >= minRequests && need.unservedMs >= modelPatienceMs;
+    return need.idleMs < expectedBackMs(need, modelRecentMs) && need.unservedRequests >= minRequests
+        && need.unservedMs >= modelPatienceMs;
 }
 
 /** Whether callers have asked for an adapter again after it was not served, and may come back. */
-export function isAdapterRequestedAgain({ unservedRequests, idleMs }: UnservedDemand): boolean {
-    return unservedRequests >= minRequests && idleMs < adapterRecentMs;
+export function isAdapterRequestedAgain(need: UnservedDemand): boolean {
+    // A second request after a pause isn't the return of a caller that was rejected just before.
+    const isAskedAgain = need.unservedRequests >= minRequests
+        || (need.unservedRequests > 1 && need.longestPauseMs >= adapterPatienceMs);
+    return isAskedAgain && need.idleMs < expectedBackMs(need, adapterRecentMs);
 }
 
 export function isAdapterOverdue(need: UnservedDemand): boolean {
