--- a/packages/fleet/src/overdueneeds.ts
+++ b/packages/fleet/src/overdueneeds.ts
@@ -69,10 +69,7 @@
 
 /** Whether callers have asked for an adapter again after it was not served, and may come back. */
 export function isAdapterRequestedAgain(need: UnservedDemand): boolean {
-    // A second request after a pause isn't the return of a caller that was rejected just before.
-    const isAskedAgain = need.unservedRequests >= minRequests
-        || (need.unservedRequests > 1 && need.longestPauseMs >= adapterPatienceMs);
-    return isAskedAgain && need.idleMs < expectedBackMs(need, adapterRecentMs);
+    return need.unservedRequests >= minRequests && need.idleMs < expectedBackMs(need, adapterRecentMs);
 }
 
 export function isAdapterOverdue(need: UnservedDemand): boolean {
