A document that arrives ends the doubt, like any other answer

Found by a test for the guard "not while a document is on its way": rounds that had failed while the document filled the link made the entry pass for cut off the moment it arrived. Both the guard and this have a test now ("isn't cut off while the document that a host has told it of is on its way" fails without either), as has a replica's contact with its leader.

--- a/packages/consensus/src/tests/replicas.test.ts
+++ b/packages/consensus/src/tests/replicas.test.ts
@@ -47,6 +47,22 @@
         });
     });
 
+    // Guards against a late group that its hosts can't tell from one that they are cut off from.
+    it("has contact with its leader until it is cut off, and again once it is back", async () => {
+        group = await TestGroup.start(names);
+        const leader = await group.waitForLeader();
+        await group.propose(leader.name, "first");
+        const hasContact = (name: string) => group.nodes.get(name)!.replica.hasLeaderContact;
+        await group.waitFor("contact everywhere", () => names.every(hasContact) || undefined);
+        group.isolate(leader.name);
+        await group.waitFor("a leader without a majority", () => !hasContact(leader.name) || undefined);
+        const others = names.filter(name => name !== leader.name);
+        await group.waitFor("contact with the next leader", () => others.every(hasContact) || undefined);
+        expect(hasContact(leader.name)).toEqual(false);
+        group.heal();
+        await group.waitFor("contact everywhere again", () => names.every(hasContact) || undefined);
+    });
+
     describe("an entry", () => {
         it("is committed only after a majority has synced it", async () => {
             group = await TestGroup.start(names);
--- a/packages/fleet/src/configurationconfirmers.ts
+++ b/packages/fleet/src/configurationconfirmers.ts
@@ -209,9 +209,7 @@
     private recordLate(answer: Answer): void {
         this.applyAnswer(answer);
         this.metrics.count("configuration_confirmations_total", { outcome: "after-round" });
-        this.doubt = undefined;
-        this.logReach();
-        this.asked.notify();
+        this.endDoubt();
     }
 
     private applyAnswer({ url, response, sentAt }: Answer): void {
@@ -224,6 +222,12 @@
 
     private applyDocument(response: ConfirmResponse, sentAt: number): void {
         this.view.applyConfirmation(response, sentAt);
+        this.endDoubt();
+    }
+
+    private endDoubt(): void {
+        this.doubt = undefined;
+        this.logReach();
         this.asked.notify();
     }
 
--- a/packages/fleet/src/tests/documentfetches.test.ts
+++ b/packages/fleet/src/tests/documentfetches.test.ts
@@ -66,6 +66,9 @@
 class WorldHosts {
     public readonly link = new SharedLink();
 
+    /** Whether questions go unanswered, though documents that are on their way arrive. */
+    public isSilent = false;
+
     public constructor(private readonly world: World) {}
 
     public clients() {
@@ -98,6 +101,9 @@
         { versionOnly }: ConfirmRequest,
         isOver: () => boolean,
     ): Promise<MessageInitShape<typeof ConfirmResponseSchema>> {
+        if (this.isSilent) {
+            return new Promise(() => undefined);
+        }
         await sleep(smallAnswerMs);
         switch (state) {
             case "answers":
@@ -119,7 +125,12 @@
     }
 }
 
-async function play(world: World, lengthMs: number): Promise<Outcome> {
+/** `silentAfterMs`: time after which no host answers any further question. */
+async function play(
+    world: World,
+    lengthMs: number,
+    silentAfterMs = Number.POSITIVE_INFINITY,
+): Promise<Outcome> {
     const view = new FleetView((text, version) => ({ text, version }), silentLog);
     view.apply(create(PollResponseSchema, { documentVersion: BigInt(heldVersion), documentText: "held" }), Date.now());
     const hosts = new WorldHosts(world);
@@ -139,6 +150,7 @@
     await advanceTime(askAfterMs);
     for (let ms = 0; ms < lengthMs; ms += stepMs) {
         await advanceTime(stepMs);
+        hosts.isSilent = ms >= silentAfterMs;
         wasCutOff ||= confirmer.isCutOff;
         updatedMs ??= view.version === newVersion ? ms : undefined;
     }
@@ -172,6 +184,19 @@
         expect(outcome.wasCutOff).toEqual(false);
     });
 
+    it("isn't cut off while the document that a host has told it of is on its way", async () => {
+        const members: HostState[] = ["answers", "answers", "answers"];
+        const outcome = await play({ members, seeds: [], documentMs: 2000 }, 2500, 100);
+        expect(outcome.wasCutOff).toEqual(false);
+        expect(outcome.updatedMs! > 1900).toEqual(true);
+    });
+
+    it("is cut off once that document doesn't come", async () => {
+        const members: HostState[] = ["answers", "answers", "answers"];
+        const outcome = await play({ members, seeds: [], documentMs: 60_000 }, 8000, 100);
+        expect([outcome.wasCutOff, outcome.updatedMs]).toEqual([true, undefined]);
+    });
+
     it("is cut off only if no host answers or hears its leader, in every small world, and gets the document otherwise", async () => {
         const wrong: World[] = [];
         let cutOff = 0;
