An engine that alone has a place for an unserved adapter loads that before an overdue model

Its adapters a1, a2, a4, a5, a7 to a10 were asked for 4 to 20 times each meanwhile, with free places at the engine, and got no order. Cause: overdue models are planned before adapters on any engine, also on the only one that holds an adapter's model. A model's load takes nine seconds, an adapter's 14 ms. Class: one contract kept at the cost of another that could have been kept beside it. Change: an overdue model takes no engine on which alone an unserved adapter, held and loaded nowhere, has a free place now. An engine has eight places at most, so that the model waits for some tenths of a second.

--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -32,6 +32,9 @@
     /** Demand for adapters that have unserved requests and are loaded nowhere; computed on first use. */
     private unservedNeeds: readonly ItemNeed[] | undefined;
 
+    /** Demand for adapters that go unserved and that no engine holds or loads; computed on first use. */
+    private waitingNeeds: readonly ItemNeed[] | undefined;
+
     /** Number of places that are being emptied and that overdue adapters have claimed, by engine. */
     private readonly claimedPlaces = new Map<string, number>();
 
@@ -80,6 +83,23 @@
         );
     }
 
+    /**
+     * Whether an adapter that goes unserved has a free place on an engine, and on no other one that could load it now. It is
+     * loaded in milliseconds; a model's load would keep all adapters of the engine's models out for seconds.
+     */
+    public isOnlyPlaceForUnserved(engine: EngineSnapshot): boolean {
+        this.waitingNeeds ??= this.state.input.needs.filter(need =>
+            need.key.adapter !== "" && (need.unserved > 0 || isAdapterRequestedAgain(need))
+            && !this.state.isPlaced(need.key)
+        );
+        return this.waitingNeeds.some(({ key: { model } }) => {
+            const able = this.readyHolders(model).filter(each =>
+                each.freeAdapterLoads > 0 && this.hasPlace(each, model)
+            );
+            return able.length === 1 && able[0] === engine;
+        });
+    }
+
     private orderFor(need: ItemNeed, isOverdue: boolean): PlannedOrder | undefined {
         const { model, adapter } = need.key;
         const { state } = this;
--- a/packages/fleet/src/tests/rareitems.test.ts
+++ b/packages/fleet/src/tests/rareitems.test.ts
@@ -108,3 +108,33 @@
         expect(neverServed(t, optionsFor)).toEqual({});
     });
 });
+
+describe("adapters of a model that one engine holds, which overdue models need too", () => {
+    const names = Array.from({ length: 16 }, (_, index) => `m${index}`);
+    const slowLoadMs = 9000;
+    /** When the engine that held the model is lost, and its adapters are asked for. */
+    const lossMs = 6000;
+    const spec = loopSpec(
+        names.map(name => ({ name, adapters: name === "m0" ? 12 : 0, loadMs: slowLoadMs, diskLoadMs: slowLoadMs })),
+    );
+    const adapters = Array.from({ length: 7 }, (_, index) => ({ model: "m0", adapter: `a${index}`, perSecond: 0.6 }));
+
+    // An engine takes no orders for adapters while it loads a model: it would load one overdue model after the other.
+    it("are served once the engine has a place for them", t => {
+        for (const seed of [1, 2, 3, 4]) {
+            const engines = Array.from({ length: 4 }, (_, index) => [names[2 * index], names[2 * index + 1]]);
+            const busy = names.slice(0, 4).map(model => ({ model, adapter: "", perSecond: 4 }));
+            const rare = names.slice(4).map(model => ({ model, adapter: "", perSecond: 0.3 }));
+            const demandAt = (ms: number) => ms < lossMs ? [...busy, ...rare] : [...busy, ...rare, ...adapters];
+            const loop = new PlacementLoop(t, { spec, engines, requestMs: 1500, seed, demandAt });
+            loop.play(lossMs);
+            loop.engines = loop.engines.slice(1);
+            loop.play(dayMs);
+            const left = loop.neverServed.filter(name => name.startsWith("m0/"));
+            t.diagnostic(
+                `seed ${seed}: ${left.length} of ${adapters.length} adapters never served, ${loop.loads.length} loads`,
+            );
+            expect([seed, left]).toEqual([seed, []]);
+        }
+    });
+});
