--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -32,7 +32,7 @@
     /** Demand for adapters that have unserved requests and are loaded nowhere; computed on first use. */
     private unservedNeeds: readonly ItemNeed[] | undefined;
 
-    /** Demand for adapters that go unserved and that no engine holds or loads; computed on first use. */
+    /** Demand for overdue adapters that no engine holds or loads; computed on first use. */
     private waitingNeeds: readonly ItemNeed[] | undefined;
 
     /** Number of places that are being emptied and that overdue adapters have claimed, by engine. */
@@ -84,13 +84,12 @@
     }
 
     /**
-     * Whether an adapter that goes unserved has a free place on an engine, and on no other one that could load it now. It is
-     * loaded in milliseconds; a model's load would keep all adapters of the engine's models out for seconds.
+     * Whether an overdue adapter has a free place on an engine, and on no other one that could load it now. It is loaded in
+     * milliseconds; a model's load would keep all adapters of the engine's models out for seconds.
      */
-    public isOnlyPlaceForUnserved(engine: EngineSnapshot): boolean {
+    public isOnlyPlaceForOverdue(engine: EngineSnapshot): boolean {
         this.waitingNeeds ??= this.state.input.needs.filter(need =>
-            need.key.adapter !== "" && (need.unserved > 0 || isAdapterRequestedAgain(need))
-            && !this.state.isPlaced(need.key)
+            need.key.adapter !== "" && isAdapterOverdue(need) && !this.state.isPlaced(need.key)
         );
         return this.waitingNeeds.some(({ key: { model } }) => {
             const able = this.readyHolders(model).filter(each =>
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -96,7 +96,7 @@
 
 /**
  * Plans the next orders: models that are overdue, then adapters, then other models. An engine that alone has a place for an
- * adapter that goes unserved loads that first.
+ * overdue adapter loads that first.
  */
 export function planOrders(input: PlanInput): PlacementPlan {
     const state = new PlanState(input);
@@ -162,7 +162,7 @@
         for (const engine of this.state.input.engines) {
             const isBusy = this.state.assignedEngines.has(engine.id)
                 || (!engine.acceptsModelOrders && engine.freeAdapterLoads <= 0);
-            if (isBusy || !this.mayLoad(engine, need) || this.adapterPlanner.isOnlyPlaceForUnserved(engine)) {
+            if (isBusy || !this.mayLoad(engine, need) || this.adapterPlanner.isOnlyPlaceForOverdue(engine)) {
                 continue;
             }
             const option = this.loadScorer.bestOverdueOption(engine, need);
