What an item is owed follows its own pace, not a count of requests that never fades

Cause, by reading: measured what is owed by the number of unserved requests. A model that was hot and unserved for some seconds before demand moved on kept that count, so that a few late requests for it could take the turn of models that are busy now. Change: the rate is at least one request in the longest pause between its unserved ones.

--- a/packages/fleet/src/confirmationrounds.ts
+++ b/packages/fleet/src/confirmationrounds.ts
@@ -59,7 +59,7 @@
 }
 
 /** Whether a host has responded that it hears its leader, although no majority has answered it in time. */
-export function isDelayed(err: unknown): boolean {
+function reportsDelay(err: unknown): boolean {
     return err instanceof ConnectError && err.code === Code.ResourceExhausted;
 }
 
@@ -70,7 +70,9 @@
     private readonly responding = new Set<string>();
     /** URLs of the hosts that have refused connections. */
     private readonly refusing = new Set<string>();
+    /** URLs of all hosts that the round asks. */
     private asked: readonly string[] = [];
+    /** Whether a host has responded that hears its leader. */
     private isDelayed = false;
     private isOver = false;
 
@@ -137,7 +139,7 @@
             catch (err) {
                 if (isResponse(err)) {
                     this.responding.add(url);
-                    this.isDelayed ||= isDelayed(err);
+                    this.isDelayed ||= reportsDelay(err);
                 }
                 else if (isRefusal(err)) {
                     this.refusing.add(url);
--- a/packages/fleet/src/overdueneeds.ts
+++ b/packages/fleet/src/overdueneeds.ts
@@ -43,16 +43,18 @@
 }
 
 /**
- * Unserved requests as a measure of what an item is owed; doesn't fade between them, however rare they are.
+ * What an item is owed: the requests since it was last served, at its present rate, or at its own pace if that is more. A rate
+ * fades between two rare requests; a count of requests would not fade once demand has moved on.
  *
  * @returns number of requests
  */
 export function owedRequests(
-    { rate, unservedMs, unservedRequests }: Pick<UnservedDemand, "unservedMs" | "unservedRequests"> & {
+    { rate, unservedMs, longestPauseMs }: Pick<UnservedDemand, "unservedMs" | "longestPauseMs"> & {
         readonly rate: number;
     },
 ): number {
-    return Math.max(rate * unservedMs / 1000, unservedRequests);
+    const slowestRate = longestPauseMs > 0 ? 1000 / longestPauseMs : 0;
+    return Math.max(rate, slowestRate) * unservedMs / 1000;
 }
 
 /** Whether the callers of a model of which nothing is served may come back. */
