--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -33,7 +33,7 @@
     private unservedNeeds: readonly ItemNeed[] | undefined;
 
     /** Demand for overdue adapters that no engine holds or loads; computed on first use. */
-    private waitingNeeds: readonly ItemNeed[] | undefined;
+    private overdueNeeds: readonly ItemNeed[] | undefined;
 
     /** Number of places that are being emptied and that overdue adapters have claimed, by engine. */
     private readonly claimedPlaces = new Map<string, number>();
@@ -88,10 +88,10 @@
      * milliseconds; a model's load would keep all adapters of the engine's models out for seconds.
      */
     public isOnlyPlaceForOverdue(engine: EngineSnapshot): boolean {
-        this.waitingNeeds ??= this.state.input.needs.filter(need =>
+        this.overdueNeeds ??= this.state.input.needs.filter(need =>
             need.key.adapter !== "" && isAdapterOverdue(need) && !this.state.isPlaced(need.key)
         );
-        return this.waitingNeeds.some(({ key: { model } }) => {
+        return this.overdueNeeds.some(({ key: { model } }) => {
             const able = this.readyHolders(model).filter(each =>
                 each.freeAdapterLoads > 0 && this.hasPlace(each, model)
             );
