--- a/packages/fleet/src/fleetviews.ts
+++ b/packages/fleet/src/fleetviews.ts
@@ -137,7 +137,7 @@
     /** Applies a response of the leader; `sentAt`: monotonic time at which the request was sent. */
     public apply(res: PollResponse, sentAt = Number.NEGATIVE_INFINITY): void {
         this.lastResponseAt = steadyNow();
-        this.liveEntries = Math.max(1, res.entries);
+        this.updateEntries(res);
         this.hosts.apply(res.host, sentAt + res.waitedMs, res.complete);
         this.admission.apply(res, this.lastResponseAt);
         this.quarantine.setKey(res.fingerprintKey);
@@ -162,6 +162,14 @@
         this.changed.notify();
     }
 
+    private updateEntries({ entries, epoch }: Pick<PollResponse, "entries" | "epoch">): void {
+        const before = this.liveEntries;
+        this.liveEntries = Math.max(1, entries);
+        if (this.liveEntries !== before) {
+            this.log.info("feed.entries", { entries: this.liveEntries, before, epoch });
+        }
+    }
+
     private applyQuarantine(changes: QuarantineChanges): void {
         this.quarantine.applyChanges(changes);
         const { position, whole, listed, removed } = changes;
