Retries are allowed by an entry's own requests, or by slots that the leader leases to it

Cause: each entry divided the fixed part of the bound by a number of live entries that a leader had counted; a new leader counts those that have polled it, so entries are told 1, 2 or 3 of 4, for up to a second. Slots of entries that ended or were cut off went to others while what they had used was in the window; a restart forgot; a retry was counted when it was decided. Change: the fixed part is so many slots, each for one retry in any window; entries hold leases of them, which they bring along to the next leader; the leader gives only what can't be held. The part by ratio is judged by the entry's own requests, in a mean of two windows that adds up over entries. A retry is reserved when decided and counted when sent, at the one place where requests are sent; it isn't sent once its right has expired. A refused connection takes no retry. The own interface, whose entries each kept a balance of up to 100 by themselves, uses the same module: 100 slots over all entries. Why it works: the sum of what entries may send no longer depends on how many are counted.

--- a/packages/bench/src/policies.ts
+++ b/packages/bench/src/policies.ts
@@ -9,6 +9,7 @@
     RequestHandler,
     RequestQuarantine,
 } from "@winchpath/requests";
+import { RetryBudget } from "@winchpath/retries";
 import { RoundRobinPicker, Router } from "@winchpath/routing";
 import { Timeline } from "@winchpath/timeline";
 import { type Registrar } from "@winchpath/upstream";
@@ -29,6 +30,15 @@
 }
 
 const spareRetentionMs = 60_000;
+/** Retries that each entry may send beyond a share of its requests, in a window. */
+const retrySlots = 100;
+
+function createRetryBudget(): RetryBudget {
+    const budget = new RetryBudget(() => ({ ratio: 0.2, slack: retrySlots, windowMs: 10_000 }));
+    // The experiment has no leader; each entry keeps its slots.
+    budget.applyGrant(retrySlots, Number.POSITIVE_INFINITY);
+    return budget;
+}
 
 export class WinchpathPolicy implements Policy {
     public readonly name = "winchpath";
@@ -52,7 +62,7 @@
             timeline: new Timeline({ process: name, host: name, dataCentre: name }, 100),
             metrics: new Metrics(),
             queueLimit: 256,
-            retryShare: 0.2,
+            retryBudget: createRetryBudget(),
             claimWindowMs: 60_000,
         });
         return {
--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -11,6 +11,8 @@
 
 export class Leadership implements ReplicationLeader, MembershipLeader {
     public readonly term: bigint;
+    /** Whether the group has had no leader before that was ready. */
+    public readonly isFirst: boolean;
     /** Replication to the other members, by member id. */
     public readonly replications = new Map<string, Replication>();
     public readonly members: MembershipChanges;
@@ -36,6 +38,7 @@
         state.leaderId = state.memberId;
         state.leaderUrl = state.identity.url;
         state.timeline.record("leader.elected", { detail: `term=${this.term}` });
+        this.isFirst = !state.log.hasLeadership;
         this.startIndex = this.appendEntry({ case: "leaderStart", value: true });
         state.changed.notify();
         void this.monitorQuorum();
--- a/packages/consensus/src/logs.ts
+++ b/packages/consensus/src/logs.ts
@@ -41,6 +41,11 @@
         return this.termAt(this.lastIndex)!;
     }
 
+    /** Whether the log may have an entry of an elected leader; only the log of a new group has none. */
+    public get hasLeadership(): boolean {
+        return this.newestSnapshot !== undefined || this.entries.some(({ payload }) => payload.case === "leaderStart");
+    }
+
     /** Time of the last entry, in milliseconds since the epoch. */
     public get lastTime(): bigint {
         return this.entries.at(-1)?.time ?? this.newestSnapshot?.time ?? 0n;
--- a/packages/fleet/src/fleetservices.ts
+++ b/packages/fleet/src/fleetservices.ts
@@ -3,6 +3,7 @@
 import { type AccountLimitCoordinator, type Allowance } from "@winchpath/accounts";
 import { type RateLimitCoordinator } from "@winchpath/availability";
 import { type CrashMonitor, type SuspectTrials } from "@winchpath/quarantine";
+import { type SlotLessor } from "@winchpath/retries";
 import { type AnnouncementReceiver } from "./announcements.js";
 import { type DemandTracker } from "./demands.js";
 import { encodeTrialDecision } from "./encodings.js";
@@ -10,6 +11,7 @@
 import { type DemandRequest, type FleetService } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type OrderLease } from "./orderleases.js";
 import { decodeRate } from "./rateencodings.js";
+import { decodeSlotReports, encodeSlotGrants } from "./slotencodings.js";
 import { decodeWork } from "./workencodings.js";
 
 export interface FleetServiceDependencies {
@@ -24,6 +26,8 @@
     readonly limits: () => Pick<AccountLimitCoordinator, "processCounts" | "shares">;
     /** Receives upstream rate limits known to entries. */
     readonly rates: Pick<RateLimitCoordinator, "processReports">;
+    /** Leases slots for retries to entries. */
+    readonly retries: SlotLessor;
     /** Decides about crashes during the current leadership; undefined if this host is not the leader. */
     readonly crashes: () => CrashDecisions | undefined;
 }
@@ -76,6 +80,7 @@
                 allowances: grantAllowances(deps, req),
                 permits: grantPermits(deps, req),
                 shares: grantShares(deps, req),
+                retrySlots: grantSlots(deps, req),
             };
         },
         reportCrashes: req => {
@@ -131,6 +136,11 @@
     });
 }
 
+function grantSlots({ retries }: FleetServiceDependencies, req: DemandRequest) {
+    const grants = retries.processReports(decodeSlotReports(req));
+    return grants === undefined ? undefined : encodeSlotGrants(grants);
+}
+
 function encodeAllowance(allowance: Allowance) {
     return {
         ...allowance,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -55,6 +55,7 @@
 export type { RegisteredUpstream } from "./registeredupstreams.js";
 export * from "./registries.js";
 export * from "./registrychanges.js";
+export * from "./slotencodings.js";
 export * from "./softwareversions.js";
 export * from "./storeloadlimiters.js";
 export * from "./unservedspans.js";
--- a/packages/fleet/src/meters.ts
+++ b/packages/fleet/src/meters.ts
@@ -4,6 +4,7 @@
 import { type LevelCounter } from "@winchpath/admission";
 import { AvailabilityTracker } from "@winchpath/availability";
 import { type EventLog, messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
+import { type RetryBudgetTable } from "@winchpath/retries";
 import { type PeerClients } from "@winchpath/rpc";
 import { encodeLevels } from "./admissioncoordinators.js";
 import { DemandHistory } from "./demandhistories.js";
@@ -19,9 +20,11 @@
     ItemDemandSchema,
     type Mismatch,
     RejectionSchema,
+    type RetrySlotGrants,
 } from "./gen/winchpath/fleet/v1/fleet_pb.js";
 import { type ItemKey, itemMapKey, modelMapKey } from "./items.js";
 import { encodeRate } from "./rateencodings.js";
+import { decodeSlotGrants, encodeSlotReports } from "./slotencodings.js";
 import { type UnservedRequests } from "./unservedspans.js";
 import { encodeWork } from "./workencodings.js";
 
@@ -44,6 +47,9 @@
     applyAllowances(counts: readonly AccountCounts[], allowances: readonly Allowance[]): void;
 }
 
+/** Reports the leases of retry slots and applies the leader's grants. */
+export type RetrySlotMeter = Pick<RetryBudgetTable, "applyGrants" | "createReports" | "hasReports" | "term">;
+
 /** The leader that an entry currently follows. */
 export interface FollowedLeader {
     /** Empty if there is none. */
@@ -88,6 +94,7 @@
     private accounts: AccountMeter | undefined;
     private levels: LevelCounter | undefined;
     private shares: ShareMeter | undefined;
+    private retries: RetrySlotMeter | undefined;
     /** Number of reports so far. */
     private sequence = 0;
     private pendingWake: NodeJS.Timeout | undefined;
@@ -112,8 +119,13 @@
         this.shares = shares;
     }
 
+    /** Includes leases of retry slots in reports. */
+    public includeRetries(retries: RetrySlotMeter): void {
+        this.retries = retries;
+    }
+
     /**
-     * Requests an early report of account usage or of demand on rate-limited upstreams.
+     * Requests an early report of account usage, of demand on rate-limited upstreams, or of retries that lack slots.
      *
      * @param entries number of reporting entries; the more there are, the longer the delay, which limits the leader's load
      */
@@ -254,6 +266,7 @@
         this.pendingWake = undefined;
         const counts = this.accounts?.counts() ?? [];
         const work = this.shares?.workCounts(isFirstReport) ?? [];
+        const slots = this.retries?.createReports() ?? [];
         this.sequence += 1;
         try {
             const paces = [...this.throughputs.values()]
@@ -278,6 +291,7 @@
                 accountWork: work.map(encodeWork),
                 accountWorkComplete: isFirstReport,
                 sequence: BigInt(this.sequence),
+                ...encodeSlotReports(this.retries?.term ?? 0, slots),
             };
             const res = await clients.client(FleetService, url).reportDemand(req, { timeoutMs: reportTimeoutMs });
             this.reportedEpoch = epoch;
@@ -286,6 +300,7 @@
             this.accounts?.applyAllowances(counts, res.allowances.map(decodeAllowance));
             this.shares?.applyPositions(work, res.shares);
             this.availability.rates.applyGrants(rates, res.permits, { epoch, askedAt });
+            this.applySlotGrants(res.retrySlots, askedAt);
         }
         catch (err) {
             // The next report carries the current gauges; losing one interval's arrivals is tolerable.
@@ -293,6 +308,13 @@
         }
     }
 
+    private applySlotGrants(encoded: RetrySlotGrants | undefined, askedAt: number): void {
+        const grants = decodeSlotGrants(encoded);
+        if (grants !== undefined) {
+            this.retries?.applyGrants(grants, askedAt);
+        }
+    }
+
     /** The current counts together with the decayed demand that was reported to earlier leaders. */
     private itemsWithHistory(): ItemDemand[] {
         this.history.keys().forEach(key => this.itemFor(key));
@@ -308,7 +330,8 @@
     }
 
     private hasUnreported(epoch: string): boolean {
-        return this.availability.rates.hasReports(epoch) || this.items.size > 0 || this.mismatches.length > 0
+        return this.availability.rates.hasReports(epoch) || this.retries?.hasReports === true || this.items.size > 0
+            || this.mismatches.length > 0
             || this.unreachable.size > 0
             || this.outcomes.size > 0 || this.drainReports.hasUnreported || this.levels?.isEmpty === false
             || (this.accounts?.counts().length ?? 0) + (this.shares?.workCounts(false).length ?? 0) > 0;
--- a/packages/fleet/src/tests/accountwork.test.ts
+++ b/packages/fleet/src/tests/accountwork.test.ts
@@ -33,6 +33,7 @@
             limits: () => limits,
             onDemandReport: () => undefined,
             rates: { processReports: () => [] },
+            retries: { processReports: () => undefined },
         } as unknown as FleetServiceDependencies);
         const reports: DemandRequest[] = [];
         let isLost = false;
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -2,6 +2,7 @@
 import { type PermitDecision } from "@winchpath/availability";
 import { eventLoop, type ResponseEndFacts, steadyNow } from "@winchpath/core";
 import { type EngineSpec } from "@winchpath/declarations";
+import { type SentRetry } from "@winchpath/retries";
 import { type EjectionTracker } from "@winchpath/routing";
 import { type ServerResponse } from "node:http";
 import { type Refusal } from "./admissioncontrollers.js";
@@ -14,6 +15,7 @@
 import { isConnectionLost, type Quarantine } from "./quarantines.js";
 import { type Reservation } from "./reservations.js";
 import { type Responder } from "./responders.js";
+import { type RetryPolicy } from "./retrypolicies.js";
 import { type SharedAdmission } from "./sharedadmissions.js";
 import { isOfVersion, type StreamVersions } from "./streamversions.js";
 import { type ThroughputTable } from "./throughputs.js";
@@ -27,6 +29,7 @@
     readonly quarantine: Quarantine;
     readonly responder: Responder;
     readonly streamVersions: Pick<StreamVersions, "begin">;
+    readonly retryPolicy: Pick<RetryPolicy, "recordSent">;
     readonly signals: UpstreamSignals;
     readonly throughput: ThroughputTable;
     readonly sharedAdmission: Pick<SharedAdmission, "admitted" | "loadReported">;
@@ -66,6 +69,7 @@
         let firstByteMs: number | undefined;
         let longestPauseMs = 0;
         let sentDelayMs = 0;
+        let retry: SentRetry | undefined;
         let isPostponed = false;
         let isServed = false;
         const recordServed = () => {
@@ -91,6 +95,7 @@
                     sentDelayMs = eventLoop.delayMs;
                     const maySend = this.maySend(request, endpoint, permitDecision);
                     if (maySend) {
+                        retry = this.deps.retryPolicy.recordSent(request);
                         this.deps.sharedAdmission.admitted(request);
                     }
                     return maySend;
@@ -147,6 +152,8 @@
                 configuration: request.decidedByVersion,
                 confirmedAgeMs: request.confirmedAgeMs,
                 sentDelayMs: sentDelayMs === 0 ? undefined : sentDelayMs,
+                retryBasis: retry?.basis,
+                retryWaitedMs: retry?.waitedMs,
                 outcome: outcome.kind,
                 reason: "reason" in outcome ? outcome.reason : undefined,
                 firstMs: firstByteMs,
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -47,7 +47,17 @@
 /** What a request brings, whatever the configuration says of it. */
 type ReceivedRequest = Pick<
     InboundRequest,
-    "id" | "method" | "host" | "url" | "headers" | "body" | "metadata" | "startedAt" | "abortSignal"
+    | "id"
+    | "method"
+    | "host"
+    | "url"
+    | "headers"
+    | "body"
+    | "metadata"
+    | "startedAt"
+    | "abortSignal"
+    | "wasMoved"
+    | "wasSent"
 >;
 
 export interface ListenerDependencies {
@@ -241,7 +251,7 @@
             this.refuse(req, res, metadata.id, decision);
             return undefined;
         }
-        return this.route(req, res, request, decision);
+        return this.route(req, res, { ...request, wasMoved: true }, decision);
     }
 
     /** Charges a request and selects its service. Returns undefined if it has been answered here. */
@@ -251,7 +261,7 @@
         received: ReceivedRequest,
         { table, route, grant, version, confirmedAgeMs }: AllowedRequest,
     ): Promise<InboundRequest | undefined> {
-        const { id, method, host, url, headers, body, metadata, startedAt, abortSignal } = received;
+        const { id, method, host, url, headers, body, metadata, startedAt, abortSignal, wasMoved, wasSent } = received;
         const charged = await this.deps.admissions.charge(grant, metadata);
         if (charged.kind === "refused") {
             this.refuse(req, res, metadata.id, charged);
@@ -281,6 +291,8 @@
             lostConnections: 0,
             lastEventId: undefined,
             responseStarted: false,
+            wasMoved,
+            wasSent,
         };
     }
 
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -3,6 +3,7 @@
 import { type EventFields, type EventLog, eventLoop, type Metrics } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { type DemandMeter, type FleetView } from "@winchpath/fleet";
+import { type RetryBudgetTable } from "@winchpath/retries";
 import { EjectionTracker } from "@winchpath/routing";
 import { type StreamOrigins } from "@winchpath/streamorigins";
 import { type ServerResponse } from "node:http";
@@ -24,8 +25,7 @@
 import { type CrashReports, Quarantine } from "./quarantines.js";
 import { Reservations } from "./reservations.js";
 import { Responder } from "./responders.js";
-import { type RetryBudgetOptions } from "./retrybudgets.js";
-import { RetryPolicy } from "./retrypolicies.js";
+import { declinedRefusal, RetryPolicy } from "./retrypolicies.js";
 import { RoutingCheck } from "./routingchecks.js";
 import { SelectionCosts } from "./selectioncosts.js";
 import { SharedAdmission } from "./sharedadmissions.js";
@@ -37,7 +37,7 @@
 import { UpstreamPaces } from "./upstreampaces.js";
 import { UpstreamSelector } from "./upstreamselectors.js";
 import { UpstreamSignals } from "./upstreamsignals.js";
-import { busyRetryMs, WaitPolicy } from "./waitpolicies.js";
+import { WaitPolicy } from "./waitpolicies.js";
 import { ChainedOrder } from "./waitqueues.js";
 
 export interface ForwarderDependencies {
@@ -47,7 +47,7 @@
     readonly log: EventLog;
     readonly metrics: Metrics;
     readonly dataCentre: string;
-    readonly retryBudget: RetryBudgetOptions;
+    readonly retryBudgets: Pick<RetryBudgetTable, "of" | "reportSoon">;
     readonly admissions: AdmissionController;
     /** Shares of client accounts; undefined if capacity is not shared between them. */
     readonly accountShares?: AccountShares;
@@ -96,7 +96,7 @@
         const { availability } = deps.view;
         const paces = new UpstreamPaces({ ...deps, facts: this.loadFacts, features: this.features });
         this.endpoints = new EndpointTable(deps.view);
-        this.retryPolicy = new RetryPolicy(deps.view, deps.retryBudget, deps.metrics);
+        this.retryPolicy = new RetryPolicy(deps);
         this.responder = new Responder({ ...deps, waiting: () => this.waiting });
         this.streamVersions = new StreamVersions({ ...deps, responder: this.responder });
         const random = deps.random ?? Math.random;
@@ -117,7 +117,7 @@
             fairShares: this.fairShares,
             reservations: new Reservations(interference),
             order: new ChainedOrder([this.fairShares, new LaxityOrder(loadWaits)]),
-            denial: request => this.denial(request),
+            denial: request => this.sendDenial(request),
         });
         this.attemptSender = new AttemptSender({
             ...deps,
@@ -126,10 +126,11 @@
             quarantine: this.quarantine,
             responder: this.responder,
             streamVersions: this.streamVersions,
+            retryPolicy: this.retryPolicy,
             signals: new UpstreamSignals({ ...deps, availability, ejections, paces }),
             throughput,
             sharedAdmission: this.sharedAdmission,
-            denial: request => this.denial(request),
+            denial: request => this.sendDenial(request),
             onCapacityFreed: () => this.assigner.retryAll(),
         });
     }
@@ -157,6 +158,15 @@
      * {@link InboundRequest.hasMoved}.
      */
     public async serve(request: InboundRequest, res: ServerResponse): Promise<void> {
+        try {
+            await this.serveWithRetries(request, res);
+        }
+        finally {
+            this.retryPolicy.release(request);
+        }
+    }
+
+    private async serveWithRetries(request: InboundRequest, res: ServerResponse): Promise<void> {
         const refusal = this.quarantine.refusal(request);
         if (refusal !== undefined) {
             // Checked first, so that a quarantined request neither counts as demand nor earns a retry.
@@ -167,7 +177,10 @@
         if (this.loadFacts.recordPrompt(request.service, request.metadata.promptTokens)) {
             this.features.refresh(this.deps.view.configuration);
         }
-        this.retryPolicy.recordRequest(request);
+        if (!this.retryPolicy.admit(request)) {
+            this.refuse(request, res, declinedRefusal);
+            return;
+        }
         this.deps.meter.arrived(itemKeyOf(request), promptEquivalentTokens(request));
         this.sharedAdmission.arrived(request);
         let isPostponed = false;
@@ -275,12 +288,17 @@
         this.responder.respond(request, res, response, retryAfterMs, details);
     }
 
-    /** Returns why the request must not be sent any more; checked before every attempt. */
+    /** Returns why no attempt of the request may be made any more. */
     private denial(request: InboundRequest): Refusal | undefined {
         return this.deps.admissions.denial(request.grant) ?? this.routing.refusal(request)
             ?? this.quarantine.refusal(request);
     }
 
+    /** The same for a request whose attempt was decided: a retry needs what allowed it until it is sent. */
+    private sendDenial(request: InboundRequest): Refusal | undefined {
+        return this.denial(request) ?? this.retryPolicy.refusal(request);
+    }
+
     private handleOutcome(
         request: InboundRequest,
         endpoint: UpstreamEndpoint,
@@ -344,7 +362,7 @@
         if (this.retryPolicy.acquireAfterDecline(request)) {
             return "again";
         }
-        this.refuse(request, res, { kind: "refused", response: LocalResponse.declined, retryAfterMs: busyRetryMs });
+        this.refuse(request, res, declinedRefusal);
         return "done";
     }
 
--- a/packages/forwarding/src/inboundrequests.ts
+++ b/packages/forwarding/src/inboundrequests.ts
@@ -4,6 +4,7 @@
 import { type Route } from "@winchpath/declarations";
 import { type ItemKey } from "@winchpath/fleet";
 import { type RequestIdentity } from "@winchpath/quarantine";
+import { type RetryReservation } from "@winchpath/retries";
 import { type RawHeaders, type RequestMetadata } from "./headercodecs.js";
 
 /** Permission of the leader to run a suspected request. */
@@ -56,6 +57,12 @@
     softwareVersion?: string;
     /** Whether part of a response has been sent to the client. */
     responseStarted: boolean;
+    /** Whether an upstream may have received it, so that sending it again is a retry. */
+    wasSent?: boolean;
+    /** The retry that was decided and isn't sent yet. */
+    retry?: RetryReservation;
+    /** Whether another configuration routed it to another service before. */
+    readonly wasMoved?: boolean;
     /** Whether forwarding has ended without a response, since a newer configuration routes the request elsewhere. */
     hasMoved?: boolean;
 }
--- a/packages/forwarding/src/index.ts
+++ b/packages/forwarding/src/index.ts
@@ -38,7 +38,6 @@
 export * from "./quarantines.js";
 export * from "./reservations.js";
 export * from "./responders.js";
-export * from "./retrybudgets.js";
 export * from "./retrypolicies.js";
 export * from "./routetables.js";
 export * from "./selectioncosts.js";
--- a/packages/forwarding/src/retrypolicies.ts
+++ b/packages/forwarding/src/retrypolicies.ts
@@ -1,55 +1,101 @@
 /** Decides whether a request is retried, by its route, its deadline and the retry budget. */
-import { type Metrics } from "@winchpath/core";
-import { type FleetView } from "@winchpath/fleet";
+import { type EventLog, type Metrics } from "@winchpath/core";
+import { type RetryBudgetTable, type SentRetry } from "@winchpath/retries";
+import { type Refusal } from "./admissioncontrollers.js";
 import { type InboundRequest, remainingMs } from "./inboundrequests.js";
-import { RetryBudget, type RetryBudgetOptions } from "./retrybudgets.js";
-import { minAttemptMs } from "./waitpolicies.js";
+import { LocalResponse } from "./localresponses.js";
+import { busyRetryMs, minAttemptMs } from "./waitpolicies.js";
 
 /** Number of upstreams that may decline a request before it is refused. */
 const maxDeclines = 3;
 
-export class RetryPolicy {
-    /** Retry budgets by service. */
-    private readonly budgets = new Map<string, RetryBudget>();
+/** The refusal of a request that upstreams have declined, and that may not be sent to another one. */
+export const declinedRefusal: Refusal = {
+    kind: "refused",
+    response: LocalResponse.declined,
+    retryAfterMs: busyRetryMs,
+};
+
+export interface RetryPolicyDependencies {
+    readonly retryBudgets: Pick<RetryBudgetTable, "of" | "reportSoon">;
+    readonly log: EventLog;
+    readonly metrics: Metrics;
+}
 
-    public constructor(
-        private readonly view: Pick<FleetView<unknown>, "entries">,
-        private readonly options: RetryBudgetOptions,
-        private readonly metrics: Metrics,
-    ) {}
+/** Every send of a request but its first takes a retry from the budget of its service. */
+export class RetryPolicy {
+    public constructor(private readonly deps: RetryPolicyDependencies) {}
 
-    /** Records an incoming request, which adds to the retry budget. */
-    public recordRequest(request: InboundRequest): void {
-        this.budget(request.service).recordRequest();
+    /**
+     * Records an incoming request, which adds to the budget. One that was sent for another service before needs a retry;
+     * returns false if none is allowed.
+     */
+    public admit(request: InboundRequest): boolean {
+        if (!request.wasMoved) {
+            this.budget(request).recordRequest();
+        }
+        return this.acquire(request);
     }
 
-    /** Takes a retry after a failed or lost attempt; returns false if none is allowed. */
+    /** Reserves a retry after a failed or lost attempt; returns false if none is allowed. */
     public acquireAfterFailure(request: InboundRequest): boolean {
-        return request.attemptedUpstreams.length < request.route.maxAttempts && this.acquire(request);
+        return request.attemptedUpstreams.length < request.route.maxAttempts && this.acquireInTime(request);
     }
 
-    /** Takes a retry after an upstream declined the request; returns false if none is allowed. */
+    /** Reserves a retry after an upstream declined the request; returns false if none is allowed. */
     public acquireAfterDecline(request: InboundRequest): boolean {
-        return request.declinedUpstreams.size < maxDeclines && this.acquire(request);
+        return request.declinedUpstreams.size < maxDeclines && this.acquireInTime(request);
     }
 
-    private acquire(request: InboundRequest): boolean {
-        if (remainingMs(request) <= minAttemptMs) {
-            return false;
+    /** Returns a refusal if the request may not be sent now; checked before every attempt. */
+    public refusal(request: InboundRequest): Refusal | undefined {
+        const { retry } = request;
+        return !request.wasSent || (retry !== undefined && this.budget(request).maySend(retry))
+            ? undefined
+            : declinedRefusal;
+    }
+
+    /** Records that the request is sent now; returns the retry that this takes, if any. */
+    public recordSent(request: InboundRequest): SentRetry | undefined {
+        request.wasSent = true;
+        if (request.retry === undefined) {
+            return undefined;
         }
-        const taken = this.budget(request.service).trySpend(this.view.entries);
-        if (!taken) {
-            this.metrics.count("retries_denied_total", { service: request.service });
+        const sent = this.budget(request).send(request.retry);
+        request.retry = undefined;
+        this.deps.metrics.count("retries_total", { service: request.service, basis: sent.basis });
+        return sent;
+    }
+
+    /** Returns a retry that was reserved and won't be sent. */
+    public release(request: InboundRequest): void {
+        if (request.retry !== undefined) {
+            this.budget(request).release(request.retry);
+            request.retry = undefined;
         }
-        return taken;
     }
 
-    private budget(service: string): RetryBudget {
-        let budget = this.budgets.get(service);
-        if (budget === undefined) {
-            budget = new RetryBudget(this.options);
-            this.budgets.set(service, budget);
+    private acquireInTime(request: InboundRequest): boolean {
+        return remainingMs(request) > minAttemptMs && this.acquire(request);
+    }
+
+    private acquire(request: InboundRequest): boolean {
+        if (!request.wasSent || request.retry !== undefined) {
+            return true;
+        }
+        const { service } = request;
+        const budget = this.budget(request);
+        request.retry = budget.reserve();
+        if (request.retry !== undefined) {
+            return true;
         }
-        return budget;
+        this.deps.metrics.count("retries_denied_total", { service });
+        this.deps.log.info("retry.denied", { request: request.id, service, ...budget.logFields });
+        this.deps.retryBudgets.reportSoon();
+        return false;
+    }
+
+    private budget({ service }: InboundRequest) {
+        return this.deps.retryBudgets.of(service);
     }
 }
--- a/packages/forwarding/src/tests/attempts.test.ts
+++ b/packages/forwarding/src/tests/attempts.test.ts
@@ -82,6 +82,7 @@
             quarantine: { recordOutcome: nothing, trackOutput: nothing },
             responder: { logEvent: nothing },
             signals: { handle: nothing },
+            retryPolicy: { recordSent: nothing },
             throughput: { durationMs: () => 0 },
             endpoints: { isReady: () => isReady },
             view: { ageMs: 0 },
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -5,6 +5,7 @@
 import { type Configuration, type EngineSpec, type Route } from "@winchpath/declarations";
 import { DemandMeter, encodeUpstream, FleetView, type Upstream, UpstreamSchema, UpstreamState } from "@winchpath/fleet";
 import { type TrialDecision } from "@winchpath/quarantine";
+import { RetryBudgetTable } from "@winchpath/retries";
 import { once } from "node:events";
 import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
@@ -165,6 +166,20 @@
 
 const exactLimits = { windowMs: 0, overage: 0, slack: 0 };
 
+/** Budgets with this many slots for the service of the tests, as if the leader had leased them to this entry alone. */
+export function createRetryBudgets(slack: number, metrics: Metrics): RetryBudgetTable {
+    const budgets = new RetryBudgetTable({
+        bound: () => ({ ratio: 0.2, slack, windowMs: 10_000 }),
+        services: () => ["s"],
+        requestReport: () => undefined,
+        log: silentLog,
+        metrics,
+    });
+    const lease = { term: 1, lifeMs: Number.POSITIVE_INFINITY, services: [{ service: "s", slots: slack }] };
+    budgets.applyGrants(lease, 0);
+    return budgets;
+}
+
 /** An entry whose fleet view is set by the test. */
 export class TestEntry {
     public readonly view: FleetView<Configuration>;
@@ -183,6 +198,8 @@
     public readonly forwarder: Forwarder;
     public readonly listener: ClientListener;
     public readonly metrics = new Metrics();
+    /** Has slots for as long as the test runs. */
+    public readonly retryBudgets: RetryBudgetTable;
     /** Confirms every configuration at once by default. */
     public readonly confirmer = { confirm: async (_timeoutMs: number) => true, isCutOff: false };
     public stopping = false;
@@ -201,6 +218,7 @@
         configurationApplyMs = Number.POSITIVE_INFINITY,
     ) {
         this.view = new FleetView(() => this.configuration, silentLog);
+        this.retryBudgets = createRetryBudgets(slack, this.metrics);
         const admissions = new AdmissionController(new Authenticator(this.view, revocation), this.limiter);
         this.forwarder = new Forwarder({
             view: this.view,
@@ -209,7 +227,7 @@
             log: silentLog,
             metrics: this.metrics,
             dataCentre: "d",
-            retryBudget: { ratio: 0.2, slack, windowMs: 10_000 },
+            retryBudgets: this.retryBudgets,
             admissions,
             crashReporter: {
                 lost: ({ id }, { fingerprint }) => this.recordLoss(id, fingerprint),
--- a/packages/loadpatterns/src/entries.ts
+++ b/packages/loadpatterns/src/entries.ts
@@ -17,16 +17,15 @@
     unsharedPromptTokens,
     type UpstreamEndpoint,
 } from "@winchpath/forwarding";
+import { RetryBudgetTable } from "@winchpath/retries";
 import { type PeerClients } from "@winchpath/rpc";
 import { type ServerResponse } from "node:http";
 import { type EngineResult, type SimulatedEngine } from "./engines.js";
-import { leaderUrl } from "./leaders.js";
+import { leaderUrl, retryBound } from "./leaders.js";
 import { type Mechanism } from "./mechanisms.js";
 import { type SeededRandom } from "./seededrandoms.js";
 
 const viewRefreshMs = 1000;
-/** Retries are limited to a ratio of a service's requests, plus a fixed number per window. */
-const retryBudget = { ratio: 0.2, slack: 60, windowMs: 10_000 };
 /** Requests are passed as objects, so the forwarder never encodes or decodes them. */
 const unusedCodec = {} as HeaderCodec;
 
@@ -82,6 +81,14 @@
         rates.setCallbacks(() => this.meter.reportSoon(this.view.entries), () => this.view.changed.notify());
         const followed = { entry: name, dataCentre, seeds: () => [leaderUrl] };
         this.follower = new FeedFollower(this.view, clients, followed, silentLog);
+        const retryBudgets = new RetryBudgetTable({
+            bound: () => retryBound,
+            services: () => this.view.configuration?.services.map(({ name }) => name) ?? [],
+            requestReport: () => this.meter.reportSoon(this.view.entries),
+            log: silentLog,
+            metrics: new Metrics(),
+        });
+        this.meter.includeRetries(retryBudgets);
         this.forwarder = new Forwarder({
             view: this.view,
             codec: unusedCodec,
@@ -89,7 +96,7 @@
             log: silentLog,
             metrics: new Metrics(),
             dataCentre,
-            retryBudget: retryBudget,
+            retryBudgets,
             admissions: new AdmissionController(
                 new Authenticator(this.view, { strict: false, withinMs: 0 }),
                 new AccountLimiter({ windowMs: 0, overage: 0, slack: 0 }, () => undefined),
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -4,8 +4,10 @@
 import { type Configuration } from "@winchpath/declarations";
 import {
     decodeRate,
+    decodeSlotReports,
     type DemandRequest,
     DemandTracker,
+    encodeSlotGrants,
     type EngineClient,
     Feed,
     type FeedControl,
@@ -20,6 +22,7 @@
     type Upstream,
 } from "@winchpath/fleet";
 import { QuarantineState } from "@winchpath/quarantine";
+import { type RetryBound, SlotCoordinator } from "@winchpath/retries";
 import { type PeerClients } from "@winchpath/rpc";
 import { type SimulatedEngine } from "./engines.js";
 
@@ -28,6 +31,8 @@
 export const announceMs = 1200;
 /** Interval at which the leader expires outdated state, in milliseconds. */
 const reviewIntervalMs = 1000;
+/** Retries are limited to a ratio of a service's requests, plus a fixed number per window. */
+export const retryBound: RetryBound = { ratio: 0.2, slack: 60, windowMs: 10_000 };
 /** One-way delay between two processes, in milliseconds. */
 const networkDelayMs = 1;
 
@@ -56,6 +61,14 @@
         silentLog,
         (id, limited) => this.registry.setRateLimited(id, limited),
     );
+    private readonly retries = new SlotCoordinator({
+        term: this.term,
+        isFirst: true,
+        electedAt: 0,
+        maxOverlapMs: 0,
+        bound: () => retryBound,
+        log: silentLog,
+    });
     private readonly placement: PlacementController;
     private readonly stopController = new AbortController();
 
@@ -108,6 +121,7 @@
                 return {
                     allowances: [],
                     permits: this.rates.processReports(report.entry, report.rates.map(decodeRate)),
+                    retrySlots: encodeSlotGrants(this.retries.processReports(decodeSlotReports(report))),
                 };
             },
         };
--- a/packages/requests/src/executions.ts
+++ b/packages/requests/src/executions.ts
@@ -1,6 +1,7 @@
 /** Runs a request, with retries on other replicas. */
 import { type Metrics, sleep, steadyNow } from "@winchpath/core";
 import { maxCrashesPerRequest } from "@winchpath/quarantine";
+import { type RetryBudget, type RetryReservation } from "@winchpath/retries";
 import { type RoutedReplica } from "@winchpath/routing";
 import { type Timeline } from "@winchpath/timeline";
 import { Refusal } from "@winchpath/upstream";
@@ -11,7 +12,6 @@
 import { type RequestQuarantine } from "./requestquarantines.js";
 import { ResponseProgress } from "./responseprogress.js";
 import { type AttemptResult, ResponseReader } from "./responsereaders.js";
-import { type RetryBudget } from "./retrybudgets.js";
 import { type TargetQueues } from "./targetqueues.js";
 
 const maxAttempts = 8;
@@ -39,6 +39,8 @@
     private readonly attemptedReplicas = new Map<string, bigint>();
     private attempt = 0;
     private mayHaveRun = false;
+    /** The retry that was decided and isn't sent yet. */
+    private retry: RetryReservation | undefined;
     /** Number of upstreams that crashed while running this request. */
     private upstreamCrashes = 0;
 
@@ -46,7 +48,16 @@
 
     /** Yields the complete response; throws a `RequestFailure` otherwise. */
     public async *run(): AsyncGenerator<ResponseEvent> {
-        this.dependencies.budget.deposit();
+        this.dependencies.budget.recordRequest();
+        try {
+            yield* this.runAttempts();
+        }
+        finally {
+            this.releaseRetry();
+        }
+    }
+
+    private async *runAttempts(): AsyncGenerator<ResponseEvent> {
         while (this.attempt < maxAttempts) {
             const replica = await this.admit();
             this.attempt += 1;
@@ -69,6 +80,9 @@
     /** Runs an attempt, resumes it after lost connections, and reports its result to the queue and the quarantine. */
     public async *runAttempt(plan: AttemptPlan): AsyncGenerator<ResponseEvent, AttemptResult> {
         const { queues, quarantine } = this.dependencies;
+        if (!plan.attach) {
+            this.sendRetry();
+        }
         const startedAt = Date.now();
         const sentAt = steadyNow();
         const result = yield* this.attemptWithResumes(plan);
@@ -178,10 +192,43 @@
             return;
         }
         this.attemptedReplicas.set(replica.upstream, replica.sequence);
-        if (!this.dependencies.budget.tryWithdraw()) {
-            throw this.failure(ProblemCode.overloaded, "no retries are left in the budget", retryAfterMs);
+        this.reserveRetry();
+    }
+
+    /** Reserves a retry; throws the final failure if none is allowed. */
+    public reserveRetry(): void {
+        const { budget, metrics } = this.dependencies;
+        this.retry = budget.reserve();
+        if (this.retry === undefined) {
+            metrics.count("retries_denied_total", { resource: this.job.resource });
+            throw this.noRetryLeft();
+        }
+    }
+
+    /** Returns a retry that was reserved and won't be sent. */
+    public releaseRetry(): void {
+        if (this.retry !== undefined) {
+            this.dependencies.budget.release(this.retry);
+            this.retry = undefined;
         }
-        this.dependencies.metrics.count("retries_total", { resource: job.resource });
+    }
+
+    /** Counts the retry that is sent now, if it is one; what allowed it may have expired while it waited. */
+    private sendRetry(): void {
+        const { budget, metrics } = this.dependencies;
+        if (this.retry === undefined) {
+            return;
+        }
+        if (!budget.maySend(this.retry)) {
+            throw this.noRetryLeft();
+        }
+        const { basis } = budget.send(this.retry);
+        this.retry = undefined;
+        metrics.count("retries_total", { resource: this.job.resource, basis });
+    }
+
+    private noRetryLeft(): RequestFailure {
+        return this.failure(ProblemCode.overloaded, "no retries are left in the budget", retryAfterMs);
     }
 
     private throwIfQuarantined(): void {
--- a/packages/requests/src/handlers.ts
+++ b/packages/requests/src/handlers.ts
@@ -1,5 +1,6 @@
 /** Runs parsed client requests against the agents. */
 import { type Metrics } from "@winchpath/core";
+import { type RetryBudget } from "@winchpath/retries";
 import { type Router } from "@winchpath/routing";
 import { type Timeline } from "@winchpath/timeline";
 import { type Registrar } from "@winchpath/upstream";
@@ -12,7 +13,6 @@
 import { type Job, type ResponseEvent } from "./jobs.js";
 import { ProblemCode, RequestFailure } from "./problems.js";
 import { type RequestQuarantine } from "./requestquarantines.js";
-import { RetryBudget } from "./retrybudgets.js";
 import { TargetQueues } from "./targetqueues.js";
 
 const claimTimeoutMs = 5000;
@@ -30,7 +30,7 @@
     readonly timeline: Timeline;
     readonly metrics: Metrics;
     readonly queueLimit: number;
-    readonly retryShare: number;
+    readonly retryBudget: RetryBudget;
     readonly claimWindowMs: number;
     /** How long a duplicate waits for the claimed attempt to be sent; 500 ms by default. */
     readonly joinTimeoutMs?: number;
@@ -53,7 +53,7 @@
             agents,
             attempts: new AttemptRunner(agents, this.attemptMonitor, router, entry),
             queues: this.queues,
-            budget: new RetryBudget(dependencies.retryShare),
+            budget: dependencies.retryBudget,
             quarantine: dependencies.quarantine,
             timeline,
             metrics,
--- a/packages/requests/src/idempotentexecutions.ts
+++ b/packages/requests/src/idempotentexecutions.ts
@@ -53,7 +53,16 @@
 
     /** Yields the complete response, from this entry's attempt or from that of an earlier duplicate. */
     public async *run(): AsyncGenerator<ResponseEvent> {
-        this.dependencies.budget.deposit();
+        this.dependencies.budget.recordRequest();
+        try {
+            yield* this.runSteps();
+        }
+        finally {
+            this.execution.releaseRetry();
+        }
+    }
+
+    private async *runSteps(): AsyncGenerator<ResponseEvent> {
         let step: ClaimStep = await this.claim();
         for (let stepCount = 0; stepCount < maxClaimSteps; stepCount++) {
             switch (step.tag) {
@@ -160,14 +169,7 @@
         if (this.job.signal.aborted) {
             throw new RequestFailure(ProblemCode.callerLeft, "not-run", "the caller left");
         }
-        if (!this.dependencies.budget.tryWithdraw()) {
-            throw new RequestFailure(
-                ProblemCode.overloaded,
-                "not-run",
-                "no retries are left in the budget",
-                retryAfterMs,
-            );
-        }
+        this.execution.reserveRetry();
         return this.execution.admit();
     }
 
--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -2,6 +2,7 @@
 import { create } from "@bufbuild/protobuf";
 import { Metrics, ResponseFraming, silentLog } from "@winchpath/core";
 import { QuarantineState } from "@winchpath/quarantine";
+import { RetryBudget } from "@winchpath/retries";
 import { type RoutedReplica, Router } from "@winchpath/routing";
 import { Timeline } from "@winchpath/timeline";
 import {
@@ -189,6 +190,13 @@
     });
 }
 
+/** A budget with enough retries for a test, as if the leader had leased them to this entry alone. */
+function createRetryBudget(): RetryBudget {
+    const budget = new RetryBudget(() => ({ ratio: 1, slack: 100, windowMs: 10_000 }));
+    budget.applyGrant(100, Number.POSITIVE_INFINITY);
+    return budget;
+}
+
 /** A request handler for these agents; handlers may share claims and a quarantine. */
 export function createHandler(
     agents: FakeAgents,
@@ -205,7 +213,7 @@
         timeline: agents.timeline,
         metrics: new Metrics(),
         queueLimit: 10,
-        retryShare: 1,
+        retryBudget: createRetryBudget(),
         claimWindowMs: 86_400_000,
         joinTimeoutMs: 5,
     });
--- /dev/null
+++ b/packages/retries/src/index.ts
@@ -0,0 +1,10 @@
+export { RetrySlotService } from "./gen/winchpath/retries/v1/retries_pb.js";
+export * from "./requestcredits.js";
+export * from "./retrybounds.js";
+export * from "./retrybudgets.js";
+export * from "./retrybudgettables.js";
+export * from "./slotcoordinators.js";
+export * from "./slotleases.js";
+export * from "./slotledgers.js";
+export * from "./slotreports.js";
+export * from "./slotservices.js";
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -36,6 +36,7 @@
     RequestQuarantine,
     RpcAgentConnector,
 } from "@winchpath/requests";
+import { type RetryBound, RetryBudgetTable, RetrySlotService, retrySlotService, SlotRenewal } from "@winchpath/retries";
 import { Router, RoutingTable } from "@winchpath/routing";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { type Settings } from "@winchpath/settings";
@@ -43,8 +44,14 @@
 import { createRegistrarService, Registrar, RegistrarService } from "@winchpath/upstream";
 import { DrainTracker } from "./draintrackers.js";
 import { createReportAnswer } from "./reports.js";
+import { SlotGranter } from "./slotgranters.js";
 
 const joinTimeoutMs = 60_000;
+/** Retries in a window beyond the share of requests, over all entries. */
+const retrySlack = 100;
+const retryWindowMs = 10_000;
+/** Retries of all resources share one budget. */
+const retryService = "all";
 const demandIntervalMs = 1000;
 const changePollMs = 1000;
 /** Delay between failing the readiness check and closing the listener, so that load balancers stop routing here. */
@@ -89,6 +96,8 @@
     private readonly drainTracker = new DrainTracker(() => this.catalogues.current.drained);
     private readonly registrar: Registrar;
     private readonly handler: RequestHandler;
+    private readonly retryBudgets: RetryBudgetTable;
+    private readonly slotRenewal: SlotRenewal;
     private replica!: Replica;
     private placementController!: PlacementController;
     private rpcServer!: RpcServer;
@@ -101,6 +110,20 @@
         this.timeline = new Timeline({ process: `${role}/${host}`, host, dataCentre });
         this.clients = new RpcClients({ key, timeline: this.timeline });
         this.registrar = new Registrar(this.timeline);
+        const log = { info: this.logEvent, warn: this.logEvent };
+        this.slotRenewal = new SlotRenewal({
+            entry: host,
+            clients: this.clients,
+            leaderUrl: () => this.replica.state.leaderUrl,
+            log,
+        });
+        this.retryBudgets = new RetryBudgetTable({
+            bound: () => this.retryBound,
+            services: () => [retryService],
+            requestReport: () => this.slotRenewal.reportSoon(),
+            log,
+            metrics: this.metrics,
+        });
         this.handler = new RequestHandler({
             entry: host,
             agents: new RpcAgentConnector(this.clients),
@@ -111,7 +134,7 @@
             timeline: this.timeline,
             metrics: this.metrics,
             queueLimit: cfg.limits.queue,
-            retryShare: cfg.limits.retryShare,
+            retryBudget: this.retryBudgets.of(retryService),
             claimWindowMs: cfg.limits.claimWindow,
         });
     }
@@ -152,6 +175,10 @@
         await this.rpcServer.close(loadBalancerDelayMs);
     }
 
+    private get retryBound(): RetryBound {
+        return { ratio: this.cfg.limits.retryShare, slack: retrySlack, windowMs: retryWindowMs };
+    }
+
     private async openReplica(): Promise<void> {
         const { cfg, clients, timeline } = this;
         const options: Partial<ConsensusOptions> = {
@@ -201,11 +228,16 @@
     private async openListeners(): Promise<void> {
         const { cfg, replica, clients, timeline, registrar, declarations, metrics } = this;
         const reportAnswer = createReportAnswer(replica, declarations);
+        const slotGranter = new SlotGranter(() => replica, () => this.retryBound, {
+            info: this.logEvent,
+            warn: this.logEvent,
+        });
         this.rpcServer = await RpcServer.listen(cfg.listen.peers, router => {
             router.service(ConsensusService, consensusService(() => replica));
             router.service(RegistrarService, createRegistrarService(registrar, reportAnswer));
             router.service(PlacementService, placementService(this.demandTracker));
             router.service(TimelineService, timelineService(timeline));
+            router.service(RetrySlotService, retrySlotService(slotGranter));
         }, { key: cfg.key, timeline });
         this.operatorListener = createOperatorServer({
             replica,
@@ -258,6 +290,7 @@
             this.watchUpstreams(signal),
             this.watchDeclarations(signal),
             this.reportDemand(signal),
+            this.cfg.role === "entry" ? this.slotRenewal.run(this.retryBudgets, signal) : undefined,
             this.quarantine.run(signal),
         ]);
     }
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -46,6 +46,7 @@
 import { type ReloadableSettings } from "./platformsettings.js";
 import { Proposals } from "./proposals.js";
 import { ReplicatedState } from "./replicatedstates.js";
+import { SlotGranter } from "./slotgranters.js";
 
 /** Orders may be sent within this time of the last quorum contact: no other leader can have been elected yet. */
 const maxOrderQuorumAgeMs = 700;
@@ -89,6 +90,7 @@
     private demand: DemandTracker;
     private accountLimits: AccountLimitCoordinator;
     private rateLimits: RateLimitCoordinator;
+    private readonly slotGranter: SlotGranter;
     private readonly keeper: ReplicaSupervisor;
     private keeperStopped: Promise<void> = Promise.resolve();
     private rpcServer!: RpcServer;
@@ -111,6 +113,7 @@
         this.demand = new DemandTracker(log);
         this.accountLimits = new AccountLimitCoordinator(settings.current.limitTolerance, log);
         this.rateLimits = this.createRateLimits();
+        this.slotGranter = new SlotGranter(() => this.replica, () => settings.current.retryBudget, log);
         this.parsedDocument = new ParsedDocument(log);
         this.feed = new Feed(this.registry, this, log);
         this.announcementReceiver = new AnnouncementReceiver(this.registry, this.feed, this, this.clients, {
@@ -295,6 +298,7 @@
                     this.rateLimits.processReports(from, reports),
             },
             crashes: () => this.isLeader ? this.leadership?.crashes : undefined,
+            retries: this.slotGranter,
             onDemandReport: (report: DemandRequest) => {
                 report.mismatches.forEach(mismatch => this.leadership?.placement.resyncAfterMismatch(mismatch));
                 report.unreachable.forEach(id => this.registry.reportUnreachable(id, report.entry));
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -13,6 +13,7 @@
     type PlatformSettings,
 } from "@winchpath/platform";
 import { refusesConnections } from "@winchpath/quarantine";
+import { RetryBudgetTable } from "@winchpath/retries";
 import { RpcClients } from "@winchpath/rpc";
 import { StreamOriginClient } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
@@ -50,7 +51,7 @@
         private readonly metrics: Metrics,
         private readonly log: EventLog,
     ) {
-        const { host, dataCentre, retryBudget } = settings.current;
+        const { host, dataCentre } = settings.current;
         const timeline = new Timeline({ process: `entry/${host}`, host, dataCentre });
         this.clients = new RpcClients({ key: undefined, timeline });
         this.fleetView = new FleetView((text, version) => this.readDocument(text, version), log, availability, metrics);
@@ -86,6 +87,14 @@
         this.demandMeter.includeAccounts(this.accountLimiter);
         const accountShares = new AccountShares(() => this.demandMeter.reportSoon(this.fleetView.entries));
         this.demandMeter.includeShares(accountShares);
+        const retryBudgets = new RetryBudgetTable({
+            bound: () => settings.current.retryBudget,
+            services: () => this.fleetView.configuration?.services.map(({ name }) => name) ?? [],
+            requestReport: () => this.demandMeter.reportSoon(this.fleetView.entries),
+            log,
+            metrics,
+        });
+        this.demandMeter.includeRetries(retryBudgets);
         const admissions = new AdmissionController(this.authenticator, this.accountLimiter);
         const { fleetView } = this;
         this.streamOrigins = new StreamOriginClient(
@@ -107,7 +116,7 @@
             log,
             metrics: this.metrics,
             dataCentre,
-            retryBudget: retryBudget,
+            retryBudgets,
             isCapacityContended: settings.current.isCapacityContended,
             admissions,
             accountShares,
