An entry asks for its first retry slots as soon as it knows the services

Cause: the first report went with the next regular one, up to half a second after the entry was ready; a request that an upstream rejects by then got 503 instead of another upstream.

--- a/packages/retries/src/retrybudgettables.ts
+++ b/packages/retries/src/retrybudgettables.ts
@@ -56,6 +56,13 @@
         return this.isRenewalDue || [...this.budgets.values()].some(({ hasNews }) => hasNews);
     }
 
+    /** Requests a report if leases have to be renewed; called when the leader or the services may have changed. */
+    public refresh(): void {
+        if (this.isRenewalDue) {
+            this.options.requestReport();
+        }
+    }
+
     private get isRenewalDue(): boolean {
         return steadyNow() - this.reportedAt >= renewalMs && this.services.size > 0;
     }
--- a/packages/retries/src/tests/retrybudgets.test.ts
+++ b/packages/retries/src/tests/retrybudgets.test.ts
@@ -55,6 +55,15 @@
             expect(sent).toBeLessThanOrEqual(ratio * 200);
         });
 
+        // Guards against a retry that arrives in a window whose requests don't allow it.
+        it("doesn't send a retry whose requests lie too far back once it has waited", () => {
+            receive(20, 2 * windowMs);
+            const retry = budget.reserve()!;
+            expect([retry.basis, budget.maySend(retry)]).toEqual(["requests", true]);
+            mock.timers.tick(windowMs);
+            expect(budget.maySend(retry)).toEqual(false);
+        });
+
         it("follows a change of the settings", () => {
             receive(20, 2 * windowMs);
             ratio = 0;
@@ -145,6 +154,17 @@
         expect(table.hasReports).toEqual(true);
     });
 
+    // Guards against an entry that has to deny the first retries after its start.
+    it("ask at once when the services are known", () => {
+        let reports = 0;
+        const table = createTable(() => reports += 1);
+        table.refresh();
+        expect(reports).toEqual(1);
+        table.createReports();
+        table.refresh();
+        expect(reports).toEqual(1);
+    });
+
     it("expire by the time of the report, not by that of the answer", () => {
         const table = createTable();
         const askedAt = Date.now();
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -37,6 +37,7 @@
     private readonly crashReporter: CrashReporter;
     private readonly hostGuard: HostGuard;
     private readonly streamOrigins: StreamOriginClient;
+    private readonly retryBudgets: RetryBudgetTable;
     private readonly forwarder: Forwarder;
     private readonly clientListener: ClientListener;
     private readonly authenticator: Authenticator;
@@ -87,14 +88,14 @@
         this.demandMeter.includeAccounts(this.accountLimiter);
         const accountShares = new AccountShares(() => this.demandMeter.reportSoon(this.fleetView.entries));
         this.demandMeter.includeShares(accountShares);
-        const retryBudgets = new RetryBudgetTable({
+        this.retryBudgets = new RetryBudgetTable({
             bound: () => settings.current.retryBudget,
             services: () => this.fleetView.configuration?.services.map(({ name }) => name) ?? [],
             requestReport: () => this.demandMeter.reportSoon(this.fleetView.entries),
             log,
             metrics,
         });
-        this.demandMeter.includeRetries(retryBudgets);
+        this.demandMeter.includeRetries(this.retryBudgets);
         const admissions = new AdmissionController(this.authenticator, this.accountLimiter);
         const { fleetView } = this;
         this.streamOrigins = new StreamOriginClient(
@@ -116,7 +117,7 @@
             log,
             metrics: this.metrics,
             dataCentre,
-            retryBudgets,
+            retryBudgets: this.retryBudgets,
             isCapacityContended: settings.current.isCapacityContended,
             admissions,
             accountShares,
@@ -215,6 +216,7 @@
             this.clientListener.refresh();
             this.forwarder.refresh();
             this.streamOrigins.refresh();
+            this.retryBudgets.refresh();
         }
     }
 
