A new leader counts at least as many entries as the last one has told of, until all had time to poll

Polls tell the number that the entry was told last; the leader uses the largest for its first four seconds. Test: fleet tests/feeds, red with the mechanism taken out.

--- a/packages/fleet/src/feedfollowers.ts
+++ b/packages/fleet/src/feedfollowers.ts
@@ -207,6 +207,7 @@
             softwareVersionPosition: isResuming ? this.view.softwareVersionPositionIn(this.epoch) : undefined,
             waitMs: pollWaitMs,
             capacity: this.options.capacity?.(),
+            knownEntries: this.view.entries,
         };
         const expectedMs = isResuming ? pollTimeoutMs : initialPollTimeoutMs;
         const timeoutMs = this.hasTimedOut ? expectedMs * longerPollFactor : expectedMs;
--- a/packages/fleet/src/feeds.ts
+++ b/packages/fleet/src/feeds.ts
@@ -92,6 +92,8 @@
     private readonly waitingPolls = new Set<WaitingPoll>();
     private readonly admission: AdmissionCoordinator;
     private readonly confirmations = new SharedRun(() => this.control.barrier(confirmationMs));
+    /** The largest number of live entries that an entry was told by an earlier leader, in the current leadership. */
+    private earlierCount = { epoch: "", entries: 0 };
     private liveCount = { at: Number.NEGATIVE_INFINITY, live: 0 };
 
     public constructor(
@@ -118,8 +120,14 @@
         }
     }
 
-    /** Number of entries that have polled recently. */
+    /** Number of entries that have polled recently; of a new leader, at least as many as the last one has told of. */
     public get liveEntries(): number {
+        const { epoch, leadershipAgeMs } = this.control;
+        const isCounted = leadershipAgeMs > warmUpMs || this.earlierCount.epoch !== epoch;
+        return Math.max(this.countLive(), isCounted ? 0 : this.earlierCount.entries);
+    }
+
+    private countLive(): number {
         const now = steadyNow();
         if (now - this.liveCount.at < countCacheMs) {
             return this.liveCount.live;
@@ -144,6 +152,7 @@
             await this.control.barrier();
         }
         this.recordPoll(req, isNewEpoch);
+        this.recordEarlierCount(req, epoch);
         this.hostCapacities.record(req);
         if (!isNewEpoch) {
             await this.awaitChange(req, epoch);
@@ -221,6 +230,11 @@
         this.confirmed.notify();
     }
 
+    private recordEarlierCount({ knownEntries }: PollRequest, epoch: string): void {
+        const entries = this.earlierCount.epoch === epoch ? this.earlierCount.entries : 0;
+        this.earlierCount = { epoch, entries: Math.max(entries, knownEntries) };
+    }
+
     private async awaitChange(req: PollRequest, epoch: string): Promise<void> {
         const deadline = steadyNow() + req.waitMs;
         const wake = new Notifier();
--- a/packages/fleet/src/tests/feeds.test.ts
+++ b/packages/fleet/src/tests/feeds.test.ts
@@ -93,6 +93,21 @@
         });
     });
 
+    // Guards against entries that each take the whole of what is divided by their number, since a new leader knows only one.
+    it("counts as many entries after its election as the last leader has told of, until all had time to poll", async () => {
+        const { control, feed, view, poll } = setUp();
+        const pollOf = (entry: string, knownEntries: number) =>
+            feed.poll(create(PollRequestSchema, { entry, knownEntries }));
+        expect((await pollOf("e", 4)).entries).toEqual(4);
+        expect((await pollOf("f", 3)).entries).toEqual(4);
+        control.leadershipAgeMs = 4001;
+        expect((await pollOf("f", 4)).entries).toEqual(2);
+        control.leadershipAgeMs = 0;
+        control.epoch = "2/a";
+        expect((await poll()).entries).toEqual(2);
+        expect(view.entries).toEqual(2);
+    });
+
     it("sends a snapshot after a read barrier, and then only changes", async () => {
         const { control, registry, view, poll } = setUp();
         registry.announce(createAnnouncement("u1", 1));
