Own interface: a retry that waited too long counts as refused, so that its claim is released

Cause: the check right before sending threw, past the place where a claim is released; its caller was told 'not run' while the claim stayed held.

--- a/packages/requests/src/executions.ts
+++ b/packages/requests/src/executions.ts
@@ -80,8 +80,8 @@
     /** Runs an attempt, resumes it after lost connections, and reports its result to the queue and the quarantine. */
     public async *runAttempt(plan: AttemptPlan): AsyncGenerator<ResponseEvent, AttemptResult> {
         const { queues, quarantine } = this.dependencies;
-        if (!plan.attach) {
-            this.sendRetry();
+        if (!plan.attach && !this.sendRetry()) {
+            return { tag: "refused", refusal: Refusal.FENCED, revision: 0, message: "it waited too long", restMs: 0 };
         }
         const startedAt = Date.now();
         const sentAt = steadyNow();
@@ -201,7 +201,7 @@
         this.retry = budget.reserve();
         if (this.retry === undefined) {
             metrics.count("retries_denied_total", { resource: this.job.resource });
-            throw this.noRetryLeft();
+            throw this.failure(ProblemCode.overloaded, "no retries are left in the budget", retryAfterMs);
         }
     }
 
@@ -213,22 +213,20 @@
         }
     }
 
-    /** Counts the retry that is sent now, if it is one; what allowed it may have expired while it waited. */
-    private sendRetry(): void {
+    /** Counts the retry that is sent now, if it is one; returns false if what allowed it has expired while it waited. */
+    private sendRetry(): boolean {
         const { budget, metrics } = this.dependencies;
         if (this.retry === undefined) {
-            return;
+            return true;
         }
         if (!budget.maySend(this.retry)) {
-            throw this.noRetryLeft();
+            this.releaseRetry();
+            return false;
         }
         const { basis } = budget.send(this.retry);
         this.retry = undefined;
         metrics.count("retries_total", { resource: this.job.resource, basis });
-    }
-
-    private noRetryLeft(): RequestFailure {
-        return this.failure(ProblemCode.overloaded, "no retries are left in the budget", retryAfterMs);
+        return true;
     }
 
     private throwIfQuarantined(): void {
--- a/packages/requests/src/tests/fakes.ts
+++ b/packages/requests/src/tests/fakes.ts
@@ -191,7 +191,7 @@
 }
 
 /** A budget with enough retries for a test, as if the leader had leased them to this entry alone. */
-function createRetryBudget(): RetryBudget {
+export function createRetryBudget(): RetryBudget {
     const budget = new RetryBudget(() => ({ ratio: 1, slack: 100, windowMs: 10_000 }));
     budget.applyGrant(100, Number.POSITIVE_INFINITY);
     return budget;
@@ -202,6 +202,7 @@
     agents: FakeAgents,
     claims = new IdempotencyClaims(),
     quarantine = createQuarantine(),
+    retryBudget = createRetryBudget(),
 ): RequestHandler {
     return new RequestHandler({
         entry: "entry",
@@ -213,7 +214,7 @@
         timeline: agents.timeline,
         metrics: new Metrics(),
         queueLimit: 10,
-        retryBudget: createRetryBudget(),
+        retryBudget,
         claimWindowMs: 86_400_000,
         joinTimeoutMs: 5,
     });
--- a/packages/requests/src/tests/handlers.test.ts
+++ b/packages/requests/src/tests/handlers.test.ts
@@ -2,7 +2,16 @@
 import fc from "fast-check";
 import { describe, it } from "node:test";
 import { type ClaimCommand, IdempotencyClaims, RequestFailure } from "../index.js";
-import { ask, createHandler, createJob, FakeAgents, type Faults, responseText } from "./fakes.js";
+import {
+    ask,
+    createHandler,
+    createJob,
+    createQuarantine,
+    createRetryBudget,
+    FakeAgents,
+    type Faults,
+    responseText,
+} from "./fakes.js";
 
 const seed = 20261202;
 
@@ -17,6 +26,25 @@
 }
 
 describe("RequestHandler", () => {
+    // Guards against retries by a right that another entry may have by now, and against a claim that stays held for nothing.
+    it("does not send a retry whose right has expired while it waited, and lets a duplicate run", async () => {
+        for (const idempotencyKey of [undefined, "k"]) {
+            const agents = new FakeAgents({ disconnects: [-1], truncations: [], restarts: [] }, ["a", "b"]);
+            const claims = new IdempotencyClaims();
+            const budget = createRetryBudget();
+            budget.maySend = () => {
+                budget.applyGrant(0, Number.NEGATIVE_INFINITY);
+                return false;
+            };
+            const job = createJob(agents, { repeatable: idempotencyKey === undefined, idempotencyKey });
+            const { failure } = await ask(createHandler(agents, claims, createQuarantine(), budget), job);
+            expect([(failure as RequestFailure).code, outcomeOf(failure)]).toEqual(["overloaded", "not-run"]);
+            expect(agents.upstream.runs.size).toEqual(0);
+            const duplicate = await ask(createHandler(agents, claims), { ...job, requestId: "r2" });
+            expect([duplicate.text, duplicate.failure]).toEqual([responseText, undefined]);
+        }
+    });
+
     describe(`under random disconnects, truncated responses and restarts (seed ${seed})`, () => {
         it("returns the complete response to a repeatable request or fails, without truncating or mixing responses", async () => {
             await fc.assert(
