--- a/packages/requests/src/tests/handlers.test.ts
+++ b/packages/requests/src/tests/handlers.test.ts
@@ -27,10 +27,16 @@
 
 describe("RequestHandler", () => {
     // Guards against retries by a right that another entry may have by now, and against a claim that stays held for nothing.
-    it("does not send a retry whose right has expired while it waited, and lets a duplicate run", async () => {
+    it("does not send a retry whose right has expired while it waited, and releases its claim", async () => {
         for (const idempotencyKey of [undefined, "k"]) {
             const agents = new FakeAgents({ disconnects: [-1], truncations: [], restarts: [] }, ["a", "b"]);
             const claims = new IdempotencyClaims();
+            const commands: ClaimCommand[] = [];
+            const apply = claims.apply.bind(claims);
+            claims.apply = (command, meta) => {
+                commands.push(command as ClaimCommand);
+                return apply(command, meta);
+            };
             const budget = createRetryBudget();
             budget.maySend = () => {
                 budget.applyGrant(0, Number.NEGATIVE_INFINITY);
@@ -40,6 +46,7 @@
             const { failure } = await ask(createHandler(agents, claims, createQuarantine(), budget), job);
             expect([(failure as RequestFailure).code, outcomeOf(failure)]).toEqual(["overloaded", "not-run"]);
             expect(agents.upstream.runs.size).toEqual(0);
+            expect(commands.at(-1)?.op).toEqual(idempotencyKey === undefined ? undefined : "release");
             const duplicate = await ask(createHandler(agents, claims), { ...job, requestId: "r2" });
             expect([duplicate.text, duplicate.failure]).toEqual([responseText, undefined]);
         }
