--- /dev/null
+++ b/packages/testing/src/crowds/index.ts
@@ -0,0 +1,2 @@
+export * from "./crowds.js";
+export * from "./schemas.js";
--- /dev/null
+++ b/packages/testing/src/crowds/schemas.ts
@@ -0,0 +1,15 @@
+/** What each connection of a crowd sends. */
+import Type, { type Static } from "typebox";
+
+export const CrowdSpec = Type.Object({
+    host: Type.String(),
+    port: Type.Integer(),
+    connections: Type.Integer({ minimum: 1 }),
+    /** Sent once, at the start of each connection. */
+    opening: Type.String(),
+    /** Sent after it, over and over; empty for nothing. */
+    repeated: Type.String(),
+    /** How often it is sent; without an end by default. */
+    times: Type.Optional(Type.Integer({ minimum: 0 })),
+});
+export type CrowdSpec = Static<typeof CrowdSpec>;
--- a/packages/testing/src/deployments/deployments.ts
+++ b/packages/testing/src/deployments/deployments.ts
@@ -29,6 +29,8 @@
     readonly services: readonly ServiceSpec[];
     /** TOML that is appended to the settings of every entry. */
     readonly entrySettings?: string;
+    /** Flags of the runtime of every entry. */
+    readonly entryNodeFlags?: readonly string[];
 }
 
 export interface EntryHost {
@@ -226,7 +228,7 @@
                 operatorsUrl: `http://${this.address}:${operators}`,
                 peersUrl: `http://${this.address}:${peers}`,
                 settingsFile: settings,
-                process: TestProcess.startDaemon(settings, name),
+                process: TestProcess.startDaemon(settings, name, this.spec.entryNodeFlags),
             });
         }
         const starting = [
--- a/packages/testing/src/deployments/processes.ts
+++ b/packages/testing/src/deployments/processes.ts
@@ -8,6 +8,7 @@
 const daemonScript = fileURLToPath(import.meta.resolve("winchpathd")).replace(/index\.js$/, "main.js");
 const cliScript = fileURLToPath(import.meta.resolve("winchpath")).replace(/index\.js$/, "main.js");
 const mockScript = fileURLToPath(new URL("../standins/main.js", import.meta.url));
+const crowdScript = fileURLToPath(new URL("../crowds/main.js", import.meta.url));
 
 /** Children that are still running; they must not outlive the tests that started them. */
 const runningChildren = new Set<ChildProcess>();
@@ -44,26 +45,33 @@
         this.ready.promise.catch(() => undefined);
     }
 
-    public static startDaemon(settings: string, name: string): TestProcess {
-        return new TestProcess(spawn(process.execPath, [daemonScript, "--settings", settings], spawnOptions), name);
+    /** @param nodeFlags flags of the runtime, such as a bound of its heap */
+    public static startDaemon(settings: string, name: string, nodeFlags: readonly string[] = []): TestProcess {
+        const args = [...nodeFlags, daemonScript, "--settings", settings];
+        return new TestProcess(spawn(process.execPath, args, spawnOptions), name);
     }
 
     /**
      * Starts a platform process, which reads the path of its settings file from the environment.
      *
      * @param variables further variables of its environment
+     * @param nodeFlags flags of the runtime, such as a bound of its heap
      */
     public static startPlatform(
         role: string,
         settings: string,
         name: string,
         variables: Readonly<Record<string, string>> = {},
+        nodeFlags: readonly string[] = [],
     ): TestProcess {
         const env = { ...process.env, ...variables, WINCHPATH_SETTINGS: settings };
-        return new TestProcess(
-            spawn(process.execPath, [daemonScript, "--platform", role], { ...spawnOptions, env }),
-            name,
-        );
+        const args = [...nodeFlags, daemonScript, "--platform", role];
+        return new TestProcess(spawn(process.execPath, args, { ...spawnOptions, env }), name);
+    }
+
+    /** Starts a crowd of clients; `spec` is a `CrowdSpec` as JSON. */
+    public static startCrowd(spec: string): TestProcess {
+        return new TestProcess(spawn(process.execPath, [crowdScript, spec], spawnOptions), "crowd");
     }
 
     public static startMock(kind: string, address: string, port: number, settings: object): TestProcess {
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./crowds/index.js";
 export * from "./deployments/controlhistories.js";
 export * from "./deployments/deployments.js";
 export * from "./deployments/ports.js";
