Callers' connections are guarded: their input reaches the parser in slices, and what they cost is counted

What callers saw: an entry ended (heap) within seconds, or answered nobody for 30 s and more, while a few clients sent requests ahead without usual headers, heads without end, empty lines or bodies of single-byte chunks, and read nothing; its descriptors were not bounded. Cause: Node's server parses each piece of 64 KiB to its end, which may be thousands of requests, answers some of them itself, bounds heads by a fixed 256 KiB and empty lines not at all; nothing summed up what connections hold. Change: packages/connections. A connection gets its input in slices, so that at most 16 requests are under way (further ones wait in the kernel and are answered later), heads and empty lines are bounded by the configuration, chunks by their number; a pool counts connections and bytes of all listeners against the settings' limits, and closes those whose loss matters least. Found on the way: the server resumes a paused socket each time a body is read, so that input grew by 64 KB each time (heap full on bodies of single-byte chunks).

--- /dev/null
+++ b/packages/connections/src/connectionpools.ts
@@ -0,0 +1,248 @@
+/**
+ * Bounds what the connections of all listeners of a process take together: descriptors and memory. A process that has
+ * reached a bound closes the connections whose loss matters least, so that others are served.
+ */
+import { type EventLog, eventLoop, type Metrics, steadyNow } from "@winchpath/core";
+import { type PoolLimits } from "./connectionlimits.js";
+import { InputTurns } from "./inputturns.js";
+
+/** Interval of the checks for connections that take too long, in milliseconds. */
+const checkMs = 500;
+/** Share of the held bytes' bound from which on connections have one request under way each. */
+const scarceShare = 0.8;
+/** Share of that bound to which connections are closed once it is exceeded. */
+const relievedShare = 0.9;
+/** Time to the next search for connections to close if too few were found, in milliseconds. */
+const releaseIntervalMs = 50;
+
+/** Why a connection was closed by its guard. */
+export type CloseReason =
+    | "head-too-large"
+    | "head-late"
+    | "request-late"
+    | "unread-output"
+    | "memory"
+    | "connections";
+
+/**
+ * What closing a connection costs: nothing once it is being closed; little while it is idle; a request that isn't complete;
+ * answers that its client doesn't take; or requests that it has sent ahead. Others are never closed for lack of resources.
+ */
+export type Expendability = "closing" | "idle" | "incomplete" | "unread" | "ahead" | "needed";
+
+/** A connection as its pool sees it. */
+export interface PooledConnection {
+    /** Bytes that the process holds because of it. */
+    readonly heldBytes: number;
+    readonly expendability: Expendability;
+    /** Whether a request on it was answered. */
+    readonly hasServed: boolean;
+    /** Monotonic time at which it last gave or took something. */
+    readonly progressAt: number;
+    /** Address of the client, for logs. */
+    readonly remoteAddress: string;
+    /** Closes it if it takes too long; returns why. */
+    checkTimes(now: number): CloseReason | undefined;
+    /** Closes it, with a response if the client may read one. */
+    close(reason: CloseReason): void;
+}
+
+/** Connections of one listener. */
+export class PooledListener {
+    public readonly connections = new Set<PooledConnection>();
+    /** Connections without a request under way, in the order in which they became so. */
+    public readonly idle = new Set<PooledConnection>();
+
+    /** `weight`: its part of the connections when all listeners need them, relative to the others. */
+    public constructor(public readonly name: string, public readonly weight: number) {}
+}
+
+/** Order in which connections are closed for lack of memory. */
+const memoryOrder: readonly Expendability[] = ["closing", "idle", "incomplete", "unread", "ahead"];
+
+export class ConnectionPool {
+    public readonly turns = new InputTurns();
+    private readonly listeners: PooledListener[] = [];
+    private bytes = 0;
+    private open = 0;
+    private lastCheckAt = Number.NEGATIVE_INFINITY;
+    /** Monotonic time before which no connection would be found to release bytes. */
+    private nextReleaseAt = Number.NEGATIVE_INFINITY;
+
+    public constructor(
+        private readonly limits: PoolLimits,
+        private readonly log: EventLog,
+        private readonly metrics: Metrics,
+    ) {}
+
+    /** Starts the periodic checks; returns how to stop them. */
+    public start(): () => void {
+        return eventLoop.onTick(() => {
+            const now = steadyNow();
+            if (now - this.lastCheckAt >= checkMs) {
+                this.lastCheckAt = now;
+                this.check(now);
+            }
+        });
+    }
+
+    public register(name: string, weight: number): PooledListener {
+        const listener = new PooledListener(name, weight);
+        this.listeners.push(listener);
+        return listener;
+    }
+
+    /** Number of open connections. */
+    public get size(): number {
+        return this.open;
+    }
+
+    /** Bytes held because of connections. */
+    public get heldBytes(): number {
+        return this.bytes;
+    }
+
+    /** Whether no connection should have more than one request under way. */
+    public get isMemoryScarce(): boolean {
+        return this.bytes > (this.limits.heldBytes ?? Number.POSITIVE_INFINITY) * scarceShare;
+    }
+
+    /** Makes room for a connection of a listener; returns whether there is any. */
+    public makeRoom(listener: PooledListener): boolean {
+        const { connections = Number.POSITIVE_INFINITY } = this.limits;
+        if (this.open < connections) {
+            return true;
+        }
+        const found = this.leastNeeded(listener);
+        if (found === undefined) {
+            this.metrics.count("connections_refused_total", { listener: listener.name });
+            return false;
+        }
+        this.closeConnection(found.listener, found.connection, "connections");
+        return true;
+    }
+
+    public add(listener: PooledListener, connection: PooledConnection): void {
+        this.open += 1;
+        listener.connections.add(connection);
+        listener.idle.add(connection);
+    }
+
+    public delete(listener: PooledListener, connection: PooledConnection): void {
+        if (listener.connections.delete(connection)) {
+            this.open -= 1;
+            listener.idle.delete(connection);
+        }
+    }
+
+    /** Counts bytes that a connection begins to hold, or releases; `spared`: a connection that must not be closed now. */
+    public addBytes(bytes: number, spared?: PooledConnection): void {
+        this.bytes += bytes;
+        const isExceeded = this.bytes > (this.limits.heldBytes ?? Number.POSITIVE_INFINITY);
+        if (bytes > 0 && isExceeded && steadyNow() >= this.nextReleaseAt) {
+            this.releaseBytes(spared);
+        }
+    }
+
+    /** Closes connections that take too long. */
+    public check(now = steadyNow()): void {
+        for (const listener of this.listeners) {
+            for (const connection of listener.connections) {
+                const reason = connection.checkTimes(now);
+                if (reason !== undefined) {
+                    this.closeConnection(listener, connection, reason);
+                }
+            }
+        }
+        this.metrics.setGauge("connection_held_bytes", this.bytes);
+        this.metrics.setGauge("connections_open", this.open);
+    }
+
+    /** Closes a connection on behalf of its guard, and says why. */
+    public closeConnection(listener: PooledListener, connection: PooledConnection, reason: CloseReason): void {
+        this.metrics.count("connections_closed_total", { listener: listener.name, reason });
+        this.log.info("connection.closed", {
+            listener: listener.name,
+            reason,
+            client: connection.remoteAddress,
+            heldBytes: connection.heldBytes,
+            open: this.open,
+            totalBytes: this.bytes,
+        });
+        connection.close(reason);
+    }
+
+    /**
+     * The connection to close in favour of a new one: of the listener that exceeds its part by most, one that has never
+     * served a request, or the one that has been idle for longest.
+     */
+    private leastNeeded(
+        newcomer: PooledListener,
+    ): { readonly listener: PooledListener; readonly connection: PooledConnection; } | undefined {
+        const excess = ({ connections, weight }: PooledListener) => connections.size / weight;
+        const fullest = [...this.listeners].sort((a, b) => excess(b) - excess(a));
+        for (const listener of fullest) {
+            if (excess(listener) < excess(newcomer)) {
+                return undefined;
+            }
+            const connection = oldestUnserved(listener) ?? first(listener.idle) ?? oldestExpendable(listener);
+            if (connection !== undefined) {
+                return { listener, connection };
+            }
+        }
+        return undefined;
+    }
+
+    /** Closes connections, those whose loss matters least first, until enough bytes are released. */
+    private releaseBytes(spared: PooledConnection | undefined): void {
+        const bound = this.limits.heldBytes! * relievedShare;
+        const candidates = this.listeners
+            .flatMap(listener =>
+                [...listener.connections].map(connection => ({
+                    listener,
+                    connection,
+                    order: memoryOrder.indexOf(connection.expendability),
+                }))
+            )
+            .filter(({ connection, order }) => order >= 0 && connection.heldBytes > 0 && connection !== spared)
+            .sort((a, b) => a.order - b.order || a.connection.progressAt - b.connection.progressAt);
+        for (const { listener, connection } of candidates) {
+            if (this.bytes <= bound) {
+                return;
+            }
+            this.closeConnection(listener, connection, "memory");
+        }
+        if (this.bytes > bound) {
+            this.nextReleaseAt = steadyNow() + releaseIntervalMs;
+        }
+    }
+}
+
+function first<T>(values: Iterable<T>): T | undefined {
+    for (const value of values) {
+        return value;
+    }
+    return undefined;
+}
+
+/** Idle connections that have not served a request, oldest first; looks at a bounded number of them. */
+function oldestUnserved(listener: PooledListener): PooledConnection | undefined {
+    const maxLooks = 256;
+    let looks = 0;
+    for (const connection of listener.idle) {
+        looks += 1;
+        if (!connection.hasServed) {
+            return connection;
+        }
+        if (looks === maxLooks) {
+            return undefined;
+        }
+    }
+    return undefined;
+}
+
+function oldestExpendable(listener: PooledListener): PooledConnection | undefined {
+    return [...listener.connections]
+        .filter(({ expendability }) => expendability !== "needed")
+        .sort((a, b) => a.progressAt - b.progressAt)[0];
+}
--- /dev/null
+++ b/packages/connections/src/tests/connectionpools.test.ts
@@ -0,0 +1,125 @@
+/** Guards against a crowd at one listener that keeps others out, and against connections that are closed while others matter less. */
+import { Metrics, silentLog } from "@winchpath/core";
+import { expect } from "earl";
+import { beforeEach, describe, it } from "node:test";
+import {
+    type CloseReason,
+    ConnectionPool,
+    connectionsFor,
+    type Expendability,
+    ListenerWeight,
+    type PooledConnection,
+    type PooledListener,
+} from "../index.js";
+
+describe("ConnectionPool", () => {
+    let pool: ConnectionPool;
+    let closed: string[];
+
+    /** A connection that leaves the pool when it is closed. */
+    class FakeConnection implements PooledConnection {
+        public hasServed = false;
+        public heldBytes = 0;
+        public progressAt = 0;
+        public expendability: Expendability = "idle";
+        public readonly remoteAddress = "";
+
+        public constructor(private readonly listener: PooledListener, private readonly name: string) {
+            pool.add(listener, this);
+        }
+
+        public hold(bytes: number, expendability: Expendability, progressAt = 0): this {
+            this.expendability = expendability;
+            this.progressAt = progressAt;
+            this.heldBytes += bytes;
+            if (expendability !== "idle") {
+                this.listener.idle.delete(this);
+            }
+            pool.addBytes(bytes);
+            return this;
+        }
+
+        public checkTimes(): CloseReason | undefined {
+            return undefined;
+        }
+
+        public close(reason: CloseReason): void {
+            closed.push(`${this.name}: ${reason}`);
+            pool.delete(this.listener, this);
+            pool.addBytes(-this.heldBytes);
+            this.heldBytes = 0;
+        }
+    }
+
+    beforeEach(() => {
+        closed = [];
+        pool = new ConnectionPool({ connections: 4, heldBytes: 100 }, silentLog, new Metrics());
+    });
+
+    describe("when a connection comes and there are as many as allowed", () => {
+        it("closes one of the listener that exceeds its part by most", () => {
+            const clients = pool.register("clients", ListenerWeight.clients);
+            const readiness = pool.register("readiness", ListenerWeight.small);
+            ["a", "b", "c", "d"].forEach(name => new FakeConnection(clients, name));
+            expect(pool.makeRoom(readiness)).toEqual(true);
+            expect(closed).toEqual(["a: connections"]);
+        });
+
+        it("closes one of the same listener if that has more than its part", () => {
+            const clients = pool.register("clients", ListenerWeight.clients);
+            const readiness = pool.register("readiness", ListenerWeight.small);
+            ["a", "b"].forEach(name => new FakeConnection(clients, name));
+            ["x", "y"].forEach(name => new FakeConnection(readiness, name));
+            expect(pool.makeRoom(readiness)).toEqual(true);
+            expect(closed).toEqual(["x: connections"]);
+        });
+
+        it("closes one without an answered request before others, and none that is needed", () => {
+            const clients = pool.register("clients", ListenerWeight.clients);
+            const used = new FakeConnection(clients, "used");
+            used.hasServed = true;
+            new FakeConnection(clients, "silent");
+            ["x", "y"].forEach(name => new FakeConnection(clients, name).hold(1, "needed"));
+            expect(pool.makeRoom(clients)).toEqual(true);
+            expect(closed).toEqual(["silent: connections"]);
+            new FakeConnection(clients, "z").hold(1, "needed");
+            expect(pool.makeRoom(clients)).toEqual(true);
+            new FakeConnection(clients, "w").hold(1, "needed");
+            expect(pool.makeRoom(clients)).toEqual(false);
+            expect(closed).toEqual(["silent: connections", "used: connections"]);
+        });
+    });
+
+    describe("when more bytes are held than allowed", () => {
+        it("closes what matters least first, in the order of the last progress, and leaves what is needed", () => {
+            const clients = pool.register("clients", ListenerWeight.clients);
+            new FakeConnection(clients, "needed").hold(40, "needed");
+            new FakeConnection(clients, "unread").hold(10, "unread");
+            new FakeConnection(clients, "late").hold(20, "incomplete", 2);
+            new FakeConnection(clients, "later").hold(20, "incomplete", 3);
+            new FakeConnection(clients, "newest").hold(20, "incomplete", 4);
+            expect(closed).toEqual(["late: memory"]);
+            expect(pool.heldBytes).toEqual(90);
+            new FakeConnection(clients, "needed too").hold(50, "needed");
+            expect(closed.slice(1)).toEqual(["later: memory", "newest: memory", "unread: memory"]);
+            expect(pool.heldBytes).toEqual(90);
+        });
+
+        it("spares the connection whose request may be complete", () => {
+            const clients = pool.register("clients", ListenerWeight.clients);
+            new FakeConnection(clients, "a").hold(60, "incomplete", 1);
+            const spared = new FakeConnection(clients, "b");
+            spared.expendability = "incomplete";
+            spared.heldBytes = 60;
+            pool.addBytes(60, spared);
+            expect(closed).toEqual(["a: memory"]);
+        });
+    });
+});
+
+describe("connectionsFor", () => {
+    it("leaves a part of the descriptors to upstreams and files", () => {
+        expect(connectionsFor(4100)).toEqual(3075);
+        expect(connectionsFor(undefined)).toEqual(undefined);
+    });
+});
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -1,4 +1,11 @@
 /** HTTP listener for clients. Reads and validates requests and passes them to the forwarder. */
+import {
+    type ConnectionLimits,
+    type ConnectionPool,
+    defaultConnectionLimits,
+    guardHttpServer,
+    ListenerWeight,
+} from "@winchpath/connections";
 import {
     breakOffResponse,
     ClientConnections,
@@ -70,6 +77,8 @@
     readonly metrics: Metrics;
     /** Acts on the load of this host; without it no host counts as loaded. */
     readonly hostGuard?: HostGuard;
+    /** Bounds what connections cost the process; without it they are not bounded. */
+    readonly connectionPool?: ConnectionPool;
     readonly stopping: () => boolean;
 }
 
@@ -82,12 +91,20 @@
     private readonly connections = new ClientConnections(this.server);
     private readonly decider: ConfigurationDecider;
     private routeTable: RouteTable | undefined;
+    private connectionLimits = defaultConnectionLimits;
     /** Notified when a configuration becomes available. */
     private readonly configured = new Notifier();
     private closing = false;
 
     public constructor(private readonly deps: ListenerDependencies) {
         deps.hostGuard?.watch(this.server);
+        if (deps.connectionPool !== undefined) {
+            guardHttpServer(this.server, deps.connectionPool, {
+                name: "clients",
+                weight: ListenerWeight.clients,
+                limits: () => this.connectionLimits,
+            });
+        }
         this.decider = new ConfigurationDecider({ ...deps, routeTable: () => this.currentTable() });
     }
 
@@ -116,6 +133,7 @@
         const { headerTimeoutMs, idleTimeoutMs } = configuration.limits;
         this.server.headersTimeout = headerTimeoutMs;
         this.server.keepAliveTimeout = idleTimeoutMs;
+        this.connectionLimits = connectionLimitsFor(configuration.limits);
         this.deps.hostGuard?.setConfiguration(configuration);
     }
 
@@ -344,6 +362,19 @@
     }
 }
 
+function connectionLimitsFor(limits: ListenerLimits): ConnectionLimits {
+    const { headerBytes, bodyBytes, headerTimeoutMs, idleTimeoutMs } = limits;
+    return {
+        ...defaultConnectionLimits,
+        headerBytes,
+        bodyBytes,
+        headerTimeoutMs,
+        // Bodies have this time when they are read here; one that isn't read may come later.
+        requestTimeoutMs: 2 * idleTimeoutMs,
+        unreadTimeoutMs: idleTimeoutMs,
+    };
+}
+
 /** Reads the complete body, or returns the response if it is too large or too slow. */
 async function readBody(
     req: IncomingMessage,
--- a/packages/hostload/src/hostlimits.ts
+++ b/packages/hostload/src/hostlimits.ts
@@ -17,6 +17,17 @@
  */
 const heldMemoryShare = 0.25;
 
+/**
+ * Share of the memory limit that all connections together may hold: requests that arrive or are under way, and output. What
+ * is read into buffers before a request can be refused comes on top, and so do buffers that the runtime has yet to collect.
+ */
+const connectionMemoryShare = 0.125;
+
+/** Bytes that may be held because of connections; undefined if the settings name no memory limit. */
+export function connectionBytesBound({ memoryMb }: Pick<HostLimits, "memoryMb">): number | undefined {
+    return memoryMb === undefined ? undefined : memoryMb * bytesPerMb * connectionMemoryShare;
+}
+
 /** Bytes that may be held for clients; undefined if the settings name no memory limit. */
 export function heldBytesBound({ memoryMb }: Pick<HostLimits, "memoryMb">): number | undefined {
     return memoryMb === undefined ? undefined : memoryMb * bytesPerMb * heldMemoryShare;
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -1,6 +1,7 @@
 /** Entry component of a platform host: accepts requests from callers and forwards them to upstreams. */
 import { AccountLimiter, AccountShares, Authenticator } from "@winchpath/accounts";
 import { type AvailabilityTracker } from "@winchpath/availability";
+import { type ConnectionPool } from "@winchpath/connections";
 import { type EventLog, eventLoop, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { ConfigurationConfirmer, CrashReporter, DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
@@ -51,6 +52,7 @@
         availability: AvailabilityTracker,
         private readonly metrics: Metrics,
         private readonly log: EventLog,
+        connectionPool: ConnectionPool,
     ) {
         const { host, dataCentre } = settings.current;
         const timeline = new Timeline({ process: `entry/${host}`, host, dataCentre });
@@ -150,6 +152,7 @@
             log,
             metrics,
             hostGuard: this.hostGuard,
+            connectionPool,
             stopping,
         });
     }
--- a/packages/winchpathd/src/platformhosts.ts
+++ b/packages/winchpathd/src/platformhosts.ts
@@ -3,7 +3,9 @@
  * process avoids the memory overhead of a second Node.js runtime.
  */
 import { AvailabilityTracker } from "@winchpath/availability";
+import { ConnectionPool, connectionsFor } from "@winchpath/connections";
 import { type EventLog, eventLoop, Metrics } from "@winchpath/core";
+import { connectionBytesBound } from "@winchpath/hostload";
 import { createMetricsServer } from "@winchpath/platform";
 import { type PlatformEntry } from "./platformentries.js";
 import { type PlatformRelay } from "./platformrelays.js";
@@ -21,19 +23,36 @@
     /** Shared by both components: upstreams request backoff per host, not per component. */
     private readonly availability = new AvailabilityTracker();
     private readonly metricsListener = createMetricsServer(() => this.metrics.toText());
+    /** Connections of all listeners, which share the descriptors and the memory of the process. */
+    private readonly connectionPool: ConnectionPool;
+    private stopChecks = () => {};
     private entry: PlatformEntry | undefined;
     private control: ControlComponent | undefined;
 
-    public constructor(private readonly settings: ReloadableSettings, private readonly log: EventLog) {}
+    public constructor(private readonly settings: ReloadableSettings, private readonly log: EventLog) {
+        const { hostLimits } = settings.current;
+        this.connectionPool = new ConnectionPool(
+            { connections: connectionsFor(hostLimits.fileDescriptors), heldBytes: connectionBytesBound(hostLimits) },
+            log,
+            this.metrics,
+        );
+    }
 
     /** Loads and starts only the components that have addresses in the settings. */
     public async start(): Promise<void> {
         const { callerAddress: callers, controlAddress: control, dataDirectory: dataFolder, metricsAddress: metrics } =
             this.settings.current;
         eventLoop.start(this.log, this.metrics);
+        this.stopChecks = this.connectionPool.start();
         if (callers !== undefined) {
             const { PlatformEntry } = await import("./platformentries.js");
-            this.entry = new PlatformEntry(this.settings, this.availability, this.metrics, this.log);
+            this.entry = new PlatformEntry(
+                this.settings,
+                this.availability,
+                this.metrics,
+                this.log,
+                this.connectionPool,
+            );
             // Serve callers before loading control, which is slow on a fraction of a core.
             await this.entry.start();
         }
@@ -48,6 +67,7 @@
         await Promise.all([this.control?.prepareStop(), this.entry?.stop()]);
         await this.control?.stop();
         await this.metricsListener.close();
+        this.stopChecks();
         eventLoop.stop();
     }
 
@@ -59,6 +79,7 @@
     /** A relay learns the leader from this host's entry; without an entry it reports that no leader is known. */
     private async createRelay(): Promise<PlatformRelay> {
         const { PlatformRelay } = await import("./platformrelays.js");
-        return new PlatformRelay(this.settings, this.entry ?? { leaderUrl: "", controlUrls: [] }, this.log);
+        const leaderInfo = this.entry ?? { leaderUrl: "", controlUrls: [] };
+        return new PlatformRelay(this.settings, leaderInfo, this.log);
     }
 }
