The readiness and metrics listeners are guarded, and take no large bodies

What callers saw: an entry was killed for its memory, ended or answered nobody while clients sent requests ahead at /readiness or other paths of that port, or bodies up to 16 MB; the port's connections used up the entry's descriptors. Cause: servers with a framework's defaults, outside of every count. Change: the same guard and the same pool as the callers' address; four requests ahead; bodies up to 1 KiB. The pool keeps a part for each listener, so that a readiness check gets in whatever the callers' address holds.

--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -1,7 +1,7 @@
 /** Entry component of a platform host: accepts requests from callers and forwards them to upstreams. */
 import { AccountLimiter, AccountShares, Authenticator } from "@winchpath/accounts";
 import { type AvailabilityTracker } from "@winchpath/availability";
-import { type ConnectionPool } from "@winchpath/connections";
+import { type ConnectionPool, guardHttpServer } from "@winchpath/connections";
 import { type EventLog, eventLoop, type Metrics, sleep, steadyNow } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { ConfigurationConfirmer, CrashReporter, DemandMeter, FeedFollower, FleetView } from "@winchpath/fleet";
@@ -18,6 +18,7 @@
 import { RpcClients } from "@winchpath/rpc";
 import { StreamOriginClient } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
+import { smallListener } from "./listeneroptions.js";
 import { type ReloadableSettings } from "./platformsettings.js";
 
 /** Share of the time to put a configuration in force after which the control group is asked to confirm it. */
@@ -54,6 +55,7 @@
         private readonly log: EventLog,
         connectionPool: ConnectionPool,
     ) {
+        guardHttpServer(this.readinessListener.server, connectionPool, smallListener("readiness"));
         const { host, dataCentre } = settings.current;
         const timeline = new Timeline({ process: `entry/${host}`, host, dataCentre });
         this.clients = new RpcClients({ key: undefined, timeline });
--- a/packages/winchpathd/src/platformhosts.ts
+++ b/packages/winchpathd/src/platformhosts.ts
@@ -3,10 +3,11 @@
  * process avoids the memory overhead of a second Node.js runtime.
  */
 import { AvailabilityTracker } from "@winchpath/availability";
-import { ConnectionPool, connectionsFor } from "@winchpath/connections";
+import { ConnectionPool, connectionsFor, guardHttpServer } from "@winchpath/connections";
 import { type EventLog, eventLoop, Metrics } from "@winchpath/core";
 import { connectionBytesBound } from "@winchpath/hostload";
 import { createMetricsServer } from "@winchpath/platform";
+import { smallListener } from "./listeneroptions.js";
 import { type PlatformEntry } from "./platformentries.js";
 import { type PlatformRelay } from "./platformrelays.js";
 import { type ReloadableSettings } from "./platformsettings.js";
@@ -36,6 +37,7 @@
             log,
             this.metrics,
         );
+        guardHttpServer(this.metricsListener.server, this.connectionPool, smallListener("metrics"));
     }
 
     /** Loads and starts only the components that have addresses in the settings. */
