The control, relay and peers' listeners are guarded

What operators saw: a control host hung while clients sent GET /config/get ahead, exceeded its memory while they held documents of 15 MB, and its descriptors while they sent nothing, also at the peers' port. HTTP/2 connections had no bound on their number or on the calls of one. What a call there holds is bounded by the protocol, not by the pool (open, docs/design/connection-costs.md).

--- a/packages/rpc/src/servers.ts
+++ b/packages/rpc/src/servers.ts
@@ -1,6 +1,7 @@
 /** RPC server for other processes of the system: Connect over HTTP/2. */
 import { type ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { type ConnectionPool, guardHttp2Server, ListenerWeight, maxConcurrentCalls } from "@winchpath/connections";
 import { Failure, FailureCode, listenBacklog } from "@winchpath/core";
 import { once } from "node:events";
 import { createServer, type ServerHttp2Session } from "node:http2";
@@ -29,15 +30,20 @@
         });
     }
 
+    /** `pool`: bounds the connections of the process; without it they are not bounded. */
     public static async listen(
         address: ListenAddress,
         routes: (router: ConnectRouter) => void,
         options: RpcOptions,
+        pool?: ConnectionPool,
     ): Promise<RpcServer> {
         const interceptors = [serverInterceptor(options)];
         const adapter = connectNodeAdapter({ routes, interceptors, readMaxBytes: maxMessageBytes });
-        const server = createServer({}, adapter);
+        const server = createServer({ settings: { maxConcurrentStreams: maxConcurrentCalls } }, adapter);
         const rpcServer = new RpcServer(server);
+        if (pool !== undefined) {
+            guardHttp2Server(server, pool, { name: "peers", weight: ListenerWeight.peers });
+        }
         server.listen(address.port, address.host, listenBacklog);
         await once(server, "listening").catch((err: Error) => {
             throw Failure.of(
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -1,6 +1,7 @@
 /** Control component of a platform host with a disk: configuration, upstream registry and engine placement. */
 import { AccountLimitCoordinator } from "@winchpath/accounts";
 import { type AvailabilityTracker, RateLimitCoordinator, type RateReport } from "@winchpath/availability";
+import { type ConnectionPool, guardHttpServer } from "@winchpath/connections";
 import { ConsensusService, consensusService, type Replica, type ReplicaSupervisor } from "@winchpath/consensus";
 import { type EventLog, listenBacklog, messageOf, type Metrics, steadyNow } from "@winchpath/core";
 import {
@@ -41,6 +42,7 @@
 import { OriginRecordStore, StreamOriginService, streamOriginService } from "@winchpath/streamorigins";
 import { Timeline } from "@winchpath/timeline";
 import { LeaderCrashDecisions } from "./crashdecisions.js";
+import { controlListener } from "./listeneroptions.js";
 import { ParsedDocument } from "./parseddocuments.js";
 import { createPlatformReplica, handOverLeadership, handOverVote } from "./platformreplicas.js";
 import { type ReloadableSettings } from "./platformsettings.js";
@@ -104,6 +106,7 @@
         availability: AvailabilityTracker,
         private readonly metrics: Metrics,
         private readonly log: EventLog,
+        private readonly connectionPool: ConnectionPool,
     ) {
         const { host, dataCentre, controlAddress: control } = settings.current;
         this.timeline = new Timeline({ process: `control/${host}`, host, dataCentre }, timelineCapacity, log);
@@ -124,27 +127,27 @@
         this.engines = new PlatformEngineClient(availability, {
             onLeaving: id => this.registry.markDraining(id, host),
             onRateLimit: (upstream, perSecond) => {
-                this.rateLimits.processReports(host, [{
-                    kind: "limited",
-                    upstream,
-                    perSecond,
-                    ageMs: 0,
-                    wanted: 0,
-                    held: 0,
-                }]);
+                const report: RateReport = { kind: "limited", upstream, perSecond, ageMs: 0, wanted: 0, held: 0 };
+                this.rateLimits.processReports(host, [report]);
             },
         }, log);
         this.httpServer = createControlServer(this, control!.port, log);
+        guardHttpServer(this.httpServer.server, connectionPool, controlListener);
         this.keeper = this.createKeeper();
     }
 
     public async start(): Promise<void> {
         const { current: cfg } = this.settings;
-        this.rpcServer = await RpcServer.listen(cfg.peerAddress, router => {
-            router.service(ConsensusService, consensusService(() => this.keeper.require()));
-            router.service(FleetService, createFleetService(this.fleetServiceDependencies()));
-            router.service(StreamOriginService, streamOriginService(this.originRecords));
-        }, { key: undefined, timeline: this.timeline });
+        this.rpcServer = await RpcServer.listen(
+            cfg.peerAddress,
+            router => {
+                router.service(ConsensusService, consensusService(() => this.keeper.require()));
+                router.service(FleetService, createFleetService(this.fleetServiceDependencies()));
+                router.service(StreamOriginService, streamOriginService(this.originRecords));
+            },
+            { key: undefined, timeline: this.timeline },
+            this.connectionPool,
+        );
         this.keeperStopped = this.keeper.run(this.stopping.signal);
         void this.watchReplica();
         void this.watchRegistry();
--- a/packages/winchpathd/src/platformhosts.ts
+++ b/packages/winchpathd/src/platformhosts.ts
@@ -75,13 +75,13 @@
 
     private async createControl(): Promise<ControlComponent> {
         const { PlatformControl } = await import("./platformcontrols.js");
-        return new PlatformControl(this.settings, this.availability, this.metrics, this.log);
+        return new PlatformControl(this.settings, this.availability, this.metrics, this.log, this.connectionPool);
     }
 
     /** A relay learns the leader from this host's entry; without an entry it reports that no leader is known. */
     private async createRelay(): Promise<PlatformRelay> {
         const { PlatformRelay } = await import("./platformrelays.js");
         const leaderInfo = this.entry ?? { leaderUrl: "", controlUrls: [] };
-        return new PlatformRelay(this.settings, leaderInfo, this.log);
+        return new PlatformRelay(this.settings, leaderInfo, this.log, this.connectionPool);
     }
 }
--- a/packages/winchpathd/src/platformrelays.ts
+++ b/packages/winchpathd/src/platformrelays.ts
@@ -1,10 +1,12 @@
 /** Control component of a platform host without a disk: redirects clients to the leader. */
+import { type ConnectionPool, guardHttpServer } from "@winchpath/connections";
 import { ConsensusService, PeerDiscovery } from "@winchpath/consensus";
 import { type EventLog, listenBacklog } from "@winchpath/core";
 import { AnnouncementBatcher, AnnouncementRelay, FleetService } from "@winchpath/fleet";
 import { createRelayServer } from "@winchpath/platform";
 import { RpcClients, RpcServer } from "@winchpath/rpc";
 import { Timeline } from "@winchpath/timeline";
+import { controlListener } from "./listeneroptions.js";
 import { type ReloadableSettings } from "./platformsettings.js";
 
 const rpcCloseTimeoutMs = 300;
@@ -28,6 +30,7 @@
         private readonly settings: ReloadableSettings,
         private readonly leaderInfo: LeaderInfo,
         log: EventLog,
+        private readonly connectionPool: ConnectionPool,
     ) {
         const { host, dataCentre, controlAddress: control } = settings.current;
         this.timeline = new Timeline({ process: `relay/${host}`, host, dataCentre });
@@ -47,6 +50,7 @@
             control!.port,
             log,
         );
+        guardHttpServer(this.httpServer.server, connectionPool, controlListener);
     }
 
     public async start(): Promise<void> {
@@ -58,13 +62,22 @@
             memberUrls: () => leaderInfo.controlUrls,
             mayFormGroup: () => this.settings.current.firstStart,
         });
-        this.rpcServer = await RpcServer.listen(peers, router => {
-            router.service(ConsensusService, relay.service());
-            router.service(FleetService, {
-                // Lets entries that have only this host as a seed find the leader.
-                poll: () => ({ notLeader: true, leaderUrl: leaderInfo.leaderUrl, controlUrls: [...relay.knownUrls] }),
-            });
-        }, { key: undefined, timeline: this.timeline });
+        this.rpcServer = await RpcServer.listen(
+            peers,
+            router => {
+                router.service(ConsensusService, relay.service());
+                router.service(FleetService, {
+                    // Lets entries that have only this host as a seed find the leader.
+                    poll: () => ({
+                        notLeader: true,
+                        leaderUrl: leaderInfo.leaderUrl,
+                        controlUrls: [...relay.knownUrls],
+                    }),
+                });
+            },
+            { key: undefined, timeline: this.timeline },
+            this.connectionPool,
+        );
         void this.announcementBatcher.run(this.stopping.signal);
         await this.httpServer.listen({ ...control!, backlog: listenBacklog });
     }
