Own interface: the listeners of callers and operators are guarded; limits.clientMemory and limits.unread

What callers saw: an entry ended or hung while clients sent requests or empty chats ahead and read nothing, and held 1.7 GB for bodies of 0.8 MB that never ended; at limits.connections new callers were dropped however idle the others were. Change: the same guard; the pool's bounds are limits.connections (and 128 more for operators and peers) and limits.clientMemory, 256 MiB.

--- a/packages/operators/src/servers.ts
+++ b/packages/operators/src/servers.ts
@@ -1,5 +1,6 @@
 /** HTTP server for operators, with health checks and metrics. */
 import { type TypeBoxTypeProvider } from "@fastify/type-provider-typebox";
+import { type ConnectionPool, guardHttpServer, ListenerWeight } from "@winchpath/connections";
 import { Failure, FailureCode, messageOf, type Metrics } from "@winchpath/core";
 import { type ChangeItem, type ChangeResult, type Declarations, type Kind, kinds } from "@winchpath/declarations";
 import { type RpcClients, secretsEqual } from "@winchpath/rpc";
@@ -25,6 +26,8 @@
     readonly key: string | undefined;
     /** Why the process is not ready; empty if it is ready. */
     readonly unready: () => string;
+    /** Bounds what connections cost the process; without it they are not bounded. */
+    readonly connectionPool?: ConnectionPool;
 }
 
 /** Plural of a kind in URL paths, such as "models" for "Model". */
@@ -51,6 +54,9 @@
     addResourceRoutes(app, options);
     addChangeRoutes(app, options);
     addStatusRoutes(app, options);
+    if (options.connectionPool !== undefined) {
+        guardHttpServer(app.server, options.connectionPool, { name: "operators", weight: ListenerWeight.operators });
+    }
     return app;
 }
 
--- a/packages/requests/src/clientservers.ts
+++ b/packages/requests/src/clientservers.ts
@@ -1,4 +1,5 @@
 /** HTTP server for clients. */
+import { type ConnectionPool, defaultConnectionLimits, guardHttpServer, ListenerWeight } from "@winchpath/connections";
 import { ClientConnections, eventLoop, messageOf, onClientGone, steadyNow } from "@winchpath/core";
 import fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from "fastify";
 import { once } from "node:events";
@@ -14,7 +15,10 @@
     readonly handler: RequestHandler;
     readonly bodyBytes: number;
     readonly headerBytes: number;
-    readonly connections: number;
+    /** Bounds what connections cost the process; without it they are not bounded. */
+    readonly connectionPool?: ConnectionPool;
+    /** Time in which a client takes something of a response, in milliseconds. */
+    readonly unreadMs?: number;
 }
 
 /** Serves clients over HTTP. */
@@ -28,6 +32,7 @@
         this.connections = new ClientConnections(this.app.server);
         this.app.addHook("onRequest", (req, reply) => this.awaitTurn(req, reply));
         addRoutes(this.app, options);
+        guardConnections(this.app, options);
     }
 
     public async listen(address: { readonly host: string; readonly port: number; }): Promise<void> {
@@ -71,7 +76,6 @@
         forceCloseConnections: "idle",
         return503OnClosing: false,
     });
-    app.server.maxConnections = options.connections;
     app.removeAllContentTypeParsers();
     app.addContentTypeParser("*", { parseAs: "buffer" }, async (_req: FastifyRequest, body: Buffer) => body);
     app.setErrorHandler((err, req, reply) => sendProblem(reply, failureOf(err), req.id));
@@ -79,6 +83,18 @@
     return app;
 }
 
+function guardConnections(app: FastifyInstance, options: ClientServerOptions): void {
+    const { connectionPool, headerBytes, bodyBytes, unreadMs = defaultConnectionLimits.unreadTimeoutMs } = options;
+    if (connectionPool !== undefined) {
+        const limits = { ...defaultConnectionLimits, headerBytes, bodyBytes, unreadTimeoutMs: unreadMs };
+        guardHttpServer(app.server, connectionPool, {
+            name: "clients",
+            weight: ListenerWeight.clients,
+            limits: () => limits,
+        });
+    }
+}
+
 function addRoutes(app: FastifyInstance, options: ClientServerOptions): void {
     app.get("/v1/models", () => listModels(options));
     app.post("/v1/chat/completions", (req, reply) => respond(options, req, reply, parseChat));
--- a/packages/settings/src/schemas.ts
+++ b/packages/settings/src/schemas.ts
@@ -73,7 +73,12 @@
     body: size("4 MiB"),
     /** Maximum size of a request's headers. */
     header: size("16 KiB"),
+    /** Connections of callers; beyond them, idle ones are closed. */
     connections: Type.Integer({ default: 10_000, minimum: 1 }),
+    /** Memory for requests that arrive or are under way, and for responses that callers have yet to take. */
+    clientMemory: size("256 MiB"),
+    /** Time in which a caller takes something of a response that waits for it. */
+    unread: duration("60s"),
     /** Timeout for a whole request, unless the caller sets a shorter one. */
     request: duration("60s"),
     /** Time allowed until the first token; a queued request that cannot start within it is rejected. */
--- a/packages/winchpathd/src/controls.ts
+++ b/packages/winchpathd/src/controls.ts
@@ -1,5 +1,6 @@
 /** The process of an entry or control host: consensus, placement, routing and its listeners. */
 import { create } from "@bufbuild/protobuf";
+import { ConnectionPool } from "@winchpath/connections";
 import {
     CompositeStateMachine,
     type ConsensusOptions,
@@ -63,6 +64,8 @@
 const operatorCloseTimeoutMs = 1000;
 /** A host without contact to a leader for this long reports not ready, since its declarations may be stale. */
 const leaderTimeoutMs = 3000;
+/** Connections of operators and peers beside those of clients. */
+const otherConnections = 128;
 
 /** A process that can be stopped gracefully. */
 export interface RunningProcess {
@@ -99,6 +102,8 @@
     private readonly retryBudgets: RetryBudgetTable;
     private readonly slotRenewal: SlotRenewal;
     private replica!: Replica;
+    /** Connections of all listeners. */
+    private readonly connectionPool: ConnectionPool;
     private placementController!: PlacementController;
     private rpcServer!: RpcServer;
     private clientServer: ClientServer | undefined;
@@ -111,6 +116,12 @@
         this.clients = new RpcClients({ key, timeline: this.timeline });
         this.registrar = new Registrar(this.timeline);
         const log = { info: this.logEvent, warn: this.logEvent };
+        const { connections, clientMemory } = cfg.limits;
+        this.connectionPool = new ConnectionPool(
+            { connections: connections + otherConnections, heldBytes: clientMemory },
+            log,
+            this.metrics,
+        );
         this.slotRenewal = new SlotRenewal({
             entry: host,
             clients: this.clients,
@@ -143,6 +154,7 @@
     public static async start(cfg: Settings, onFatal: (err: Error) => void): Promise<ControlProcess> {
         const control = new ControlProcess(cfg, onFatal);
         eventLoop.start({ info: control.logEvent, warn: control.logEvent }, control.metrics);
+        control.stopping.signal.addEventListener("abort", control.connectionPool.start(), { once: true });
         await control.openReplica();
         await control.openListeners();
         void control.runBackgroundTasks();
@@ -232,13 +244,18 @@
             info: this.logEvent,
             warn: this.logEvent,
         });
-        this.rpcServer = await RpcServer.listen(cfg.listen.peers, router => {
-            router.service(ConsensusService, consensusService(() => replica));
-            router.service(RegistrarService, createRegistrarService(registrar, reportAnswer));
-            router.service(PlacementService, placementService(this.demandTracker));
-            router.service(TimelineService, timelineService(timeline));
-            router.service(RetrySlotService, retrySlotService(slotGranter));
-        }, { key: cfg.key, timeline });
+        this.rpcServer = await RpcServer.listen(
+            cfg.listen.peers,
+            router => {
+                router.service(ConsensusService, consensusService(() => replica));
+                router.service(RegistrarService, createRegistrarService(registrar, reportAnswer));
+                router.service(PlacementService, placementService(this.demandTracker));
+                router.service(TimelineService, timelineService(timeline));
+                router.service(RetrySlotService, retrySlotService(slotGranter));
+            },
+            { key: cfg.key, timeline },
+            this.connectionPool,
+        );
         this.operatorListener = createOperatorServer({
             replica,
             peers: new RpcPeerConnector(clients),
@@ -250,6 +267,7 @@
             metrics,
             key: cfg.key,
             unready: () => this.notReadyReason(),
+            connectionPool: this.connectionPool,
         });
         await this.operatorListener.listen(cfg.listen.operators!);
         replica.start();
@@ -274,7 +292,8 @@
                 firstTokenMs: cfg.limits.firstToken,
                 bodyBytes: cfg.limits.body,
                 headerBytes: cfg.limits.header,
-                connections: cfg.limits.connections,
+                connectionPool: this.connectionPool,
+                unreadMs: cfg.limits.unread,
             });
             await this.clientServer.listen(cfg.listen.callers);
         }
