--- a/packages/connections/src/httpconnections.ts
+++ b/packages/connections/src/httpconnections.ts
@@ -308,7 +308,10 @@
         this.hasServed = true;
         this.progressAt = steadyNow();
         this.addRequestBytes(-exchange.bytes);
-        exchange.bytes = 0;
+        if (exchange === this.latest && exchange.req.complete) {
+            // The message isn't kept for as long as the connection is idle.
+            this.latest = undefined;
+        }
         if (this.pending === 0 && this.listener.connections.has(this)) {
             this.listener.idle.add(this);
         }
@@ -339,8 +342,8 @@
     }
 
     private updateOutput(now: number): void {
-        const { bytesWritten, writableLength } = this.socket;
-        const taken = bytesWritten - writableLength;
+        const { writableLength } = this.socket;
+        const taken = writableLength === 0 ? 0 : this.socket.bytesWritten - writableLength;
         if (writableLength === 0 || taken !== this.outputTaken) {
             this.outputAt = now;
         }
--- a/packages/testing/src/crowds/crowds.ts
+++ b/packages/testing/src/crowds/crowds.ts
@@ -25,9 +25,8 @@
     target: TestProcess,
     durationMs: number,
 ): Promise<PeakUsage | undefined> {
-    const crowd = TestProcess.startCrowd(JSON.stringify(spec));
+    const crowd = await startCrowd(spec);
     try {
-        await crowd.waitUntilReady();
         let fileDescriptors = 0;
         for (const end = Date.now() + durationMs; Date.now() < end && target.running; await sleep(sampleMs)) {
             fileDescriptors = Math.max(fileDescriptors, await countDescriptors(target.pid));
@@ -39,6 +38,11 @@
     }
 }
 
+/** Starts a crowd that runs until it is killed. */
+export function startCrowd(spec: CrowdSpec): Promise<TestProcess> {
+    return TestProcess.startCrowd(JSON.stringify(spec)).waitUntilReady();
+}
+
 /** 0 if the process has ended. */
 async function countDescriptors(pid: number): Promise<number> {
     return readdir(`/proc/${pid}/fd`).then(names => names.length, () => 0);
