A head that is too large is refused after the answers to earlier requests; late input of an answered request isn't counted

What a client saw (by reading, then by test): its connection was reset although an earlier request of it was under way. Cause: the connection was closed at once, as 431 can't be sent before earlier answers; and what came of a body after its answer was counted until the connection ended. Change: input is no longer read, and 431 is sent once the earlier answers are.

--- a/packages/connections/src/httpconnections.ts
+++ b/packages/connections/src/httpconnections.ts
@@ -41,6 +41,8 @@
     bytes: number;
     /** Bytes of its body that are missing at most; undefined if its length is unknown. */
     bodyLeft: number | undefined;
+    /** Whether its response is sent, so that what is left of its body is discarded. */
+    isSettled: boolean;
 }
 
 export class HttpConnection implements PooledConnection, WaitingInput {
@@ -65,6 +67,8 @@
     private bufferedBytes = 0;
     private outputTaken = 0;
     private outputAt = steadyNow();
+    /** Whether the head that arrives is larger than allowed; it is refused once earlier requests are answered. */
+    private isHeadTooLarge = false;
     private isRefused = false;
     /** Whether its bytes are no longer counted. */
     private isReleased = false;
@@ -114,6 +118,7 @@
             startedAt: steadyNow(),
             bytes: this.headBytes + reserved,
             bodyLeft: Number.isInteger(length) ? length : undefined,
+            isSettled: false,
         };
         this.latest = exchange;
         this.begun += 1;
@@ -226,6 +231,11 @@
             }
             this.resume();
             this.parseSlice();
+            if (this.isHeadTooLarge) {
+                this.unparsed = undefined;
+                this.pause();
+                return;
+            }
             if (this.socket.isPaused()) {
                 this.updateBuffered();
                 return;
@@ -247,7 +257,7 @@
         if (this.isBodyChunked) {
             this.unreadChunks += countChunks(slice);
         }
-        if (!this.isRefused && !this.socket.destroyed) {
+        if (!this.isHeadTooLarge && !this.isRefused && !this.socket.destroyed) {
             this.parse(slice);
         }
     }
@@ -266,6 +276,9 @@
 
     /** Whether input may be given to the parser: for the body under way, or if a further request may begin. */
     private mayRead(): boolean {
+        if (this.isHeadTooLarge) {
+            return false;
+        }
         if (!this.socket.writable) {
             return this.bytesAfterEnd < maxBytesAfterEnd && this.pending < this.limits().requestsAhead;
         }
@@ -286,25 +299,33 @@
         }
         this.headBytes += length;
         this.addRequestBytes(length);
-        if (this.headBytes > this.limits().headerBytes + maxRequestLineBytes && !this.isRefused) {
-            this.pool.closeConnection(this.listener, this, "head-too-large");
+        if (this.headBytes > this.limits().headerBytes + maxRequestLineBytes) {
+            this.isHeadTooLarge = true;
+            this.refuseLargeHead();
         }
     }
 
     /** A body of a known length is counted from its start. */
     private countBody(exchange: Exchange, length: number): void {
-        if (exchange.bodyLeft === undefined) {
+        if (exchange.bodyLeft !== undefined) {
+            exchange.bodyLeft -= length;
+        }
+        else if (!exchange.isSettled) {
             exchange.bytes += length;
             this.addRequestBytes(length);
         }
-        else {
-            exchange.bodyLeft -= length;
+    }
+
+    private refuseLargeHead(): void {
+        if (this.isHeadTooLarge && this.pending === 0 && !this.isRefused) {
+            this.pool.closeConnection(this.listener, this, "head-too-large");
         }
     }
 
     /** Called once a response is sent or can't be sent any more. */
     private settle(exchange: Exchange): void {
         this.pending -= 1;
+        exchange.isSettled = true;
         this.hasServed = true;
         this.progressAt = steadyNow();
         this.addRequestBytes(-exchange.bytes);
@@ -315,6 +336,7 @@
         if (this.pending === 0 && this.listener.connections.has(this)) {
             this.listener.idle.add(this);
         }
+        this.refuseLargeHead();
         if (this.unparsed !== undefined && this.isPausedHere) {
             this.pool.turns.add(this);
         }
--- a/packages/connections/src/tests/httpguards.test.ts
+++ b/packages/connections/src/tests/httpguards.test.ts
@@ -170,6 +170,18 @@
             await client.closed;
         });
 
+        it("answers the requests before such a head first", async () => {
+            let waiting: ServerResponse | undefined;
+            await listen((_req, res) => waiting = res);
+            const client = new Client();
+            client.socket.write(`${head}\r\n${head}${"X-A: aaaaaaaaaa\r\n".repeat(2000)}`);
+            await sleep(50);
+            expect(client.text).toEqual("");
+            waiting!.end("<first>");
+            await client.closed;
+            expect(client.text.match(/HTTP\/1\.1 \d+|<first>/g)).toEqual(["HTTP/1.1 200", "<first>", "HTTP/1.1 431"]);
+        });
+
         it("rejects requests that are not complete, once connections hold more than allowed, and serves others", async () => {
             await listen(echo, { connections: undefined, heldBytes: 400_000 });
             const incomplete = Array.from({ length: 6 }, () => {
