--- a/packages/testing/src/crowds/crowds.ts
+++ b/packages/testing/src/crowds/crowds.ts
@@ -17,13 +17,14 @@
 }
 
 /**
- * Runs a crowd for `durationMs`. Resolves to what the process `target` has used at most by then; undefined if it has
- * ended.
+ * Runs a crowd for `durationMs` and until `meanwhile`, which is called then, is done. Resolves to what the process `target`
+ * has used at most by then; undefined if it has ended.
  */
 export async function runCrowd(
     spec: CrowdSpec,
     target: TestProcess,
     durationMs: number,
+    meanwhile: () => Promise<void> = async () => {},
 ): Promise<PeakUsage | undefined> {
     const crowd = await startCrowd(spec);
     try {
@@ -31,6 +32,9 @@
         for (const end = Date.now() + durationMs; Date.now() < end && target.running; await sleep(sampleMs)) {
             fileDescriptors = Math.max(fileDescriptors, await countDescriptors(target.pid));
         }
+        if (target.running) {
+            await meanwhile();
+        }
         return target.running ? { memoryMb: await peakMemoryMb(target.pid), fileDescriptors } : undefined;
     }
     finally {
--- a/packages/testing/src/crowds/main.ts
+++ b/packages/testing/src/crowds/main.ts
@@ -3,7 +3,9 @@
  * `CrowdSpec` as JSON. Each client writes as fast as its connection takes it, reads nothing, and connects again after its
  * connection was closed. Runs until it is killed.
  */
+import { connect as connectHttp2 } from "node:http2";
 import { connect } from "node:net";
+import { type Writable } from "node:stream";
 import { type CrowdSpec } from "./schemas.js";
 
 /** Time from the end of a connection to the next one, in milliseconds. */
@@ -11,39 +13,57 @@
 /** Size up to which copies of the repeated text are joined to one piece, in bytes. */
 const pieceBytes = 64 * 1024;
 
-const { host, port, connections, opening, repeated, times = Number.POSITIVE_INFINITY }: CrowdSpec = JSON.parse(
-    process.argv[2],
-);
+const spec: CrowdSpec = JSON.parse(process.argv[2]);
+const { host, port, connections, opening, repeated, times = Number.POSITIVE_INFINITY, calls } = spec;
 const copiesInPiece = Math.max(1, Math.min(times, Math.floor(pieceBytes / Math.max(1, repeated.length))));
 const piece = Buffer.from(repeated.repeat(copiesInPiece), "latin1");
 
-function runClient(): void {
-    const socket = connect({ host, port });
+/** Writes the repeated text as often as it is to be sent, as fast as it is taken. */
+function writeRepeated(stream: Writable): void {
     let copiesLeft = piece.length === 0 ? 0 : times;
     const write = () => {
-        while (copiesLeft > 0 && !socket.destroyed) {
+        while (copiesLeft > 0 && !stream.destroyed) {
             const copies = Math.min(copiesLeft, copiesInPiece);
             copiesLeft -= copies;
-            if (!socket.write(piece.subarray(0, copies * repeated.length))) {
-                socket.once("drain", write);
+            if (!stream.write(piece.subarray(0, copies * repeated.length))) {
+                stream.once("drain", write);
                 return;
             }
         }
     };
+    write();
+}
+
+function runClient(): void {
+    const socket = connect({ host, port });
     socket.pause();
     socket.on("error", () => undefined);
     socket.once("connect", () => {
         if (opening !== "") {
             socket.write(opening, "latin1");
         }
-        write();
+        writeRepeated(socket);
     });
     socket.once("close", () => setTimeout(runClient, reconnectMs));
 }
 
+function runHttp2Client(): void {
+    const session = connectHttp2(`http://${host}:${port}`);
+    session.on("error", () => undefined);
+    session.once("connect", () => {
+        for (let index = 0; index < calls!; index++) {
+            const call = session.request({ ":method": "POST", ":path": opening, "content-type": "application/proto" });
+            call.on("error", () => undefined);
+            call.pause();
+            writeRepeated(call);
+        }
+    });
+    session.once("close", () => setTimeout(runHttp2Client, reconnectMs));
+}
+
 // Connections that are neither read from nor written to don't keep the process alive.
 setInterval(() => undefined, reconnectMs);
 for (let index = 0; index < connections; index++) {
-    runClient();
+    (calls === undefined ? runClient : runHttp2Client)();
 }
 process.stdout.write("the crowd is ready\n");
--- a/packages/testing/src/crowds/schemas.ts
+++ b/packages/testing/src/crowds/schemas.ts
@@ -11,5 +11,7 @@
     repeated: Type.String(),
     /** How often it is sent; without an end by default. */
     times: Type.Optional(Type.Integer({ minimum: 0 })),
+    /** For HTTP/2: calls on each connection. `opening` is their path, and `repeated` is sent as the body of each. */
+    calls: Type.Optional(Type.Integer({ minimum: 1 })),
 });
 export type CrowdSpec = Static<typeof CrowdSpec>;
--- a/packages/testing/src/tests/crowdsatownlisteners.test.ts
+++ b/packages/testing/src/tests/crowdsatownlisteners.test.ts
@@ -18,6 +18,7 @@
 const retryIntervalMs = 50;
 const nodeFlags = ["--max-old-space-size=60", "--max-semi-space-size=2"];
 const host = "Host: h.example\r\n";
+const header = `X-Padding: ${"a".repeat(1000)}\r\n`;
 /** Below the bound on bodies in the default settings, 4 MiB. */
 const callerBodyBytes = 4_000_000;
 /** Below the bound on bodies of the operators' listener, 1 MiB. */
@@ -56,6 +57,19 @@
         times: callerBodyBytes / body.length - 1,
     },
     "connections without a request": { ...callers, connections: 600, opening: "", repeated: "" },
+    "heads without end": {
+        ...callers,
+        connections: 600,
+        opening: `GET /v1/models HTTP/1.1\r\n${host}`,
+        repeated: header,
+    },
+    "heads without end, at the operators' listener": {
+        ...operators,
+        connections: 600,
+        opening: `GET /healthz HTTP/1.1\r\n${host}`,
+        repeated: header,
+    },
+    "empty lines": { ...callers, connections: 600, opening: "", repeated: "\r\n" },
     "requests ahead, at the operators' listener": {
         ...operators,
         connections: 60,
@@ -109,11 +123,13 @@
     }
 
     for (const [name, { listener, ...crowd }] of Object.entries(crowds)) {
-        it(`lives within its limits, and serves a request afterwards: ${name}`, async () => {
+        it(`lives within its limits, and serves a request meanwhile and afterwards: ${name}`, async test => {
             const [entry] = deployment.entries;
             const { hostname, port } = new URL(entry[listener]);
-            const peak = await runCrowd({ host: hostname, port: Number(port), ...crowd }, entry.process, crowdMs);
+            const spec = { host: hostname, port: Number(port), ...crowd };
+            const peak = await runCrowd(spec, entry.process, crowdMs, () => serve(entry.callersUrl));
             expect(peak !== undefined).toEqual(true);
+            test.diagnostic(`${name}: ${peak!.memoryMb.toFixed(0)} MB, ${peak!.fileDescriptors} descriptors`);
             expect(peak!.memoryMb).toBeLessThanOrEqual(maxMemoryMb);
             expect(peak!.fileDescriptors).toBeLessThanOrEqual(maxDescriptors);
             await deployment.waitUntilReady();
