Buffers of input that are no longer used are collected before they take more than their part of the memory

Cause: each piece that is read is a buffer of up to 64 KiB outside of the heap. The runtime collects by the growth of the heap; by samples of the process, buffers took up to 125 MB while the pool counted 25 MB as held: connections that come and go fast leave them uncollected. Change: after some input the pool measures all buffers of the process; beyond the bound of held bytes and half of it again, it has the runtime collect new objects, and all only if that isn't enough. If more is in use than was meant to be, it waits until they grow again.

--- a/packages/connections/src/connectionpools.ts
+++ b/packages/connections/src/connectionpools.ts
@@ -3,6 +3,7 @@
  * reached a bound closes the connections whose loss matters least, so that others are served.
  */
 import { type EventLog, eventLoop, type Metrics, steadyNow } from "@winchpath/core";
+import { BufferCollector } from "./buffercollectors.js";
 import { type PoolLimits } from "./connectionlimits.js";
 import { InputTurns } from "./inputturns.js";
 
@@ -63,6 +64,7 @@
 export class ConnectionPool {
     public readonly turns = new InputTurns();
     private readonly listeners: PooledListener[] = [];
+    private readonly collector: BufferCollector;
     private bytes = 0;
     private open = 0;
     private lastCheckAt = Number.NEGATIVE_INFINITY;
@@ -73,7 +75,9 @@
         private readonly limits: PoolLimits,
         private readonly log: EventLog,
         private readonly metrics: Metrics,
-    ) {}
+    ) {
+        this.collector = new BufferCollector(limits.heldBytes, metrics);
+    }
 
     /** Starts the periodic checks; returns how to stop them. */
     public start(): () => void {
@@ -135,6 +139,11 @@
         }
     }
 
+    /** Called for each piece that a connection has read; its buffer may soon be unused. */
+    public addInput(bytes: number): void {
+        this.collector.addInput(bytes);
+    }
+
     /** Counts bytes that a connection begins to hold, or releases; `spared`: a connection that must not be closed now. */
     public addBytes(bytes: number, spared?: PooledConnection): void {
         this.bytes += bytes;
--- a/packages/connections/src/httpconnections.ts
+++ b/packages/connections/src/httpconnections.ts
@@ -181,6 +181,7 @@
 
     private receive(bytes: Buffer): void {
         this.progressAt = steadyNow();
+        this.pool.addInput(bytes.buffer.byteLength);
         if (this.isRefused) {
             return;
         }
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./buffercollectors.js";
 export * from "./connectionlimits.js";
 export * from "./connectionpools.js";
 export * from "./httpconnections.js";
