Calls on peers' connections are counted: messages that arrive, answers that wait, and how long they take

Cause: HTTP/2 bounds what waits between two ends of a connection, not what the handler keeps of a message until it is complete; the guard counted connections only. Change: each piece of a message that its handler reads counts, until the call is over, and so does what waits of answers, against the same pool as all other connections. Of connections whose loss costs the same, those that hold much are closed first. Found on the way (by a test that hung): bytes held beyond the bound stayed if they came within 50 ms of a search that found too little.

--- a/packages/connections/src/connectionpools.ts
+++ b/packages/connections/src/connectionpools.ts
@@ -13,6 +13,10 @@
 const scarceShare = 0.8;
 /** Share of that bound to which connections are closed once it is exceeded. */
 const relievedShare = 0.9;
+/** Bytes that one connection may hold beside the others where that is allowed, as a multiple of that bound. */
+const maxExemptShare = 2;
+/** Time after which an answer that the client doesn't take makes its connection expendable, in milliseconds. */
+export const minUnreadMs = 1000;
 /** Time to the next search for connections to close if too few were found, in milliseconds. */
 const releaseIntervalMs = 50;
 
@@ -40,6 +44,8 @@
     readonly hasServed: boolean;
     /** Monotonic time at which it last gave or took something. */
     readonly progressAt: number;
+    /** Whether one of this kind may hold more than the bound on all, while the others are within it. */
+    readonly mayExceed?: boolean;
     /** Address of the client, for logs. */
     readonly remoteAddress: string;
     /** Closes it if it takes too long; returns why. */
@@ -61,6 +67,15 @@
 /** Order in which connections are closed for lack of memory. */
 const memoryOrder: readonly Expendability[] = ["closing", "idle", "incomplete", "unread", "ahead"];
 
+/** A connection that may be closed for lack of memory. */
+interface MemoryCandidate {
+    readonly listener: PooledListener;
+    readonly connection: PooledConnection;
+    /** Its place in `memoryOrder`. */
+    readonly order: number;
+    readonly heldBytes: number;
+}
+
 export class ConnectionPool {
     public readonly turns = new InputTurns();
     private readonly listeners: PooledListener[] = [];
@@ -147,13 +162,16 @@
     /** Counts bytes that a connection begins to hold, or releases; `spared`: a connection that must not be closed now. */
     public addBytes(bytes: number, spared?: PooledConnection): void {
         this.bytes += bytes;
-        const isExceeded = this.bytes > (this.limits.heldBytes ?? Number.POSITIVE_INFINITY);
-        if (bytes > 0 && isExceeded && steadyNow() >= this.nextReleaseAt) {
+        if (bytes > 0 && this.isExceeded && steadyNow() >= this.nextReleaseAt) {
             this.releaseBytes(spared);
         }
     }
 
-    /** Closes connections that take too long. */
+    private get isExceeded(): boolean {
+        return this.bytes > (this.limits.heldBytes ?? Number.POSITIVE_INFINITY);
+    }
+
+    /** Closes connections that take too long, and those that hold too much. */
     public check(now = steadyNow()): void {
         for (const listener of this.listeners) {
             for (const connection of listener.connections) {
@@ -163,6 +181,9 @@
                 }
             }
         }
+        if (this.isExceeded) {
+            this.releaseBytes(undefined);
+        }
         this.metrics.setGauge("connection_held_bytes", this.bytes);
         this.metrics.setGauge("connections_open", this.open);
     }
@@ -204,27 +225,50 @@
 
     /** Closes connections, those whose loss matters least first, until enough bytes are released. */
     private releaseBytes(spared: PooledConnection | undefined): void {
-        const bound = this.limits.heldBytes! * relievedShare;
-        const candidates = this.listeners
+        const relievedBytes = this.limits.heldBytes! * relievedShare;
+        const candidates = this.memoryCandidates(spared);
+        const exempt = this.exemptOf(candidates);
+        const targetBytes = relievedBytes + (exempt?.heldBytes ?? 0);
+        for (const { listener, connection } of inClosingOrder(candidates.filter(each => each !== exempt))) {
+            if (this.bytes > targetBytes) {
+                this.closeConnection(listener, connection, "memory");
+            }
+        }
+        if (this.bytes > relievedBytes) {
+            this.nextReleaseAt = steadyNow() + releaseIntervalMs;
+        }
+    }
+
+    private memoryCandidates(spared: PooledConnection | undefined): readonly MemoryCandidate[] {
+        return this.listeners
             .flatMap(listener =>
                 [...listener.connections].map(connection => ({
                     listener,
                     connection,
                     order: memoryOrder.indexOf(connection.expendability),
+                    heldBytes: connection.heldBytes,
                 }))
             )
-            .filter(({ connection, order }) => order >= 0 && connection.heldBytes > 0 && connection !== spared)
-            .sort((a, b) => a.order - b.order || a.connection.progressAt - b.connection.progressAt);
-        for (const { listener, connection } of candidates) {
-            if (this.bytes <= bound) {
-                return;
-            }
-            this.closeConnection(listener, connection, "memory");
-        }
-        if (this.bytes > bound) {
-            this.nextReleaseAt = steadyNow() + releaseIntervalMs;
-        }
+            .filter(({ connection, order, heldBytes }) => order >= 0 && heldBytes > 0 && connection !== spared);
     }
+
+    /** The largest of those that may hold more than the bound while the others are within it. */
+    private exemptOf(candidates: readonly MemoryCandidate[]): MemoryCandidate | undefined {
+        return candidates
+            .filter(({ connection, heldBytes }) =>
+                connection.mayExceed && heldBytes <= this.limits.heldBytes! * maxExemptShare
+            )
+            .sort((a, b) => b.heldBytes - a.heldBytes)[0];
+    }
+}
+
+/** By what their loss costs; of equal ones, those that hold much go first, and then those without progress for longest. */
+function inClosingOrder(candidates: readonly MemoryCandidate[]): readonly MemoryCandidate[] {
+    const meanBytes = candidates.reduce((sum, { heldBytes }) => sum + heldBytes, 0) / candidates.length;
+    const holdsLittle = ({ heldBytes }: MemoryCandidate) => Number(heldBytes < meanBytes);
+    return [...candidates].sort((a, b) =>
+        a.order - b.order || holdsLittle(a) - holdsLittle(b) || a.connection.progressAt - b.connection.progressAt
+    );
 }
 
 function first<T>(values: Iterable<T>): T | undefined {
--- a/packages/connections/src/httpconnections.ts
+++ b/packages/connections/src/httpconnections.ts
@@ -10,6 +10,7 @@
     type CloseReason,
     type ConnectionPool,
     type Expendability,
+    minUnreadMs,
     type PooledConnection,
     type PooledListener,
 } from "./connectionpools.js";
@@ -27,8 +28,6 @@
 const unreadCheckMs = 10;
 /** Bytes that are read after this side has ended, so that the client's own end is noticed. */
 const maxBytesAfterEnd = 64 * 1024;
-/** Time after which an answer that the client doesn't take makes its connection expendable, in milliseconds. */
-const minUnreadMs = 1000;
 /** Time for the server's own response to a head that comes too late, in milliseconds. */
 const headReserveMs = 1000;
 
--- a/packages/connections/src/sessionguards.ts
+++ b/packages/connections/src/sessionguards.ts
@@ -1,4 +1,4 @@
-/** Guards the connections of HTTP/2 servers: their number, the time until the first call, and idle ones when others come. */
+/** Guards the connections of HTTP/2 servers: their number, and what calls on them hold and how long they take. */
 import { steadyNow } from "@winchpath/core";
 import { type Http2Server, type ServerHttp2Session, type ServerHttp2Stream } from "node:http2";
 import { type Socket } from "node:net";
@@ -7,6 +7,7 @@
     type CloseReason,
     type ConnectionPool,
     type Expendability,
+    minUnreadMs,
     type PooledConnection,
     type PooledListener,
 } from "./connectionpools.js";
@@ -16,13 +17,30 @@
 /** Calls that a peer may have under way on one connection. */
 export const maxConcurrentCalls = 256;
 
+const { headerTimeoutMs, requestTimeoutMs, unreadTimeoutMs } = defaultConnectionLimits;
+
+/** A call under way. */
+interface Call {
+    readonly stream: ServerHttp2Stream;
+    readonly startedAt: number;
+    /** Bytes of its request's message so far. */
+    messageBytes: number;
+    isComplete: boolean;
+}
+
 class SessionConnection implements PooledConnection {
-    /** The protocol bounds what a session holds; it isn't counted here. */
-    public readonly heldBytes = 0;
+    /** A replica that lacks much is sent all of it in one message, which must get through. */
+    public readonly mayExceed = true;
     public hasServed = false;
     public progressAt = steadyNow();
     public readonly remoteAddress: string;
-    private calls = 0;
+    private readonly calls = new Set<Call>();
+    private messageBytes = 0;
+    private outputBytes = 0;
+    private bytesWritten = 0;
+    private outputAt = steadyNow();
+    /** Whether its bytes are no longer counted. */
+    private isReleased = false;
 
     public constructor(
         private readonly socket: Socket,
@@ -30,37 +48,109 @@
         private readonly listener: PooledListener,
     ) {
         this.remoteAddress = socket.remoteAddress ?? "";
-        socket.once("close", () => this.pool.delete(this.listener, this));
+        socket.once("close", () => this.release());
+    }
+
+    public get heldBytes(): number {
+        return this.messageBytes + this.outputBytes;
     }
 
     public get expendability(): Expendability {
-        return this.calls === 0 ? "idle" : "needed";
+        if (this.socket.destroyed) {
+            return "closing";
+        }
+        if (this.calls.size === 0) {
+            return "idle";
+        }
+        if ([...this.calls].some(({ isComplete }) => !isComplete)) {
+            return "incomplete";
+        }
+        return this.outputBytes > 0 && steadyNow() - this.outputAt >= minUnreadMs ? "unread" : "needed";
     }
 
     public begin(stream: ServerHttp2Stream): void {
-        this.calls += 1;
+        const call: Call = { stream, startedAt: steadyNow(), messageBytes: 0, isComplete: false };
+        this.calls.add(call);
         this.hasServed = true;
         this.listener.idle.delete(this);
-        stream.once("close", () => this.settle());
+        onRead(stream, bytes => this.addMessageBytes(call, bytes));
+        stream.once("end", () => call.isComplete = true);
+        stream.once("close", () => this.settle(call));
     }
 
     public checkTimes(now: number): CloseReason | undefined {
-        const { headerTimeoutMs } = defaultConnectionLimits;
-        return !this.hasServed && now - this.progressAt > headerTimeoutMs ? "head-late" : undefined;
+        this.updateOutput(now);
+        if (!this.hasServed && now - this.progressAt > headerTimeoutMs) {
+            return "head-late";
+        }
+        if ([...this.calls].some(call => !call.isComplete && now - call.startedAt > requestTimeoutMs)) {
+            return "request-late";
+        }
+        return this.outputBytes > 0 && now - this.outputAt > unreadTimeoutMs ? "unread-output" : undefined;
     }
 
     public close(): void {
         this.socket.destroy();
-        this.pool.delete(this.listener, this);
+        this.release();
+    }
+
+    private addMessageBytes(call: Call, bytes: number): void {
+        this.progressAt = steadyNow();
+        this.pool.addInput(bytes);
+        if (!this.isReleased) {
+            call.messageBytes += bytes;
+            this.messageBytes += bytes;
+            this.pool.addBytes(bytes);
+        }
     }
 
-    private settle(): void {
-        this.calls -= 1;
+    private settle(call: Call): void {
+        this.calls.delete(call);
         this.progressAt = steadyNow();
-        if (this.calls === 0 && this.listener.connections.has(this)) {
+        if (!this.isReleased) {
+            this.messageBytes -= call.messageBytes;
+            this.pool.addBytes(-call.messageBytes);
+        }
+        if (this.calls.size === 0 && this.listener.connections.has(this)) {
             this.listener.idle.add(this);
         }
     }
+
+    /** Counts what waits for the peer; it takes something of it whenever bytes are written. */
+    private updateOutput(now: number): void {
+        if (this.isReleased) {
+            return;
+        }
+        const bytes = [...this.calls].reduce((sum, { stream }) => sum + stream.writableLength, 0);
+        if (bytes === 0 || this.socket.bytesWritten !== this.bytesWritten) {
+            this.outputAt = now;
+        }
+        this.bytesWritten = this.socket.bytesWritten;
+        const difference = bytes - this.outputBytes;
+        this.outputBytes = bytes;
+        this.pool.addBytes(difference);
+    }
+
+    private release(): void {
+        if (!this.isReleased) {
+            this.isReleased = true;
+            this.pool.addBytes(-this.heldBytes);
+            this.messageBytes = 0;
+            this.outputBytes = 0;
+        }
+        this.pool.delete(this.listener, this);
+    }
+}
+
+/** Calls back with the length of each piece that the stream's reader reads, without reading itself. */
+function onRead(stream: ServerHttp2Stream, callback: (bytes: number) => void): void {
+    const addReader = (event: string | symbol) => {
+        if (event === "data") {
+            stream.removeListener("newListener", addReader);
+            stream.on("data", (piece: Buffer) => callback(piece.length));
+        }
+    };
+    stream.on("newListener", addReader);
 }
 
 /** Guards a server's connections. Call it once all other listeners for its connections are registered. */
@@ -85,7 +175,8 @@
             accepted = undefined;
         }
     });
-    server.on("stream", (stream: ServerHttp2Stream) => {
+    // Before the call is handled, so that all of its message is counted.
+    server.prependListener("stream", (stream: ServerHttp2Stream) => {
         if (stream.session !== undefined) {
             connections.get(stream.session as ServerHttp2Session)?.begin(stream);
         }
--- a/packages/connections/src/tests/connectionpools.test.ts
+++ b/packages/connections/src/tests/connectionpools.test.ts
@@ -22,6 +22,7 @@
         public heldBytes = 0;
         public progressAt = 0;
         public expendability: Expendability = "idle";
+        public mayExceed = false;
         public readonly remoteAddress = "";
 
         public constructor(private readonly listener: PooledListener, private readonly name: string) {
@@ -105,6 +106,38 @@
             expect(pool.heldBytes).toEqual(90);
         });
 
+        it("closes more at the next check if too few were found a moment before", () => {
+            const clients = pool.register("clients", ListenerWeight.clients);
+            const needed = new FakeConnection(clients, "needed").hold(110, "needed");
+            expect(closed).toEqual([]);
+            new FakeConnection(clients, "late").hold(20, "incomplete", 1);
+            needed.expendability = "unread";
+            pool.check();
+            expect(closed).toEqual(["late: memory", "needed: memory"]);
+        });
+
+        it("closes one that holds much before one that holds little and is older", () => {
+            const clients = pool.register("clients", ListenerWeight.clients);
+            new FakeConnection(clients, "small").hold(10, "incomplete", 1);
+            new FakeConnection(clients, "large").hold(50, "incomplete", 2);
+            new FakeConnection(clients, "newest").hold(45, "incomplete", 3);
+            expect(closed).toEqual(["large: memory"]);
+        });
+
+        for (
+            const [bytes, expected] of [[190, ["other: memory"]], [210, ["large: memory", "small: memory"]]] as const
+        ) {
+            it(`counts the largest that may hold more apart, up to a multiple of the bound: ${bytes} of 100`, () => {
+                const peers = pool.register("peers", ListenerWeight.peers);
+                new FakeConnection(peers, "small").hold(30, "incomplete", 1);
+                new FakeConnection(peers, "other").hold(65, "incomplete", 2);
+                const large = new FakeConnection(peers, "large");
+                large.mayExceed = true;
+                large.hold(bytes, "incomplete", 3);
+                expect(closed).toEqual([...expected]);
+            });
+        }
+
         it("spares the connection whose request may be complete", () => {
             const clients = pool.register("clients", ListenerWeight.clients);
             new FakeConnection(clients, "a").hold(60, "incomplete", 1);
