A client that takes a large answer slowly, but steadily, isn't closed as one that takes nothing

What callers saw (by test): the connection of a client that keeps to the limits was closed once an answer had taken longer than idle-timeout-ms, though it read all the time; beyond the memory bound it counted as stalled after a second. Cause: an answer that is complete when it is sent is one write, and the public counters of a socket change only when all of a write is taken (traced: bytesWritten and writableLength stay at 20,000,129 while the runtime's queue falls from 16.1 to 4.6 MB). Change: progress is judged by what the kernel has taken, as the runtime's own timer judges it (`takenOutputBytes`, one copy for the guards of HTTP/1.1 and HTTP/2 connections and for slow readers). Tests beside it: clients that are idle for long or send a body slowly aren't closed; a head, a connection without a request and a body are closed once their time is over, and not before.

--- a/packages/connections/src/httpconnections.ts
+++ b/packages/connections/src/httpconnections.ts
@@ -2,7 +2,7 @@
  * A client's connection to an HTTP server. Its input is given to the server's parser in slices: no further request is read
  * while as many as allowed are under way, and what is held for the client is counted and bounded.
  */
-import { steadyNow } from "@winchpath/core";
+import { steadyNow, takenOutputBytes } from "@winchpath/core";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
 import { type ConnectionLimits, maxRequestLineBytes } from "./connectionlimits.js";
@@ -364,9 +364,8 @@
     }
 
     private updateOutput(now: number): void {
-        const { writableLength } = this.socket;
-        const taken = writableLength === 0 ? 0 : this.socket.bytesWritten - writableLength;
-        if (writableLength === 0 || taken !== this.outputTaken) {
+        const taken = takenOutputBytes(this.socket);
+        if (this.socket.writableLength === 0 || taken !== this.outputTaken) {
             this.outputAt = now;
         }
         this.outputTaken = taken;
--- a/packages/connections/src/sessionguards.ts
+++ b/packages/connections/src/sessionguards.ts
@@ -1,5 +1,5 @@
 /** Guards the connections of HTTP/2 servers: their number, and what calls on them hold and how long they take. */
-import { steadyNow } from "@winchpath/core";
+import { steadyNow, takenOutputBytes } from "@winchpath/core";
 import { type Http2Server, type ServerHttp2Session, type ServerHttp2Stream } from "node:http2";
 import { type Socket } from "node:net";
 import { defaultConnectionLimits } from "./connectionlimits.js";
@@ -37,7 +37,7 @@
     private readonly calls = new Set<Call>();
     private messageBytes = 0;
     private outputBytes = 0;
-    private bytesWritten = 0;
+    private outputTaken = 0;
     private outputAt = steadyNow();
     /** Whether its bytes are no longer counted. */
     private isReleased = false;
@@ -116,16 +116,17 @@
         }
     }
 
-    /** Counts what waits for the peer; it takes something of it whenever bytes are written. */
+    /** Counts what waits for the peer. */
     private updateOutput(now: number): void {
         if (this.isReleased) {
             return;
         }
         const bytes = [...this.calls].reduce((sum, { stream }) => sum + stream.writableLength, 0);
-        if (bytes === 0 || this.socket.bytesWritten !== this.bytesWritten) {
+        const taken = takenOutputBytes(this.socket);
+        if (bytes === 0 || taken !== this.outputTaken) {
             this.outputAt = now;
         }
-        this.bytesWritten = this.socket.bytesWritten;
+        this.outputTaken = taken;
         const difference = bytes - this.outputBytes;
         this.outputBytes = bytes;
         this.pool.addBytes(difference);
--- a/packages/connections/src/tests/httpguards.test.ts
+++ b/packages/connections/src/tests/httpguards.test.ts
@@ -108,6 +108,59 @@
         });
     });
 
+    describe("for clients that take their time, but no more than allowed", () => {
+        /** Lets the guard check times as if that many milliseconds had passed. */
+        const checkAfter = (passedMs: number) => pool.check(performance.now() + passedMs);
+
+        it("keeps a connection open that was idle for long", async () => {
+            await listen(echo);
+            const client = new Client();
+            client.socket.write(`${head}\r\n`);
+            await client.receives("</x 0>");
+            checkAfter(10 * limits.requestTimeoutMs);
+            client.socket.write(`${head}\r\n`);
+            await client.receives("</x 0>");
+            expect(client.socket.destroyed).toEqual(false);
+        });
+
+        it("reads a body that arrives slowly", async () => {
+            await listen(echo);
+            const client = new Client();
+            client.socket.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n");
+            await sleep(20);
+            for (let count = 1; count <= 20; count++) {
+                checkAfter(limits.requestTimeoutMs - 1000);
+                client.socket.write("b");
+                await sleep(2);
+            }
+            await client.receives("</a 20>");
+        });
+
+        it("sends all of a large answer to a client that takes a part of it now and then", async () => {
+            const answerBytes = 60_000_000;
+            /** More than the kernel holds for a connection, so that the server sends some of the rest. */
+            const partBytes = 12_000_000;
+            await listen((_req, res) => res.end("a".repeat(answerBytes)));
+            const client = new Client();
+            client.socket.pause();
+            client.socket.write(`${head}\r\n`);
+            while (pool.heldBytes < answerBytes / 2) {
+                await sleep(5);
+                pool.check();
+            }
+            for (let passedMs = 0; client.text.length < answerBytes; passedMs += limits.unreadTimeoutMs - 1000) {
+                checkAfter(passedMs);
+                client.socket.resume();
+                const end = Math.min(client.text.length + partBytes, answerBytes);
+                while (client.text.length < end) {
+                    await sleep(1);
+                    expect(client.socket.destroyed).toEqual(false);
+                }
+                client.socket.pause();
+            }
+        });
+    });
+
     it("reads on after an early answer to a long body", async () => {
         await listen((req, res) => res.end(`<${req.url}>`));
         const client = new Client();
@@ -216,6 +269,42 @@
             expect(pool.size <= 3).toEqual(true);
         });
 
+        describe("in time", () => {
+            let reasons: unknown[];
+
+            beforeEach(async () => {
+                reasons = [];
+                const log: EventLog = { info: (_event, values) => reasons.push(values?.["reason"]), warn: () => {} };
+                await listen(echo, unbounded, log);
+            });
+
+            for (
+                const [name, text, timeoutMs, reason] of [
+                    ["head", head, limits.headerTimeoutMs, "head-late"],
+                    ["head, of which nothing has come,", "", limits.headerTimeoutMs, "head-late"],
+                    [
+                        "body",
+                        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\nb",
+                        limits.requestTimeoutMs,
+                        "request-late",
+                    ],
+                ] as const
+            ) {
+                it(`closes a connection whose ${name} isn't complete`, async () => {
+                    const client = new Client();
+                    client.socket.write(text);
+                    while (pool.size === 0 || pool.heldBytes < text.length) {
+                        await sleep(5);
+                    }
+                    pool.check(performance.now() + timeoutMs - 1000);
+                    expect(reasons).toEqual([]);
+                    pool.check(performance.now() + timeoutMs + 2000);
+                    expect(reasons).toEqual([reason]);
+                    await client.closed;
+                });
+            }
+        });
+
         it("closes the connection of a client that takes nothing of its answer", async () => {
             const events: string[] = [];
             const log: EventLog = { info: (_event, values) => events.push(String(values?.["reason"])), warn: () => {} };
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./listening.js";
 export * from "./names.js";
 export * from "./observedconnectors.js";
+export * from "./outputs.js";
 export * from "./rateheaders.js";
 export * from "./rawheaders.js";
 export * from "./resetdetectors.js";
--- a/packages/forwarding/src/hostguards.ts
+++ b/packages/forwarding/src/hostguards.ts
@@ -1,5 +1,5 @@
 /** Acts on the load of this entry's host: counts what it holds, and sheds load where the host lacks resources. */
-import { breakOffResponse, type EventLog, type Metrics } from "@winchpath/core";
+import { breakOffResponse, type EventLog, type Metrics, takenOutputBytes } from "@winchpath/core";
 import { type Configuration } from "@winchpath/declarations";
 import { type HostCapacityReport } from "@winchpath/fleet";
 import {
@@ -91,7 +91,7 @@
     public requestStarted(res: ServerResponse, clientAbort: AbortController): HeldRequest {
         const held = this.slowReaders.track({
             heldBytes: () => res.writableLength,
-            takenBytes: () => (res.socket?.bytesWritten ?? 0) - (res.socket?.writableLength ?? 0),
+            takenBytes: () => res.socket ? takenOutputBytes(res.socket) : 0,
             end: () => {
                 clientAbort.abort(slowReaderReason);
                 breakOffResponse(res);
