A request is refused at once if it doesn't fit beside those under way; requests count with the connections to upstreams that they need

Cause: only what is not complete, not read or sent ahead was ever closed; nothing bounded requests that are complete and wait. Three quarters of the descriptors were for clients' connections, and nothing kept upstreams' within the last quarter. Change: a request that doesn't fit into the bound of held bytes once what may be closed is closed is refused at its head with 503 and Retry-After: it hasn't run and isn't read. Small ones (64 KiB) are admitted up to one and a half times the bound, so that large ones don't keep them out; what waits for slow readers doesn't count for this. A connection with a request under way that may need an upstream counts as two descriptors, of seven eighths of max-fds; idle ones are closed for it first.

--- a/packages/connections/src/buffercollectors.ts
+++ b/packages/connections/src/buffercollectors.ts
@@ -80,7 +80,8 @@
         }
     }
 
-    private check(): void {
+    /** Called at short intervals, since buffers are not only those of input. */
+    public check(): void {
         if (this.isCollected) {
             this.isCollected = false;
             this.knownBytes = Math.max(this.usedBytes, this.memory.bytes);
--- a/packages/connections/src/connectionlimits.ts
+++ b/packages/connections/src/connectionlimits.ts
@@ -34,14 +34,25 @@
 /** What all connections of a process may take together; undefined for no limit. */
 export interface PoolLimits {
     readonly connections: number | undefined;
+    /** Connections, and those to upstreams that requests under way on them need. */
+    readonly descriptors?: number;
     /** Bytes of input that is arriving or whose request is under way, and of output that waits for clients. */
     readonly heldBytes: number | undefined;
 }
 
 /** Share of a process's descriptors that its listeners' connections may take; the rest is for upstreams, peers and files. */
-const descriptorShare = 0.75;
+const connectionShare = 0.75;
+/** Share that they and connections to upstreams may take; the rest is for idle ones to upstreams, peers and files. */
+const descriptorShare = 0.875;
 
-/** Connections for a bound on open descriptors. */
-export function connectionsFor(fileDescriptors: number | undefined): number | undefined {
-    return fileDescriptors === undefined ? undefined : Math.max(1, Math.floor(fileDescriptors * descriptorShare));
+/** Limits for a bound on open descriptors. */
+export function connectionLimitsFor(
+    fileDescriptors: number | undefined,
+): Pick<PoolLimits, "connections" | "descriptors"> {
+    return fileDescriptors === undefined
+        ? { connections: undefined }
+        : {
+            connections: Math.max(1, Math.floor(fileDescriptors * connectionShare)),
+            descriptors: Math.max(2, Math.floor(fileDescriptors * descriptorShare)),
+        };
 }
--- a/packages/connections/src/connectionpools.ts
+++ b/packages/connections/src/connectionpools.ts
@@ -13,10 +13,11 @@
 const scarceShare = 0.8;
 /** Share of that bound to which connections are closed once it is exceeded. */
 const relievedShare = 0.9;
+/** Bytes of a request that is small; it is admitted up to a multiple of that bound, so that large ones don't keep it out. */
+const smallRequestBytes = 64 * 1024;
+const maxSmallShare = 1.5;
 /** Bytes that one connection may hold beside the others where that is allowed, as a multiple of that bound. */
 const maxExemptShare = 2;
-/** Time after which an answer that the client doesn't take makes its connection expendable, in milliseconds. */
-export const minUnreadMs = 1000;
 /** Time to the next search for connections to close if too few were found, in milliseconds. */
 const releaseIntervalMs = 50;
 
@@ -60,8 +61,21 @@
     /** Connections without a request under way, in the order in which they became so. */
     public readonly idle = new Set<PooledConnection>();
 
-    /** `weight`: its part of the connections when all listeners need them, relative to the others. */
-    public constructor(public readonly name: string, public readonly weight: number) {}
+    /**
+     * `weight`: its part of the connections when all listeners need them, relative to the others. `forwards`: whether a
+     * request on a connection may need one to an upstream.
+     */
+    public constructor(
+        public readonly name: string,
+        public readonly weight: number,
+        private readonly forwards: boolean,
+    ) {}
+
+    /** Descriptors of its connections, and of those to upstreams that they may need. */
+    public get descriptors(): number {
+        const { size } = this.connections;
+        return this.forwards ? 2 * size - this.idle.size : size;
+    }
 }
 
 /** Order in which connections are closed for lack of memory. */
@@ -80,7 +94,8 @@
     public readonly turns = new InputTurns();
     private readonly listeners: PooledListener[] = [];
     private readonly collector: BufferCollector;
-    private bytes = 0;
+    private requestBytes = 0;
+    private bufferedBytes = 0;
     private open = 0;
     private lastCheckAt = Number.NEGATIVE_INFINITY;
     /** Monotonic time before which no connection would be found to release bytes. */
@@ -97,6 +112,7 @@
     /** Starts the periodic checks; returns how to stop them. */
     public start(): () => void {
         return eventLoop.onTick(() => {
+            this.collector.check();
             const now = steadyNow();
             if (now - this.lastCheckAt >= checkMs) {
                 this.lastCheckAt = now;
@@ -105,8 +121,8 @@
         });
     }
 
-    public register(name: string, weight: number): PooledListener {
-        const listener = new PooledListener(name, weight);
+    public register(name: string, weight: number, forwards = false): PooledListener {
+        const listener = new PooledListener(name, weight, forwards);
         this.listeners.push(listener);
         return listener;
     }
@@ -118,27 +134,45 @@
 
     /** Bytes held because of connections. */
     public get heldBytes(): number {
-        return this.bytes;
+        return this.requestBytes + this.bufferedBytes;
     }
 
     /** Whether no connection should have more than one request under way. */
     public get isMemoryScarce(): boolean {
-        return this.bytes > (this.limits.heldBytes ?? Number.POSITIVE_INFINITY) * scarceShare;
+        return this.heldBytes > (this.limits.heldBytes ?? Number.POSITIVE_INFINITY) * scarceShare;
     }
 
     /** Makes room for a connection of a listener; returns whether there is any. */
     public makeRoom(listener: PooledListener): boolean {
         const { connections = Number.POSITIVE_INFINITY } = this.limits;
-        if (this.open < connections) {
-            return true;
-        }
-        const found = this.leastNeeded(listener);
-        if (found === undefined) {
+        const hasRoom = this.open < connections && this.hasDescriptors(1);
+        const isAccepted = hasRoom || this.closeLeastNeeded(listener);
+        if (!isAccepted) {
             this.metrics.count("connections_refused_total", { listener: listener.name });
-            return false;
         }
-        this.closeConnection(found.listener, found.connection, "connections");
-        return true;
+        return isAccepted;
+    }
+
+    /**
+     * Whether a request on a connection, whose bytes are counted already, may run. Otherwise it must be refused, as nothing
+     * is left to be closed for it. What waits for slow clients doesn't count here: it must not keep other requests out.
+     */
+    public admit(listener: PooledListener, connection: PooledConnection, bytes: number): boolean {
+        const { heldBytes = Number.POSITIVE_INFINITY } = this.limits;
+        const maxBytes = heldBytes * (bytes <= smallRequestBytes ? maxSmallShare : 1);
+        const isAdmitted = this.requestBytes <= maxBytes
+            && (this.hasDescriptors(0) || this.closeLeastNeeded(listener, connection));
+        if (!isAdmitted) {
+            this.metrics.count("requests_refused_total", { listener: listener.name });
+            this.log.info("request.refused", {
+                listener: listener.name,
+                client: connection.remoteAddress,
+                bytes,
+                open: this.open,
+                totalBytes: this.heldBytes,
+            });
+        }
+        return isAdmitted;
     }
 
     public add(listener: PooledListener, connection: PooledConnection): void {
@@ -159,16 +193,35 @@
         this.collector.addInput(bytes);
     }
 
-    /** Counts bytes that a connection begins to hold, or releases; `spared`: a connection that must not be closed now. */
-    public addBytes(bytes: number, spared?: PooledConnection): void {
-        this.bytes += bytes;
+    /**
+     * Counts bytes of requests that a connection begins to hold, or releases; `spared`: a connection that must not be closed
+     * now.
+     */
+    public addRequestBytes(bytes: number, spared?: PooledConnection): void {
+        this.requestBytes += bytes;
+        this.releaseFor(bytes, spared);
+    }
+
+    /** The same for bytes in buffers. */
+    public addBufferedBytes(bytes: number): void {
+        this.bufferedBytes += bytes;
+        this.releaseFor(bytes, undefined);
+    }
+
+    private releaseFor(bytes: number, spared: PooledConnection | undefined): void {
         if (bytes > 0 && this.isExceeded && steadyNow() >= this.nextReleaseAt) {
             this.releaseBytes(spared);
         }
     }
 
+    private hasDescriptors(needed: number): boolean {
+        const { descriptors } = this.limits;
+        return descriptors === undefined
+            || this.listeners.reduce((sum, listener) => sum + listener.descriptors, needed) <= descriptors;
+    }
+
     private get isExceeded(): boolean {
-        return this.bytes > (this.limits.heldBytes ?? Number.POSITIVE_INFINITY);
+        return this.heldBytes > (this.limits.heldBytes ?? Number.POSITIVE_INFINITY);
     }
 
     /** Closes connections that take too long, and those that hold too much. */
@@ -184,7 +237,7 @@
         if (this.isExceeded) {
             this.releaseBytes(undefined);
         }
-        this.metrics.setGauge("connection_held_bytes", this.bytes);
+        this.metrics.setGauge("connection_held_bytes", this.heldBytes);
         this.metrics.setGauge("connections_open", this.open);
     }
 
@@ -197,17 +250,27 @@
             client: connection.remoteAddress,
             heldBytes: connection.heldBytes,
             open: this.open,
-            totalBytes: this.bytes,
+            totalBytes: this.heldBytes,
         });
         connection.close(reason);
     }
 
     /**
-     * The connection to close in favour of a new one: of the listener that exceeds its part by most, one that has never
-     * served a request, or the one that has been idle for longest.
+     * Closes a connection in favour of a new one, or of a request: of the listener that exceeds its part by most, one that has
+     * never served a request, or the one that has been idle for longest. Returns whether there was one.
      */
+    private closeLeastNeeded(listener: PooledListener, spared?: PooledConnection): boolean {
+        const found = this.leastNeeded(listener, spared);
+        if (found === undefined) {
+            return false;
+        }
+        this.closeConnection(found.listener, found.connection, "connections");
+        return true;
+    }
+
     private leastNeeded(
         newcomer: PooledListener,
+        spared: PooledConnection | undefined,
     ): { readonly listener: PooledListener; readonly connection: PooledConnection; } | undefined {
         const excess = ({ connections, weight }: PooledListener) => connections.size / weight;
         const fullest = [...this.listeners].sort((a, b) => excess(b) - excess(a));
@@ -215,7 +278,8 @@
             if (excess(listener) < excess(newcomer)) {
                 return undefined;
             }
-            const connection = oldestUnserved(listener) ?? first(listener.idle) ?? oldestExpendable(listener);
+            const connection = oldestUnserved(listener) ?? first(listener.idle)
+                ?? oldestExpendable(listener, spared);
             if (connection !== undefined) {
                 return { listener, connection };
             }
@@ -230,11 +294,11 @@
         const exempt = this.exemptOf(candidates);
         const targetBytes = relievedBytes + (exempt?.heldBytes ?? 0);
         for (const { listener, connection } of inClosingOrder(candidates.filter(each => each !== exempt))) {
-            if (this.bytes > targetBytes) {
+            if (this.heldBytes > targetBytes) {
                 this.closeConnection(listener, connection, "memory");
             }
         }
-        if (this.bytes > relievedBytes) {
+        if (this.heldBytes > relievedBytes) {
             this.nextReleaseAt = steadyNow() + releaseIntervalMs;
         }
     }
@@ -294,8 +358,11 @@
     return undefined;
 }
 
-function oldestExpendable(listener: PooledListener): PooledConnection | undefined {
+function oldestExpendable(
+    listener: PooledListener,
+    spared: PooledConnection | undefined,
+): PooledConnection | undefined {
     return [...listener.connections]
-        .filter(({ expendability }) => expendability !== "needed")
+        .filter(connection => connection !== spared && connection.expendability !== "needed")
         .sort((a, b) => a.progressAt - b.progressAt)[0];
 }
--- a/packages/connections/src/httpconnections.ts
+++ b/packages/connections/src/httpconnections.ts
@@ -2,7 +2,7 @@
  * A client's connection to an HTTP server. Its input is given to the server's parser in slices: no further request is read
  * while as many as allowed are under way, and what is held for the client is counted and bounded.
  */
-import { steadyNow, takenOutputBytes } from "@winchpath/core";
+import { steadyNow } from "@winchpath/core";
 import { type IncomingMessage, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
 import { type ConnectionLimits, maxRequestLineBytes } from "./connectionlimits.js";
@@ -10,12 +10,13 @@
     type CloseReason,
     type ConnectionPool,
     type Expendability,
-    minUnreadMs,
     type PooledConnection,
     type PooledListener,
 } from "./connectionpools.js";
+import { HeldBytes } from "./heldbytes.js";
 import { countChunks, type InputPhase, sliceLength } from "./inputslices.js";
 import { type WaitingInput } from "./inputturns.js";
+import { OutputProgress } from "./outputprogress.js";
 import { type RefusalStatus, refuseConnection } from "./refusals.js";
 
 /** Memory of a request beside its bytes: message, response, listeners and promises, in bytes. */
@@ -62,15 +63,11 @@
     private headBytes = 0;
     private headSince = steadyNow();
     private bytesAfterEnd = 0;
-    private requestBytes = 0;
-    private bufferedBytes = 0;
-    private outputTaken = 0;
-    private outputAt = steadyNow();
+    private readonly held: HeldBytes;
+    private readonly output: OutputProgress;
     /** Whether the head that arrives is larger than allowed; it is refused once earlier requests are answered. */
     private isHeadTooLarge = false;
     private isRefused = false;
-    /** Whether its bytes are no longer counted. */
-    private isReleased = false;
 
     /** `parse`: gives input to the server's parser. */
     public constructor(
@@ -81,13 +78,15 @@
         private readonly listener: PooledListener,
     ) {
         this.remoteAddress = socket.remoteAddress ?? "";
+        this.held = new HeldBytes(pool);
+        this.output = new OutputProgress(socket);
         socket.on("data", (bytes: Buffer) => this.receive(bytes));
         socket.on("resume", () => this.continueAfterServer());
         socket.once("close", () => this.release());
     }
 
     public get heldBytes(): number {
-        return this.requestBytes + this.bufferedBytes;
+        return this.held.total;
     }
 
     public get expendability(): Expendability {
@@ -100,14 +99,14 @@
         if (this.pending === 1 && this.isBodyArriving) {
             return "incomplete";
         }
-        if (this.socket.writableLength > 0 && steadyNow() - this.outputAt >= minUnreadMs) {
+        if (this.output.isStalled(this.socket.writableLength)) {
             return "unread";
         }
         return this.pending >= this.limits().requestsAhead ? "ahead" : "needed";
     }
 
-    /** Called for each request before it is handled. */
-    public begin(req: IncomingMessage, res: ServerResponse): void {
+    /** Called for each request before it is handled. Returns whether it may run; otherwise the caller refuses it. */
+    public begin(req: IncomingMessage, res: ServerResponse): boolean {
         const length = Number(req.headers["content-length"]);
         // What won't fit is known before it is read. A body that is too large isn't held at all.
         const reserved = requestOverheadBytes + (length <= this.limits().bodyBytes ? length : 0);
@@ -125,8 +124,13 @@
         this.headBytes = 0;
         this.listener.idle.delete(this);
         // The request may be complete already, so that the connection must not be closed for the sake of this.
-        this.addRequestBytes(reserved, this);
+        this.held.addRequestBytes(reserved, this);
         res.once("close", () => this.settle(exchange));
+        const isAdmitted = this.pool.admit(this.listener, this, reserved);
+        if (!isAdmitted) {
+            this.discard(exchange);
+        }
+        return isAdmitted;
     }
 
     public takeTurn(): void {
@@ -136,14 +140,15 @@
     }
 
     public checkTimes(now: number): CloseReason | undefined {
-        this.updateOutput(now);
+        const { writableLength } = this.socket;
+        this.output.update(writableLength, now);
         this.updateBuffered();
         const { headerTimeoutMs, requestTimeoutMs, unreadTimeoutMs } = this.limits();
         const { latest } = this;
         if (this.isRefused) {
             return undefined;
         }
-        if (this.socket.writableLength > 0 && now - this.outputAt > unreadTimeoutMs) {
+        if (writableLength > 0 && this.output.pauseMs(now) > unreadTimeoutMs) {
             return "unread-output";
         }
         if (this.isBodyArriving && now - latest!.startedAt > requestTimeoutMs) {
@@ -298,7 +303,7 @@
             this.headSince = steadyNow();
         }
         this.headBytes += length;
-        this.addRequestBytes(length);
+        this.held.addRequestBytes(length);
         if (this.headBytes > this.limits().headerBytes + maxRequestLineBytes) {
             this.isHeadTooLarge = true;
             this.refuseLargeHead();
@@ -312,10 +317,17 @@
         }
         else if (!exchange.isSettled) {
             exchange.bytes += length;
-            this.addRequestBytes(length);
+            this.held.addRequestBytes(length);
         }
     }
 
+    /** Holds nothing of a request any more; what comes of its body is discarded. */
+    private discard(exchange: Exchange): void {
+        exchange.isSettled = true;
+        this.held.addRequestBytes(-exchange.bytes);
+        exchange.bytes = 0;
+    }
+
     private refuseLargeHead(): void {
         if (this.isHeadTooLarge && this.pending === 0 && !this.isRefused) {
             this.pool.closeConnection(this.listener, this, "head-too-large");
@@ -325,10 +337,9 @@
     /** Called once a response is sent or can't be sent any more. */
     private settle(exchange: Exchange): void {
         this.pending -= 1;
-        exchange.isSettled = true;
+        this.discard(exchange);
         this.hasServed = true;
         this.progressAt = steadyNow();
-        this.addRequestBytes(-exchange.bytes);
         if (exchange === this.latest && exchange.req.complete) {
             // The message isn't kept for as long as the connection is idle.
             this.latest = undefined;
@@ -363,42 +374,17 @@
         }
     }
 
-    private updateOutput(now: number): void {
-        const taken = takenOutputBytes(this.socket);
-        if (this.socket.writableLength === 0 || taken !== this.outputTaken) {
-            this.outputAt = now;
-        }
-        this.outputTaken = taken;
-    }
-
-    private addRequestBytes(bytes: number, spared?: PooledConnection): void {
-        if (!this.isReleased) {
-            this.requestBytes += bytes;
-            this.pool.addBytes(bytes, spared);
-        }
-    }
-
     /** Counts what lies in buffers: input that has been read, and output that waits for the client. */
     private updateBuffered(): void {
-        if (!this.isReleased) {
-            const { readableLength, writableLength } = this.socket;
-            const bytes = (this.unparsed?.buffer.byteLength ?? 0) + readableLength + writableLength;
-            const difference = bytes - this.bufferedBytes;
-            this.bufferedBytes = bytes;
-            this.pool.addBytes(difference);
-        }
+        const { readableLength, writableLength } = this.socket;
+        this.held.setBufferedBytes((this.unparsed?.buffer.byteLength ?? 0) + readableLength + writableLength);
     }
 
     /** Stops counting the connection's bytes; the connection itself counts until its socket is closed. */
     private release(): void {
-        if (!this.isReleased) {
-            this.isReleased = true;
-            this.pool.addBytes(-this.heldBytes);
-            this.requestBytes = 0;
-            this.bufferedBytes = 0;
-            this.pool.turns.delete(this);
-            clearTimeout(this.unreadTimer);
-        }
+        this.held.release();
+        this.pool.turns.delete(this);
+        clearTimeout(this.unreadTimer);
         if (this.socket.destroyed) {
             this.unparsed = undefined;
             this.pool.delete(this.listener, this);
--- a/packages/connections/src/httpguards.ts
+++ b/packages/connections/src/httpguards.ts
@@ -1,15 +1,18 @@
 /** Guards the connections of HTTP servers. */
-import { type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse } from "node:http";
 import { type Socket } from "node:net";
 import { type ConnectionLimits, defaultConnectionLimits } from "./connectionlimits.js";
 import { type ConnectionPool } from "./connectionpools.js";
 import { HttpConnection } from "./httpconnections.js";
 import { replaceListeners } from "./listenerreplacements.js";
+import { retryAfterSeconds } from "./refusals.js";
 
 export interface ListenerOptions {
     /** Name in logs and metrics. */
     readonly name: string;
     readonly weight: ListenerWeight;
+    /** Whether a request may need a connection to an upstream. */
+    readonly forwards?: boolean;
     /** Limits of each connection, as of now; `defaultConnectionLimits` by default. */
     readonly limits?: () => ConnectionLimits;
 }
@@ -27,13 +30,14 @@
 
 const badRequest = 400;
 const expectationFailed = 417;
+const unavailable = 503;
 
 type ConnectionListener = (socket: Socket) => void;
 type RequestListener = (req: IncomingMessage, res: ServerResponse) => void;
 
 /** Guards a server's connections. Call it once all other listeners for its connections and requests are registered. */
 export function guardHttpServer(server: Server, pool: ConnectionPool, options: ListenerOptions): void {
-    const listener = pool.register(options.name, options.weight);
+    const listener = pool.register(options.name, options.weight, options.forwards);
     const limits = options.limits ?? (() => defaultConnectionLimits);
     const connections = new WeakMap<Socket, HttpConnection>();
     // Else the server itself responds to requests without `Host`, unseen by the guard, which responds in its place.
@@ -60,10 +64,13 @@
     });
 
     replaceListeners<RequestListener>(server, "request", handle => (req, res) => {
-        connections.get(req.socket)?.begin(req, res);
+        const isAdmitted = connections.get(req.socket)?.begin(req, res) ?? true;
         if (req.httpVersion === "1.1" && req.headers.host === undefined) {
             reject(req, res, badRequest);
         }
+        else if (!isAdmitted) {
+            reject(req, res, unavailable, { "Retry-After": retryAfterSeconds });
+        }
         else {
             handle(req, res);
         }
@@ -76,8 +83,8 @@
     });
 }
 
-function reject(req: IncomingMessage, res: ServerResponse, status: number): void {
-    res.writeHead(status, { "Connection": "close", "Content-Length": 0 });
+function reject(req: IncomingMessage, res: ServerResponse, status: number, headers: OutgoingHttpHeaders = {}): void {
+    res.writeHead(status, { ...headers, "Connection": "close", "Content-Length": 0 });
     res.end();
     req.resume();
 }
--- a/packages/connections/src/refusals.ts
+++ b/packages/connections/src/refusals.ts
@@ -4,8 +4,8 @@
 
 /** Time for a client to read the response, in milliseconds; longer than a round trip between data centres. */
 const lingerMs = 1000;
-/** When a client may come back that was refused for lack of memory, in seconds. */
-const retryAfterSeconds = 0.1;
+/** When a client may come back that was refused for lack of memory or descriptors, in seconds. */
+export const retryAfterSeconds = 0.1;
 
 export type RefusalStatus = 431 | 503;
 
--- a/packages/connections/src/sessionguards.ts
+++ b/packages/connections/src/sessionguards.ts
@@ -1,5 +1,5 @@
 /** Guards the connections of HTTP/2 servers: their number, and what calls on them hold and how long they take. */
-import { steadyNow, takenOutputBytes } from "@winchpath/core";
+import { steadyNow } from "@winchpath/core";
 import { type Http2Server, type ServerHttp2Session, type ServerHttp2Stream } from "node:http2";
 import { type Socket } from "node:net";
 import { defaultConnectionLimits } from "./connectionlimits.js";
@@ -7,12 +7,13 @@
     type CloseReason,
     type ConnectionPool,
     type Expendability,
-    minUnreadMs,
     type PooledConnection,
     type PooledListener,
 } from "./connectionpools.js";
+import { HeldBytes } from "./heldbytes.js";
 import { type ListenerOptions } from "./httpguards.js";
 import { replaceListeners } from "./listenerreplacements.js";
+import { OutputProgress } from "./outputprogress.js";
 
 /** Calls that a peer may have under way on one connection. */
 export const maxConcurrentCalls = 256;
@@ -35,12 +36,10 @@
     public progressAt = steadyNow();
     public readonly remoteAddress: string;
     private readonly calls = new Set<Call>();
-    private messageBytes = 0;
+    private readonly held: HeldBytes;
+    /** Bytes of answers that wait for the peer. */
     private outputBytes = 0;
-    private outputTaken = 0;
-    private outputAt = steadyNow();
-    /** Whether its bytes are no longer counted. */
-    private isReleased = false;
+    private readonly output: OutputProgress;
 
     public constructor(
         private readonly socket: Socket,
@@ -48,11 +47,13 @@
         private readonly listener: PooledListener,
     ) {
         this.remoteAddress = socket.remoteAddress ?? "";
+        this.held = new HeldBytes(pool);
+        this.output = new OutputProgress(socket);
         socket.once("close", () => this.release());
     }
 
     public get heldBytes(): number {
-        return this.messageBytes + this.outputBytes;
+        return this.held.total;
     }
 
     public get expendability(): Expendability {
@@ -65,7 +66,7 @@
         if ([...this.calls].some(({ isComplete }) => !isComplete)) {
             return "incomplete";
         }
-        return this.outputBytes > 0 && steadyNow() - this.outputAt >= minUnreadMs ? "unread" : "needed";
+        return this.output.isStalled(this.outputBytes) ? "unread" : "needed";
     }
 
     public begin(stream: ServerHttp2Stream): void {
@@ -86,7 +87,7 @@
         if ([...this.calls].some(call => !call.isComplete && now - call.startedAt > requestTimeoutMs)) {
             return "request-late";
         }
-        return this.outputBytes > 0 && now - this.outputAt > unreadTimeoutMs ? "unread-output" : undefined;
+        return this.outputBytes > 0 && this.output.pauseMs(now) > unreadTimeoutMs ? "unread-output" : undefined;
     }
 
     public close(): void {
@@ -97,20 +98,14 @@
     private addMessageBytes(call: Call, bytes: number): void {
         this.progressAt = steadyNow();
         this.pool.addInput(bytes);
-        if (!this.isReleased) {
-            call.messageBytes += bytes;
-            this.messageBytes += bytes;
-            this.pool.addBytes(bytes);
-        }
+        call.messageBytes += bytes;
+        this.held.addRequestBytes(bytes);
     }
 
     private settle(call: Call): void {
         this.calls.delete(call);
         this.progressAt = steadyNow();
-        if (!this.isReleased) {
-            this.messageBytes -= call.messageBytes;
-            this.pool.addBytes(-call.messageBytes);
-        }
+        this.held.addRequestBytes(-call.messageBytes);
         if (this.calls.size === 0 && this.listener.connections.has(this)) {
             this.listener.idle.add(this);
         }
@@ -118,27 +113,14 @@
 
     /** Counts what waits for the peer. */
     private updateOutput(now: number): void {
-        if (this.isReleased) {
-            return;
-        }
         const bytes = [...this.calls].reduce((sum, { stream }) => sum + stream.writableLength, 0);
-        const taken = takenOutputBytes(this.socket);
-        if (bytes === 0 || taken !== this.outputTaken) {
-            this.outputAt = now;
-        }
-        this.outputTaken = taken;
-        const difference = bytes - this.outputBytes;
+        this.output.update(bytes, now);
+        this.held.setBufferedBytes(bytes);
         this.outputBytes = bytes;
-        this.pool.addBytes(difference);
     }
 
     private release(): void {
-        if (!this.isReleased) {
-            this.isReleased = true;
-            this.pool.addBytes(-this.heldBytes);
-            this.messageBytes = 0;
-            this.outputBytes = 0;
-        }
+        this.held.release();
         this.pool.delete(this.listener, this);
     }
 }
--- a/packages/connections/src/tests/connectionpools.test.ts
+++ b/packages/connections/src/tests/connectionpools.test.ts
@@ -4,8 +4,8 @@
 import { beforeEach, describe, it } from "node:test";
 import {
     type CloseReason,
+    connectionLimitsFor,
     ConnectionPool,
-    connectionsFor,
     type Expendability,
     ListenerWeight,
     type PooledConnection,
@@ -36,7 +36,7 @@
             if (expendability !== "idle") {
                 this.listener.idle.delete(this);
             }
-            pool.addBytes(bytes);
+            pool.addRequestBytes(bytes);
             return this;
         }
 
@@ -47,7 +47,7 @@
         public close(reason: CloseReason): void {
             closed.push(`${this.name}: ${reason}`);
             pool.delete(this.listener, this);
-            pool.addBytes(-this.heldBytes);
+            pool.addRequestBytes(-this.heldBytes);
             this.heldBytes = 0;
         }
     }
@@ -144,15 +144,15 @@
             const spared = new FakeConnection(clients, "b");
             spared.expendability = "incomplete";
             spared.heldBytes = 60;
-            pool.addBytes(60, spared);
+            pool.addRequestBytes(60, spared);
             expect(closed).toEqual(["a: memory"]);
         });
     });
 });
 
-describe("connectionsFor", () => {
+describe("connectionLimitsFor", () => {
     it("leaves a part of the descriptors to upstreams and files", () => {
-        expect(connectionsFor(4100)).toEqual(3075);
-        expect(connectionsFor(undefined)).toEqual(undefined);
+        expect(connectionLimitsFor(4100)).toEqual({ connections: 3075, descriptors: 3587 });
+        expect(connectionLimitsFor(undefined)).toEqual({ connections: undefined });
     });
 });
--- a/packages/connections/src/tests/httpguards.test.ts
+++ b/packages/connections/src/tests/httpguards.test.ts
@@ -55,7 +55,12 @@
         metrics = new Metrics();
         pool = new ConnectionPool(poolLimits, log, metrics);
         server = createServer(handler);
-        guardHttpServer(server, pool, { name: "test", weight: ListenerWeight.clients, limits: () => limits });
+        guardHttpServer(server, pool, {
+            name: "test",
+            weight: ListenerWeight.clients,
+            forwards: true,
+            limits: () => limits,
+        });
         server.listen(0, "127.0.0.1");
         await once(server, "listening");
     }
@@ -253,6 +258,67 @@
             await client.receives("</x 0>");
         });
 
+        describe("beside requests that wait for their answers", () => {
+            const largeRequest = `POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 110000\r\n\r\n${
+                "b".repeat(110_000)
+            }`;
+            const waiting: ServerResponse[] = [];
+
+            async function listenSlowly(poolLimits: PoolLimits): Promise<void> {
+                waiting.splice(0);
+                await listen((req, res) => {
+                    req.on("data", () => {});
+                    req.on("end", () => req.url === "/slow" ? waiting.push(res) : res.end(`<${req.url}>`));
+                }, poolLimits);
+            }
+
+            async function wait(text: string, clientCount: number): Promise<void> {
+                for (let count = waiting.length + 1; count <= clientCount; count++) {
+                    new Client().socket.write(text);
+                    while (waiting.length < count) {
+                        await sleep(5);
+                    }
+                }
+            }
+
+            it("refuses a large request while as much is held as allowed, and serves a small one", async () => {
+                await listenSlowly({ connections: undefined, heldBytes: 400_000 });
+                await wait(largeRequest, 3);
+                const refused = new Client();
+                refused.socket.write(largeRequest);
+                await refused.closed;
+                expect(refused.text.startsWith("HTTP/1.1 503 ")).toEqual(true);
+                expect(refused.text.includes("Retry-After: 0.1")).toEqual(true);
+                const small = new Client();
+                small.socket.write(`${head}\r\n`);
+                await small.receives("</x>");
+                expect(waiting.length).toEqual(3);
+                waiting[0].end("first");
+                while (pool.heldBytes > 250_000) {
+                    await sleep(5);
+                }
+                await wait(largeRequest, 4);
+            });
+
+            it("refuses a request while no descriptor is left for its upstream, but closes idle connections first", async () => {
+                await listenSlowly({ connections: undefined, descriptors: 7, heldBytes: undefined });
+                const idle = new Client();
+                idle.socket.write(`${head}\r\n`);
+                await idle.receives("</x>");
+                await wait("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n", 3);
+                expect(idle.socket.destroyed).toEqual(false);
+                const last = new Client();
+                await idle.closed;
+                last.socket.write(`${head}\r\n`);
+                await last.receives("HTTP/1.1 503 ");
+                await last.closed;
+                waiting[0].end();
+                const next = new Client();
+                next.socket.write(`${head}\r\n`);
+                await next.receives("HTTP/1.1 ");
+            });
+        });
+
         it("closes a connection without a request in favour of a new one, once there are too many", async () => {
             await listen(echo, { connections: 3, heldBytes: undefined });
             const used = new Client();
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -102,6 +102,7 @@
             guardHttpServer(this.server, deps.connectionPool, {
                 name: "clients",
                 weight: ListenerWeight.clients,
+                forwards: true,
                 limits: () => this.connectionLimits,
             });
         }
--- a/packages/testing/src/crowds/main.ts
+++ b/packages/testing/src/crowds/main.ts
@@ -14,11 +14,21 @@
 const pieceBytes = 64 * 1024;
 
 const spec: CrowdSpec = JSON.parse(process.argv[2]);
-const { host, port, connections, opening, repeated, times = Number.POSITIVE_INFINITY, calls } = spec;
+const {
+    host,
+    port,
+    connections,
+    opening,
+    repeated,
+    times = Number.POSITIVE_INFINITY,
+    ending = "",
+    startIntervalMs = 0,
+    calls,
+} = spec;
 const copiesInPiece = Math.max(1, Math.min(times, Math.floor(pieceBytes / Math.max(1, repeated.length))));
 const piece = Buffer.from(repeated.repeat(copiesInPiece), "latin1");
 
-/** Writes the repeated text as often as it is to be sent, as fast as it is taken. */
+/** Writes the repeated text as often as it is to be sent, as fast as it is taken, and then the ending. */
 function writeRepeated(stream: Writable): void {
     let copiesLeft = piece.length === 0 ? 0 : times;
     const write = () => {
@@ -30,6 +40,9 @@
                 return;
             }
         }
+        if (ending !== "" && !stream.destroyed) {
+            stream.write(ending, "latin1");
+        }
     };
     write();
 }
@@ -64,6 +77,6 @@
 // Connections that are neither read from nor written to don't keep the process alive.
 setInterval(() => undefined, reconnectMs);
 for (let index = 0; index < connections; index++) {
-    (calls === undefined ? runClient : runHttp2Client)();
+    setTimeout(calls === undefined ? runClient : runHttp2Client, index * startIntervalMs);
 }
 process.stdout.write("the crowd is ready\n");
--- a/packages/winchpathd/src/platformhosts.ts
+++ b/packages/winchpathd/src/platformhosts.ts
@@ -3,7 +3,7 @@
  * process avoids the memory overhead of a second Node.js runtime.
  */
 import { AvailabilityTracker } from "@winchpath/availability";
-import { ConnectionPool, connectionsFor, guardHttpServer } from "@winchpath/connections";
+import { connectionLimitsFor, ConnectionPool, guardHttpServer } from "@winchpath/connections";
 import { type EventLog, eventLoop, Metrics } from "@winchpath/core";
 import { connectionBytesBound } from "@winchpath/hostload";
 import { createMetricsServer } from "@winchpath/platform";
@@ -33,7 +33,7 @@
     public constructor(private readonly settings: ReloadableSettings, private readonly log: EventLog) {
         const { hostLimits } = settings.current;
         this.connectionPool = new ConnectionPool(
-            { connections: connectionsFor(hostLimits.fileDescriptors), heldBytes: connectionBytesBound(hostLimits) },
+            { ...connectionLimitsFor(hostLimits.fileDescriptors), heldBytes: connectionBytesBound(hostLimits) },
             log,
             this.metrics,
         );
