A few connections are left for listeners that need no upstream while clients' requests need all descriptors

What callers would have seen (by reading, then by test): readiness, metrics and control answered nobody while requests that wait for their answers needed all descriptors for themselves and their upstreams, so that the platform would have taken a host out of rotation that serves. Change: a listener that needs no upstream gets four connections also then.

--- a/packages/connections/src/connectionpools.ts
+++ b/packages/connections/src/connectionpools.ts
@@ -18,6 +18,8 @@
 const maxSmallShare = 1.5;
 /** Bytes that one connection may hold beside the others where that is allowed, as a multiple of that bound. */
 const maxExemptShare = 2;
+/** Connections that a listener gets also while requests of others need all descriptors, so that its callers are answered. */
+const reservedConnections = 4;
 /** Time to the next search for connections to close if too few were found, in milliseconds. */
 const releaseIntervalMs = 50;
 
@@ -68,7 +70,7 @@
     public constructor(
         public readonly name: string,
         public readonly weight: number,
-        private readonly forwards: boolean,
+        public readonly forwards: boolean,
     ) {}
 
     /** Descriptors of its connections, and of those to upstreams that they may need. */
@@ -145,7 +147,8 @@
     /** Makes room for a connection of a listener; returns whether there is any. */
     public makeRoom(listener: PooledListener): boolean {
         const { connections = Number.POSITIVE_INFINITY } = this.limits;
-        const hasRoom = this.open < connections && this.hasDescriptors(1);
+        const isReserved = !listener.forwards && listener.connections.size < reservedConnections;
+        const hasRoom = this.open < connections && (isReserved || this.hasDescriptors(1));
         const isAccepted = hasRoom || this.closeLeastNeeded(listener);
         if (!isAccepted) {
             this.metrics.count("connections_refused_total", { listener: listener.name });
--- a/packages/connections/src/tests/connectionpools.test.ts
+++ b/packages/connections/src/tests/connectionpools.test.ts
@@ -91,6 +91,26 @@
         });
     });
 
+    describe("while requests need all descriptors for themselves and their upstreams", () => {
+        it("accepts no client, but a few connections at listeners that need no upstream", () => {
+            pool = new ConnectionPool(
+                { connections: 40, descriptors: 10, heldBytes: undefined },
+                silentLog,
+                new Metrics(),
+            );
+            const clients = pool.register("clients", ListenerWeight.clients, true);
+            const readiness = pool.register("readiness", ListenerWeight.small);
+            ["a", "b", "c", "d", "e"].forEach(name => new FakeConnection(clients, name).hold(1, "needed"));
+            expect(pool.makeRoom(clients)).toEqual(false);
+            for (let count = 0; count < 4; count++) {
+                expect(pool.makeRoom(readiness)).toEqual(true);
+                new FakeConnection(readiness, "check").hold(1, "needed");
+            }
+            expect(pool.makeRoom(readiness)).toEqual(false);
+            expect(closed).toEqual([]);
+        });
+    });
+
     describe("when more bytes are held than allowed", () => {
         it("closes what matters least first, in the order of the last progress, and leaves what is needed", () => {
             const clients = pool.register("clients", ListenerWeight.clients);
