Pieces of upstreams' responses count as input, so that their buffers are collected in time, too

Cause: hundreds of megabytes pass through an entry before the kernel's buffers of such clients are full; what is left of the pieces was measured ten times a second only, between which up to 40 MB came. Change: each piece of a response's body that is read for a client counts for the next measurement, as input of clients does.

--- a/packages/connections/src/connectionpools.ts
+++ b/packages/connections/src/connectionpools.ts
@@ -191,7 +191,7 @@
         }
     }
 
-    /** Called for each piece that a connection has read; its buffer may soon be unused. */
+    /** Called for each piece that was read from a client or for one; its buffer may soon be unused. */
     public addInput(bytes: number): void {
         this.collector.addInput(bytes);
     }
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -83,6 +83,8 @@
     readonly mayForwardEvents: () => boolean;
     /** Called with the time between two consecutive events of a stream, in milliseconds. */
     readonly onPause: (ms: number) => void;
+    /** Called with the length of each piece of the response's body that was read. */
+    readonly onRead?: (bytes: number) => void;
 }
 
 class AttemptAborted extends Error {}
@@ -206,6 +208,7 @@
 
     public onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
         this.content?.add(chunk.length);
+        this.options.onRead?.(chunk.length);
         if (this.settled) {
             this.discard(controller, chunk);
             return;
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -113,6 +113,7 @@
                     prompt?.recordEventInterval(ms);
                     output.continued(ms);
                 },
+                onRead: this.deps.onRead,
                 onResponseHead: metadata => {
                     responseMetadata = metadata;
                     if (metadata.load !== undefined) {
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -60,6 +60,8 @@
     readonly streamOrigins?: StreamOrigins;
     /** Whether the process is shutting down, so that responses close client connections. */
     readonly stopping: () => boolean;
+    /** Called with the length of each piece of a response's body that was read. */
+    readonly onRead?: (bytes: number) => void;
     /** Sends one attempt; replaceable for simulations. */
     readonly sendAttempt?: typeof attempt;
     /** Random numbers from 0 to 1 for breaking ties; defaults to Math.random. */
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -115,6 +115,7 @@
             metrics,
         );
         this.forwarder = new Forwarder({
+            onRead: bytes => connectionPool.addInput(bytes),
             view: this.fleetView,
             codec,
             meter: this.demandMeter,
