--- a/packages/connections/src/httpconnections.ts
+++ b/packages/connections/src/httpconnections.ts
@@ -41,7 +41,7 @@
     bytes: number;
     /** Bytes of its body that are missing at most; undefined if its length is unknown. */
     bodyLeft: number | undefined;
-    /** Whether its response is sent, so that what is left of its body is discarded. */
+    /** Whether its response is sent, or it was refused, so that what is left of its body is discarded. */
     isSettled: boolean;
 }
 
