Learners are silent from when this leader has had them, not from the beginning of its leadership

Cause: for a member that had never answered, silence counted from the beginning of the leadership. So a learner of a leader that had led for longer than removeLearnerAfterMs (30 s) was silent for too long the moment it joined, and was dropped unless its first answer came before any other member's. Beside it, the decision was taken before the change was queued and not looked at again.

Ruled out: slow answers of the hosts (they are dropped before the first is due), a lost join (members.changed lists them).

Change: silence begins at the member's last answer, or when this leader first had it in the membership. Removal and promotion decide again when their change is made; members.dropped logs how long the member was silent and for how long it was one. Replacement of silent voters and the status page read the same beginning.

--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -148,10 +148,18 @@
         await this.responseReceived.wait(timeoutMs);
     }
 
-    /** Milliseconds since the member's last response, or since the start of this leadership if that is later. */
+    /** Milliseconds since the member's last response, or since this leader first had it in the membership if that is later. */
     public silentMs(id: string): number {
-        const lastResponseAt = this.replications.get(id)?.lastResponseAt ?? Number.NEGATIVE_INFINITY;
-        return eventLoop.readUntil - Math.max(lastResponseAt, this.leaderSince);
+        const replication = this.replications.get(id);
+        const since = replication === undefined
+            ? this.leaderSince
+            : Math.max(replication.lastResponseAt, replication.startedAt);
+        return eventLoop.readUntil - since;
+    }
+
+    /** Milliseconds for which this leader has had the member in the membership. */
+    public memberAgeMs(id: string): number {
+        return steadyNow() - (this.replications.get(id)?.startedAt ?? this.leaderSince);
     }
 
     /** Milliseconds since this replica became the leader. */
--- a/packages/consensus/src/memberships.ts
+++ b/packages/consensus/src/memberships.ts
@@ -27,8 +27,10 @@
     isResponsive(id: string): boolean;
     /** Resolves on the next response of a member, or after `timeoutMs`. */
     waitForResponse(timeoutMs: number): Promise<void>;
-    /** Milliseconds since the member's last response. */
+    /** Milliseconds since the member's last response, or since this leader first had it in the membership if that is later. */
     silentMs(id: string): number;
+    /** Milliseconds for which this leader has had the member in the membership. */
+    memberAgeMs(id: string): number;
 }
 
 export class MembershipChanges {
@@ -100,9 +102,10 @@
         if (this.changeInProgress || learner === undefined) {
             return;
         }
+        const { commitIndex } = this.state;
         this.changeInProgress = true;
         try {
-            await this.enqueueChange(membership => this.promotionStep(membership, learner));
+            await this.enqueueChange(membership => this.promotionStep(membership, learner, commitIndex));
         }
         catch (err) {
             this.state.events.warn("members.promotion-failed", { error: messageOf(err) });
@@ -115,19 +118,17 @@
     /** Removes a learner that has not responded for `removeLearnerAfterMs`. */
     public async removeUnresponsiveLearners(): Promise<void> {
         const { leader, state } = this;
-        const unresponsive = state.membership?.members.find(member =>
-            !member.voter && member.id !== state.memberId
-            && leader.silentMs(member.id) > state.options.removeLearnerAfterMs
-        );
-        if (unresponsive === undefined || this.changeInProgress || !leader.ready) {
+        const candidate = this.unresponsiveLearner(state.membership);
+        if (candidate === undefined || this.changeInProgress || !leader.ready) {
             return;
         }
         this.changeInProgress = true;
         try {
-            await this.enqueueChange(membership => withoutMember(membership, unresponsive.id));
+            // Decided again when the change is made: the learner may have responded while earlier changes were committed.
+            await this.enqueueChange(membership => this.removalStep(membership));
         }
         catch (err) {
-            state.events.warn("members.drop-failed", { member: unresponsive.url, error: messageOf(err) });
+            state.events.warn("members.drop-failed", { member: candidate.url, error: messageOf(err) });
         }
         finally {
             this.changeInProgress = false;
@@ -166,9 +167,9 @@
     }
 
     /** Next step of a promotion: removes the voter that the learner replaces, then makes the learner a voter. */
-    private promotionStep(membership: Membership, { id }: Member): Membership | undefined {
+    private promotionStep(membership: Membership, { id }: Member, index: bigint): Membership | undefined {
         const learner = findMember(membership, id);
-        if (learner === undefined || learner.voter) {
+        if (learner === undefined || learner.voter || !learner.wantsVote || !this.leader.isCaughtUp(id, index)) {
             return undefined;
         }
         const obsolete = this.voterToRemove(membership, learner);
@@ -180,6 +181,31 @@
             : withMember(membership, create(MemberSchema, { ...learner, voter: true }));
     }
 
+    /** Next step of a removal: the membership without a learner that is unresponsive now; undefined if there is none. */
+    private removalStep(membership: Membership): Membership | undefined {
+        const { leader, state } = this;
+        const unresponsive = this.unresponsiveLearner(membership);
+        if (unresponsive === undefined) {
+            return undefined;
+        }
+        const { id, host, url } = unresponsive;
+        state.events.info("members.dropped", {
+            member: id,
+            host,
+            url,
+            silentMs: Math.round(leader.silentMs(id)),
+            memberMs: Math.round(leader.memberAgeMs(id)),
+        });
+        return withoutMember(membership, id);
+    }
+
+    private unresponsiveLearner(membership: Membership | undefined): Member | undefined {
+        const { memberId, options } = this.state;
+        return membership?.members.find(({ id, voter }) =>
+            !voter && id !== memberId && this.leader.silentMs(id) > options.removeLearnerAfterMs
+        );
+    }
+
     private surplusVoter(membership: Membership | undefined): Member | undefined {
         const voters = votersOf(membership);
         const { maxVoters } = this.state.options;
--- a/packages/consensus/src/replications.ts
+++ b/packages/consensus/src/replications.ts
@@ -26,6 +26,8 @@
 export class Replication {
     /** Last index known to match the leader's log. */
     public matchIndex = 0n;
+    /** Monotonic time from which on this leader has had the member in the membership. */
+    public readonly startedAt = steadyNow();
     /** Latest heartbeat round acknowledged by the member. */
     public acknowledgedRound = 0n;
     /** Monotonic time of the last response. */
--- a/packages/consensus/src/tests/groups.ts
+++ b/packages/consensus/src/tests/groups.ts
@@ -100,6 +100,8 @@
     public readonly seeds: string[];
     /** Whether nodes ignore requests to take over the leadership. */
     public ignoresElections = false;
+    /** Time that each response of a node to the leader's entries takes to arrive, in milliseconds. */
+    public responseDelayMs: (from: string) => number = () => 0;
     /** Cut links, each as "from>to". */
     private readonly cutLinks = new Set<string>();
 
@@ -268,7 +270,15 @@
         };
         return {
             vote: req => call(replica => replica.follower.vote(req)),
-            append: req => call(replica => replica.follower.append(req)),
+            append: req =>
+                call(async replica => {
+                    const res = await replica.follower.append(req);
+                    const delayMs = this.group.responseDelayMs(to);
+                    if (delayMs > 0) {
+                        await sleep(delayMs);
+                    }
+                    return res;
+                }),
             probe: async (_timeoutMs, sender) => {
                 const host = this.group.discoveryHost(to);
                 if (host !== undefined) {
