A new group accepts its first command once the hosts that have joined vote

Cause: the group is formed by its seeds, others are promoted one after the other, and commands were accepted meanwhile.

Change: while the group has no command and fewer voters than it is to have, its leader refuses commands (callers' hosts try again): for 1 s until a first learner joins, and for 3 s in all until the learners vote, as there may be fewer hosts than wanted voters.

--- a/packages/consensus/src/leaderships.ts
+++ b/packages/consensus/src/leaderships.ts
@@ -3,12 +3,19 @@
 import { eventLoop, Failure, FailureCode, Notifier, sleep, steadyNow, waitUntil } from "@winchpath/core";
 import { type Applier, type ApplyResult } from "./appliers.js";
 import { type Entry, EntrySchema, type Member } from "./gen/winchpath/consensus/v1/consensus_pb.js";
-import { findMember, quorumSize, votersOf } from "./members.js";
+import { findMember, hasWaitingLearner, quorumSize, votersOf } from "./members.js";
 import { MembershipChanges, type MembershipLeader } from "./memberships.js";
 import { type PeerConnector } from "./peers.js";
 import { Replication, type ReplicationLeader } from "./replications.js";
 import { type ReplicaState } from "./states.js";
 
+/**
+ * How long a new group waits for the hosts that are to vote before it accepts its first command, in milliseconds: for the
+ * first of them to join, and until all that have joined vote. There may be fewer hosts than voters are wanted.
+ */
+const firstJoinMs = 1000;
+const firstVotesMs = 3000;
+
 export class Leadership implements ReplicationLeader, MembershipLeader {
     public readonly term: bigint;
     /** Whether the group has had no leader before that was ready. */
@@ -59,6 +66,9 @@
         if (!this.active || this.transferring) {
             return Promise.reject(Failure.of(FailureCode.noLeader, "not the leader"));
         }
+        if (this.isForming) {
+            return Promise.reject(Failure.of(FailureCode.noLeader, "the new group is waiting for its voters"));
+        }
         const { log, commitIndex, options } = this.state;
         if (log.bytesAfter(commitIndex) >= options.uncommittedBytes) {
             // Entries can't be compacted before they are committed, so these would fill the disks.
@@ -181,6 +191,17 @@
         return now - (confirmedAt[quorumSize(voters.length) - 1] ?? Number.NEGATIVE_INFINITY);
     }
 
+    /**
+     * Whether the group has no command yet, and fewer voters than it is to have: a majority of them bears the loss of fewer
+     * disks than it tolerates afterwards.
+     */
+    private get isForming(): boolean {
+        const { log, membership, options } = this.state;
+        const lacksVoters = votersOf(membership).length < (options.maxVoters ?? 0);
+        const waitMs = hasWaitingLearner(membership) ? firstVotesMs : firstJoinMs;
+        return lacksVoters && !log.hasCommand && this.leadershipAgeMs < waitMs;
+    }
+
     /** Asks a voter to take over, and waits for it for one election timeout. */
     private async offerLeadership(successor: Member): Promise<void> {
         const deadline = steadyNow() + this.state.options.electionMs;
--- a/packages/consensus/src/logs.ts
+++ b/packages/consensus/src/logs.ts
@@ -46,6 +46,11 @@
         return this.newestSnapshot !== undefined || this.entries.some(({ payload }) => payload.case === "leaderStart");
     }
 
+    /** Whether the log has a command, committed or not, or had one before it was compacted. */
+    public get hasCommand(): boolean {
+        return this.newestSnapshot !== undefined || this.entries.some(({ payload }) => payload.case === "command");
+    }
+
     /** Time of the last entry, in milliseconds since the epoch. */
     public get lastTime(): bigint {
         return this.entries.at(-1)?.time ?? this.newestSnapshot?.time ?? 0n;
