The room at an engine is a fact of what was loaded there, not of what is declared now

Cause: the planner took sizes from the configuration in force, so that an unlisted model and its adapters counted as nothing, and a listed one as what was declared last. Nobody unloaded an unlisted model, since victims are chosen among listed ones.

Change: each held model carries an upper bound of what it takes.

Where no single model frees enough, one that was loaded under another declaration is unloaded as a step towards it.

--- a/packages/declarations/src/configurationstates.ts
+++ b/packages/declarations/src/configurationstates.ts
@@ -1,5 +1,6 @@
 /** Replicated state of the configuration document. The highest version wins. */
 import { Notifier, steadyNow } from "@winchpath/core";
+import { type DeclaredModelSize, ModelSizeHistory } from "./modelsizes.js";
 
 /** A configuration document with its version. */
 export interface ConfigurationDocument {
@@ -8,6 +9,12 @@
     readonly text: string;
 }
 
+/** A document as it is proposed, with what replicas need of its content: they don't parse it. */
+export interface ProposedDocument extends ConfigurationDocument {
+    /** Sizes of the models that it declares; absent in commands of earlier releases. */
+    readonly modelSizes?: readonly DeclaredModelSize[];
+}
+
 /** Result of proposing a document. */
 export interface DocumentResult {
     /** Version in force after the proposal. */
@@ -17,13 +24,15 @@
 }
 
 /**
- * A slice of the replicated state. Commands are {@link ConfigurationDocument}s, validated before they are proposed;
+ * A slice of the replicated state. Commands are {@link ProposedDocument}s, validated before they are proposed;
  * results are {@link DocumentResult}s.
  */
 export class ConfigurationState {
     public readonly slice = "documents";
     /** Notified when the document has been replaced. */
     public readonly changed = new Notifier();
+    /** Sizes of models that this document and earlier ones have declared. */
+    public readonly modelSizes = new ModelSizeHistory();
     private document: ConfigurationDocument | undefined;
     private appliedAt = steadyNow();
 
@@ -37,10 +46,11 @@
     }
 
     public apply(command: unknown): DocumentResult {
-        const document = command as ConfigurationDocument;
+        const document = command as ProposedDocument;
         const replaced = this.document === undefined || document.version > this.document.version;
         if (replaced) {
             this.document = { version: document.version, text: document.text };
+            this.modelSizes.add(document.modelSizes ?? []);
             this.appliedAt = steadyNow();
             this.changed.notify();
         }
@@ -48,12 +58,13 @@
     }
 
     public snapshot(): unknown {
-        return this.document ?? {};
+        return this.document === undefined ? {} : { ...this.document, modelSizes: this.modelSizes.list() };
     }
 
     public restore(state: unknown): void {
-        const document = state as Partial<ConfigurationDocument>;
-        this.document = document.text === undefined ? undefined : document as ConfigurationDocument;
+        const { version, text, modelSizes = [] } = state as Partial<ProposedDocument>;
+        this.document = version === undefined || text === undefined ? undefined : { version, text };
+        this.modelSizes.restore(modelSizes);
         this.appliedAt = steadyNow();
         this.changed.notify();
     }
--- a/packages/declarations/src/index.ts
+++ b/packages/declarations/src/index.ts
@@ -5,4 +5,5 @@
 export * from "./declarationstates.js";
 export * from "./features.js";
 export * from "./manifests.js";
+export * from "./modelsizes.js";
 export * from "./schemas.js";
--- a/packages/fleet/src/adapterplans.ts
+++ b/packages/fleet/src/adapterplans.ts
@@ -42,7 +42,7 @@
 
     /** Orders for adapters that are in demand and loaded on too few ready engines. */
     public orders(): PlannedOrder[] {
-        const needs = this.state.input.needs.filter(({ key }) => key.adapter !== "");
+        const needs = this.state.declaredNeeds.filter(({ key }) => key.adapter !== "");
         const overdue = needs.filter(isAdapterOverdue).sort((a, b) => b.unservedMs - a.unservedMs);
         const others = needs
             .filter(need => need.unserved > 0 || need.idleMs < adapterIdleThresholdMs)
@@ -53,7 +53,7 @@
 
     /** Adapters with unserved requests that no engine holds or loads although one holds their model. */
     public unmet(): UnmetNeed[] {
-        return this.state.input.needs
+        return this.state.declaredNeeds
             .filter(({ key, unserved }) => key.adapter !== "" && unserved > 0)
             .filter(({ key }) => this.readyHolders(key.model).length > 0 && !this.state.isPlaced(key))
             .map(({ key: { model, adapter }, rate, unserved }) => {
@@ -75,7 +75,7 @@
      * it loads a model.
      */
     public hasUnservedAdapters(engine: EngineSnapshot): boolean {
-        this.unservedNeeds ??= this.state.input.needs.filter(({ key, unserved }) =>
+        this.unservedNeeds ??= this.state.declaredNeeds.filter(({ key, unserved }) =>
             key.adapter !== "" && unserved > 0 && !this.isLoadedAnywhere(key.model, key.adapter)
         );
         return this.unservedNeeds.some(need =>
@@ -88,7 +88,7 @@
      * milliseconds; a model's load would keep all adapters of the engine's models out for seconds.
      */
     public isOnlyPlaceForOverdue(engine: EngineSnapshot): boolean {
-        this.overdueNeeds ??= this.state.input.needs.filter(need =>
+        this.overdueNeeds ??= this.state.declaredNeeds.filter(need =>
             need.key.adapter !== "" && isAdapterOverdue(need) && !this.state.isPlaced(need.key)
         );
         return this.overdueNeeds.some(({ key: { model } }) => {
@@ -223,7 +223,7 @@
     /** Whether an engine has a free place, and memory, for one more adapter of a model. */
     private hasPlace(engine: EngineSnapshot, model: string): boolean {
         return adapterCount(engine) < this.state.input.spec.adapterPlaces
-            && this.state.fits(engine, this.state.adapterSizeMb(model));
+            && this.state.fitsAdapter(engine, model);
     }
 
     private readyHolders(model: string): EngineSnapshot[] {
--- a/packages/fleet/src/loadscorers.ts
+++ b/packages/fleet/src/loadscorers.ts
@@ -118,7 +118,7 @@
         mayReplace: (victim: ModelNeed) => boolean,
     ): LoadOption | undefined {
         const loadMs = loadDurationMs(engine, need.model);
-        if (this.state.fits(engine, need.model.sizeMb)) {
+        if (this.state.fitsModel(engine, need.model)) {
             return { engine, victim: undefined, netBenefit: this.netLoadBenefit(engine, need, undefined, loadMs) };
         }
         let best: LoadOption | undefined;
@@ -176,12 +176,20 @@
         return need.rate < this.baselineRate && need.unserved === 0;
     }
 
-    /** Models of an engine each of which frees enough memory when unloaded. */
+    /**
+     * Models of an engine each of which frees enough memory when unloaded. If there is none, those that were loaded under
+     * another declaration, each a step towards it: with them, an engine may hold more than would fit today.
+     */
     private evictionCandidates(engine: EngineSnapshot, replacement: ModelNeed): ModelNeed[] {
-        return [...engine.models]
+        const candidates = [...engine.models]
             .filter(([, held]) => held.isReady && !held.isUnloading)
-            .flatMap(([name]) => this.state.modelNeed(name) ?? [])
-            .filter(({ model }) => this.state.fits(engine, replacement.model.sizeMb - model.sizeMb));
+            .flatMap(([name]) => this.state.modelNeed(name) ?? []);
+        const sufficient = candidates.filter(({ model }) =>
+            this.state.fitsModel(engine, replacement.model, model.name)
+        );
+        return sufficient.length > 0
+            ? sufficient
+            : candidates.filter(({ model }) => engine.models.get(model.name)!.sizeMb !== model.sizeMb);
     }
 
     /**
--- a/packages/fleet/src/orderdispatchers.ts
+++ b/packages/fleet/src/orderdispatchers.ts
@@ -46,6 +46,8 @@
     onUnreachable(upstream: string): void;
     /** Called when the engine has seen a higher fencing token. */
     onFenced(upstream: string): void;
+    /** Called when a model that was to be loaded is held already, loaded at a time that isn't known. */
+    onAlreadyHeld(upstream: string, model: string): void;
     /** Called when the engine's models or adapters change, or when it can take another order. */
     onChange(): void;
 }
@@ -162,6 +164,9 @@
                         // An unused adapter is unloaded at once, and the engine counts that as an order.
                         this.updateExpected(order);
                     }
+                    if (order.kind === "load" && order.adapter === "") {
+                        this.owner.onAlreadyHeld(this.id, order.model);
+                    }
                     this.recordCompletion(order);
                     return;
                 case OrderReply.fenced:
--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -1,8 +1,9 @@
 /** The leader's control loop that loads and unloads models on engines according to demand. */
 import { type EventLog, messageOf, Notifier, sleep, steadyNow } from "@winchpath/core";
-import { type Configuration, type EngineSpec } from "@winchpath/declarations";
+import { type Configuration, type EngineSpec, type ModelSizeHistory } from "@winchpath/declarations";
 import { type DemandTracker } from "./demands.js";
 import { type HeldModel, type Mismatch, UpstreamState } from "./gen/winchpath/fleet/v1/fleet_pb.js";
+import { HeldSizes } from "./heldsizes.js";
 import { itemMapKey } from "./items.js";
 import { OrderDispatcher, type OrderDispatcherOwner } from "./orderdispatchers.js";
 import { describeOrder, type EngineClient, type Fence } from "./orders.js";
@@ -54,6 +55,8 @@
     /** Called when an order is sent. */
     orderSent(): void;
     readonly configuration: Configuration | undefined;
+    /** Sizes that this configuration and earlier ones have declared. */
+    readonly modelSizes: Pick<ModelSizeHistory, "largest">;
 }
 
 /** Plans and sends orders for the duration of one leadership. */
@@ -64,6 +67,7 @@
     private readonly lastSyncTimes = new Map<string, number>();
     /** Models that memory is being freed for, by engine. */
     private readonly reservations = new Map<string, { readonly model: string; readonly until: number; }>();
+    private readonly heldSizes = new HeldSizes(() => this.control.modelSizes);
     private readonly suspectedEngines = new Set<string>();
     private readonly planTrigger = new Notifier();
     private readonly storeLimiter = new StoreLoadLimiter(storeTakeoverMs);
@@ -107,6 +111,10 @@
         }
     }
 
+    public onAlreadyHeld(upstream: string, model: string): void {
+        this.heldSizes.cancelLoad(upstream, model);
+    }
+
     public onChange(): void {
         this.planTrigger.notify();
     }
@@ -158,7 +166,7 @@
         const engines = this.registry.all()
             .filter(({ upstream }) => upstream.service === service && upstream.state === UpstreamState.READY)
             .filter(({ upstream }) => !this.checkSuspect(upstream.id))
-            .map(known => this.snapshotEngine(known));
+            .map(known => this.snapshotEngine(known, spec));
         const plan = planOrders({
             service,
             spec,
@@ -251,6 +259,7 @@
         }
         else if (planned.order.kind === "load" && planned.order.adapter === "") {
             this.reservations.delete(planned.engine);
+            this.heldSizes.startLoad(planned.engine, planned.order.model, spec);
         }
         void dispatcher.execute(planned.order, this.expectedOrderMs(planned, spec));
     }
@@ -293,6 +302,7 @@
                 this.lines.delete(id);
                 this.lastSyncTimes.delete(id);
                 this.reservations.delete(id);
+                this.heldSizes.forget(id);
                 this.suspectedEngines.delete(id);
             }
         }
@@ -308,20 +318,24 @@
         return true;
     }
 
-    private snapshotEngine(known: RegisteredUpstream): EngineSnapshot {
+    private snapshotEngine(known: RegisteredUpstream, spec: EngineSpec): EngineSnapshot {
         const { upstream, inMemory, onDisk } = known;
         const dispatcher = this.lines.get(upstream.id);
         const models = new Map<string, ModelSnapshot>();
+        const names = [...upstream.models.map(({ name }) => name), ...dispatcher?.loadingModels ?? []];
+        const sizes = this.heldSizes.update(upstream.id, upstream.service, names, spec);
         for (const held of upstream.models) {
             models.set(held.name, {
                 isReady: held.readyInMs === 0,
                 isUnloading: held.leaving,
                 adapters: adapterStages(held, dispatcher),
+                ...sizes.get(held.name)!,
             });
         }
         for (const name of dispatcher?.loadingModels ?? []) {
             if (!models.has(name)) {
-                models.set(name, { isReady: false, isUnloading: false, adapters: new Map() });
+                const adapters = new Map<string, AdapterStage>();
+                models.set(name, { isReady: false, isUnloading: false, adapters, ...sizes.get(name)! });
             }
         }
         const reservation = this.reservations.get(upstream.id);
--- a/packages/fleet/src/plans.ts
+++ b/packages/fleet/src/plans.ts
@@ -31,6 +31,10 @@
     readonly isReady: boolean;
     /** Whether it is being unloaded. */
     readonly isUnloading: boolean;
+    /** Upper bound of the memory that it takes, whatever is declared now; infinite if no declaration is known. */
+    readonly sizeMb: number;
+    /** Upper bound of the memory that each of its adapters takes. */
+    readonly adapterMb: number;
     /** Adapters by name; each occupies an adapter slot, whatever its stage. */
     readonly adapters: ReadonlyMap<string, AdapterStage>;
 }
@@ -95,8 +99,8 @@
 }
 
 /**
- * Plans the next orders: models that are overdue, then adapters, then other models. An engine that alone has a place for an
- * overdue adapter loads that first.
+ * Plans the next orders: models that are overdue, then adapters, then unloads of models that are no longer declared, then
+ * other models. An engine that alone has a place for an overdue adapter loads that first.
  */
 export function planOrders(input: PlanInput): PlacementPlan {
     const state = new PlanState(input);
@@ -104,7 +108,8 @@
     const modelPlanner = new ModelPlanner(state, adapterPlanner);
     const overdueOrders = modelPlanner.overdueOrders();
     const adapterOrders = adapterPlanner.orders();
-    const orders = [...overdueOrders, ...adapterOrders, ...modelPlanner.orders()];
+    const undeclaredUnloads = modelPlanner.undeclaredUnloads();
+    const orders = [...overdueOrders, ...adapterOrders, ...undeclaredUnloads, ...modelPlanner.orders()];
     return { orders, unmet: [...modelPlanner.unmet(), ...adapterPlanner.unmet()] };
 }
 
@@ -137,6 +142,21 @@
         return [...pending, ...overdue.flatMap(need => this.overdueOrder(need) ?? [])];
     }
 
+    /** Unloads models that the service no longer declares, once no request runs on them: nothing can be sent to them. */
+    public undeclaredUnloads(): PlannedOrder[] {
+        return this.state.input.engines.filter(engine => this.isAvailable(engine)).flatMap(engine => {
+            const undeclared = [...engine.models].find(([name, { isReady, isUnloading }]) =>
+                isReady && !isUnloading && this.state.isUndeclared(name) && this.state.runningRequests(name) === 0
+            );
+            if (undeclared === undefined) {
+                return [];
+            }
+            this.state.assignedEngines.add(engine.id);
+            const order = { kind: "unload" as const, model: undeclared[0], adapter: "" };
+            return [{ engine: engine.id, order, fromStore: false, reason: "no longer declared" }];
+        });
+    }
+
     private overdueOrder(need: ModelNeed): PlannedOrder | undefined {
         const { name } = need.model;
         const replicas = this.state.expectedReplicas(name);
@@ -208,7 +228,7 @@
      */
     private pendingOrders(models: ReadonlySet<string> | undefined): PlannedOrder[] {
         const pending = this.state.input.engines.flatMap(engine => {
-            const need = engine.pendingModel === undefined ? undefined : this.state.modelNeed(engine.pendingModel);
+            const need = this.state.pendingNeed(engine);
             const isPending = need !== undefined && this.isAvailable(engine) && !engine.models.has(need.model.name)
                 && models?.has(need.model.name) !== false;
             return isPending ? [{ engine, need }] : [];
@@ -216,7 +236,7 @@
         pending.sort((a, b) => b.need.unserved - a.need.unserved || b.need.rate - a.need.rate);
         return pending.flatMap(({ engine, need }) => {
             this.state.assignedEngines.add(engine.id);
-            if (this.state.fits(engine, need.model.sizeMb)) {
+            if (this.state.fitsModel(engine, need.model)) {
                 return this.load(engine, need) ?? [];
             }
             const victim = this.loadScorer.bestOption(engine, need)?.victim;
@@ -258,7 +278,7 @@
     }
 
     private mayLoad(engine: EngineSnapshot, need: ModelNeed): boolean {
-        return engine.pendingModel === undefined && !engine.models.has(need.model.name)
+        return this.state.pendingNeed(engine) === undefined && !engine.models.has(need.model.name)
             && (this.storeLoadBudget > 0 || !needsStore(engine, need));
     }
 
--- a/packages/fleet/src/planstates.ts
+++ b/packages/fleet/src/planstates.ts
@@ -35,6 +35,8 @@
 export class PlanState {
     /** Identifiers of engines that this plan has an order for. */
     public readonly assignedEngines = new Set<string>();
+    /** Demand for items of declared models. */
+    public readonly declaredNeeds: readonly ItemNeed[];
     private readonly modelNeeds: ReadonlyMap<string, ModelNeed>;
     private readonly needsByAdapter: ReadonlyMap<string, ItemNeed>;
     private readonly holdersByModel = new Map<string, EngineSnapshot[]>();
@@ -44,6 +46,7 @@
 
     public constructor(public readonly input: PlanInput) {
         this.modelNeeds = sumNeedsByModel(input.spec, input.needs);
+        this.declaredNeeds = input.needs.filter(({ key }) => this.modelNeeds.has(key.model));
         this.needsByAdapter = new Map(input.needs.map(need => [adapterKey(need.key.model, need.key.adapter), need]));
         for (const engine of input.engines) {
             this.indexEngine(engine);
@@ -59,13 +62,28 @@
         return this.modelNeeds.get(model);
     }
 
+    /** Whether the service doesn't declare a model, or no longer does. */
+    public isUndeclared(model: string): boolean {
+        return !this.modelNeeds.has(model);
+    }
+
+    /** Requests in progress for a model, declared or not, and for its adapters. */
+    public runningRequests(model: string): number {
+        return this.input.needs.reduce((sum, { key, running }) => sum + (key.model === model ? running : 0), 0);
+    }
+
+    /** Demand for the model that memory of an engine is being freed for; undefined without one that is declared. */
+    public pendingNeed({ pendingModel }: EngineSnapshot): ModelNeed | undefined {
+        return pendingModel === undefined ? undefined : this.modelNeed(pendingModel);
+    }
+
     public adapterNeed(model: string, adapter: string): ItemNeed | undefined {
         return this.needsByAdapter.get(adapterKey(model, adapter));
     }
 
     /** Demand for a model's adapters. */
     public adapterNeeds(model: string): readonly ItemNeed[] {
-        return this.input.needs.filter(({ key }) => key.model === model && key.adapter !== "");
+        return this.declaredNeeds.filter(({ key }) => key.model === model && key.adapter !== "");
     }
 
     /** Whether an engine holds or loads an adapter. */
@@ -108,17 +126,26 @@
         this.plannedUnloads.set(model, (this.plannedUnloads.get(model) ?? 0) + 1);
     }
 
-    public adapterSizeMb(model: string): number {
-        return this.modelNeeds.get(model)?.model.adapterMb ?? 0;
+    /** Whether an engine has memory for a model, once it has unloaded `victim` if that is given. */
+    public fitsModel(engine: EngineSnapshot, { sizeMb }: EngineModel, victim?: string): boolean {
+        return this.usedMb(engine, victim) + sizeMb <= this.input.spec.memoryMb;
+    }
+
+    /** Whether an engine has memory for one more adapter of a declared model that it holds. */
+    public fitsAdapter(engine: EngineSnapshot, model: string): boolean {
+        const adapterMb = this.modelNeeds.get(model)?.model.adapterMb ?? Number.POSITIVE_INFINITY;
+        return this.usedMb(engine) + adapterMb <= this.input.spec.memoryMb;
     }
 
-    /** Whether an engine has memory for `extraMb` more. */
-    public fits(engine: EngineSnapshot, extraMb: number): boolean {
+    /** Upper bound of the memory that models and adapters take on an engine, without those of `victim`. */
+    private usedMb(engine: EngineSnapshot, victim?: string): number {
         let usedMb = 0;
-        for (const [name, held] of engine.models) {
-            usedMb += (this.modelNeeds.get(name)?.model.sizeMb ?? 0) + held.adapters.size * this.adapterSizeMb(name);
+        for (const [name, { sizeMb, adapterMb, adapters }] of engine.models) {
+            if (name !== victim) {
+                usedMb += sizeMb + (adapters.size === 0 ? 0 : adapters.size * adapterMb);
+            }
         }
-        return usedMb + extraMb <= this.input.spec.memoryMb;
+        return usedMb;
     }
 
     private indexEngine(engine: EngineSnapshot): void {
--- a/packages/fleet/src/tests/fixtures.ts
+++ b/packages/fleet/src/tests/fixtures.ts
@@ -78,7 +78,7 @@
     models: readonly string[],
     values: Partial<EngineSnapshot> = {},
 ): EngineSnapshot {
-    const held: ModelSnapshot = { isReady: true, isUnloading: false, adapters: new Map() };
+    const held: ModelSnapshot = { isReady: true, isUnloading: false, sizeMb: 100, adapterMb: 1, adapters: new Map() };
     return {
         id,
         service: "s",
--- a/packages/fleet/src/tests/loopengines.ts
+++ b/packages/fleet/src/tests/loopengines.ts
@@ -136,7 +136,7 @@
             id: this.id,
             service: "s",
             dataCentre: "d",
-            models: new Map([...this.models].map(([name, model]) => [name, modelSnapshot(model)])),
+            models: new Map([...this.models].map(([name, model]) => [name, modelSnapshot(model, this.modelOf(name))])),
             pendingModel: reservation !== undefined && now < reservation.until ? reservation.model : undefined,
             acceptsModelOrders: !isBusy && adapterLoads === 0,
             freeAdapterLoads: isBusy ? 0 : maxAdapterLoads - adapterLoads,
@@ -163,9 +163,9 @@
     }
 }
 
-function modelSnapshot({ readyAt, leaving, adapters }: HeldModel): ModelSnapshot {
+function modelSnapshot({ readyAt, leaving, adapters }: HeldModel, { sizeMb, adapterMb }: EngineModel): ModelSnapshot {
     const stages = [...adapters].map(([name, one]): [string, AdapterStage] => [name, stageOf(one)]);
-    return { isReady: Date.now() >= readyAt, isUnloading: leaving, adapters: new Map(stages) };
+    return { isReady: Date.now() >= readyAt, isUnloading: leaving, sizeMb, adapterMb, adapters: new Map(stages) };
 }
 
 function stageOf({ readyAt, leaving }: Held): AdapterStage {
--- a/packages/fleet/src/tests/orderdispatchers.test.ts
+++ b/packages/fleet/src/tests/orderdispatchers.test.ts
@@ -21,6 +21,7 @@
         onOrderSent: () => undefined,
         onUnreachable: (id: string) => unreachableIds.push(id),
         onFenced: (id: string) => fencedIds.push(id),
+        onAlreadyHeld: () => undefined,
         onChange: () => changes.notify(),
     };
     const dispatcher = new OrderDispatcher("u", registry, engine, owner, silentLog);
--- a/packages/fleet/src/tests/plans.test.ts
+++ b/packages/fleet/src/tests/plans.test.ts
@@ -199,6 +199,8 @@
             models: new Map([["m1", {
                 isReady: true,
                 isUnloading: false,
+                sizeMb: 100,
+                adapterMb: 1,
                 adapters: new Map(adapters.map(name => [name, "held"])),
             }]]),
         });
@@ -249,6 +251,8 @@
         const held = fc.record({
             isReady: fc.boolean(),
             isUnloading: fc.boolean(),
+            sizeMb: fc.constant(100),
+            adapterMb: fc.constant(1),
             adapters: fc.subarray(["a1", "a2"]),
         });
         const anyEngine = fc.record({
--- a/packages/fleet/src/tests/replacements.test.ts
+++ b/packages/fleet/src/tests/replacements.test.ts
@@ -1,7 +1,7 @@
 /** Guards against a model that stays unserved because its only holder refuses connections. */
 import { create } from "@bufbuild/protobuf";
 import { silentLog, steadyNow } from "@winchpath/core";
-import { type Configuration } from "@winchpath/declarations";
+import { type Configuration, ModelSizeHistory } from "@winchpath/declarations";
 import { expect } from "earl";
 import { describe, it, mock, type TestContext } from "node:test";
 import {
@@ -39,6 +39,7 @@
             fence: () => ({ holder: "h", token: 7 }),
             orderSent: () => undefined,
             configuration: { services: [{ name: "s", engine }] } as unknown as Configuration,
+            modelSizes: new ModelSizeHistory(),
         };
         this.placement = new PlacementController(control, this.registry, this.demand, this.engineClient(), silentLog);
         const stopped = new AbortController();
--- a/packages/fleet/src/tests/simulatedengines.ts
+++ b/packages/fleet/src/tests/simulatedengines.ts
@@ -1,7 +1,7 @@
 /** Simulated engine with limited adapter slots, and leaders that send it orders. */
 import { create } from "@bufbuild/protobuf";
 import { silentLog, sleep, steadyNow } from "@winchpath/core";
-import { type Configuration } from "@winchpath/declarations";
+import { type Configuration, ModelSizeHistory } from "@winchpath/declarations";
 import { MismatchSchema } from "../gen/winchpath/fleet/v1/fleet_pb.js";
 import {
     DemandRequestSchema,
@@ -266,6 +266,7 @@
             fence: () => ({ holder: "h", token: 7 }),
             orderSent: () => undefined,
             configuration: { services: [{ name: "s", engine: engineSpec }] } as unknown as Configuration,
+            modelSizes: new ModelSizeHistory(),
         };
         this.placement = new PlacementController(control, this.registry, this.demand, this.engineCalls(), silentLog);
     }
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -1,7 +1,7 @@
 /** The leader of a simulated fleet, built from the production registry, feed, demand book, health watch and placement. */
 import { RateLimitCoordinator } from "@winchpath/availability";
 import { silentLog } from "@winchpath/core";
-import { type Configuration } from "@winchpath/declarations";
+import { type Configuration, ModelSizeHistory } from "@winchpath/declarations";
 import {
     decodeRate,
     decodeSlotReports,
@@ -52,6 +52,7 @@
     public readonly announceMs = announceMs;
     public readonly registry = new Registry(silentLog);
     public readonly documents: FeedControl["documents"];
+    public readonly modelSizes = new ModelSizeHistory();
     public readonly quarantine = new QuarantineState();
     public readonly softwareVersions = new SoftwareVersionState();
     private readonly feed: Feed;
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -9,6 +9,8 @@
     type ConfigurationDocument,
     type ConfigurationState,
     type DocumentResult,
+    type ModelSizeHistory,
+    type ProposedDocument,
 } from "@winchpath/declarations";
 import {
     type Announcement,
@@ -187,7 +189,7 @@
         });
     }
 
-    public async putDocument(document: ConfigurationDocument): Promise<DocumentResult> {
+    public async putDocument(document: ProposedDocument): Promise<DocumentResult> {
         const startedAt = performance.now();
         const result = await this.proposals.document(document);
         this.metrics.histogram("document_commit").record(performance.now() - startedAt);
@@ -288,6 +290,10 @@
         return this.parsedDocument.configurationOf(this.documents.current);
     }
 
+    public get modelSizes(): ModelSizeHistory {
+        return this.documents.modelSizes;
+    }
+
     private fleetServiceDependencies() {
         return {
             feed: this.feed,
--- a/packages/winchpathd/src/proposals.ts
+++ b/packages/winchpathd/src/proposals.ts
@@ -1,6 +1,6 @@
 /** Commands to the replicated state of a platform deployment. */
 import { encodeCommand, type ReplicaSupervisor } from "@winchpath/consensus";
-import { type ConfigurationDocument, type DocumentResult } from "@winchpath/declarations";
+import { type DocumentResult, type ProposedDocument } from "@winchpath/declarations";
 import { type Departure, encodeDepartures, type SoftwareVersionCommand } from "@winchpath/fleet";
 import { type QuarantineCommand, type QuarantineResult } from "@winchpath/quarantine";
 
@@ -11,7 +11,7 @@
         private readonly defaultTimeoutMs: number,
     ) {}
 
-    public async document(document: ConfigurationDocument): Promise<DocumentResult> {
+    public async document(document: ProposedDocument): Promise<DocumentResult> {
         return await this.propose("documents", document) as DocumentResult;
     }
 
