An answer whose status code is that of no response is none, for every reader

What callers saw (reported as status 000; here 600 to 999): an answer of a faulty upstream with such a status code reached them with its body. Codes outside 100 to 599 are invalid (RFC 9110, section 15). 000, 0, 001, 099, 20, 2000, letters, 101 and 199 reached none.

Cause: the HTTP client takes any three digits, and nothing looked at the code afterwards.

Such an answer leaves the outcome unknown and its connection is closed; its other headers aren't read.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export * from "./results.js";
 export * from "./retryafters.js";
 export * from "./schemas.js";
+export * from "./statuses.js";
 export * from "./tasks.js";
 export * from "./tokenbuckets.js";
 export * from "./units.js";
--- a/packages/forwarding/src/attempts.ts
+++ b/packages/forwarding/src/attempts.ts
@@ -8,6 +8,8 @@
     ExcessiveFramingError,
     type FairTimer,
     framingOf,
+    invalidStatusReason,
+    isFinalStatus,
     judgeResponseEnd,
     messageOf,
     type ResponseEnd,
@@ -196,6 +198,10 @@
             return;
         }
         this.controller = controller;
+        if (!isFinalStatus(status)) {
+            this.abort({ kind: "unknown", reason: invalidStatusReason(status), lost: false });
+            return;
+        }
         this.status = status;
         this.headers = ((controller.rawHeaders ?? []) as Buffer[]).map(part => part.toString("latin1"));
         this.metadata = this.options.codec.responseMetadata(status, this.headers);
--- a/packages/upstream/src/upstreams.ts
+++ b/packages/upstream/src/upstreams.ts
@@ -1,7 +1,11 @@
 /** The agent's client for its upstream. */
 import {
+    Failure,
+    FailureCode,
     FramingGuard,
     framingOf,
+    invalidStatusReason,
+    isFinalStatus,
     messageOf,
     observedConnector,
     readBoundedText,
@@ -15,6 +19,7 @@
 
 const orderTimeoutMs = 1000;
 const stateTimeoutMs = 1000;
+const okStatus = 200;
 const acceptedStatus = 202;
 const maxConnections = 512;
 /** A longer description of an engine's state is not read, in bytes. */
@@ -84,10 +89,14 @@
         if (!this.isEngine) {
             return undefined;
         }
-        const { body } = await request(`${this.url}/engine/state`, {
+        const { statusCode, body } = await request(`${this.url}/engine/state`, {
             dispatcher: this.dispatcher,
             signal: AbortSignal.timeout(stateTimeoutMs),
         });
+        if (statusCode !== okStatus) {
+            await body.dump({ limit: maxDiscardedBytes });
+            throw Failure.of(FailureCode.invalid, `the state was answered with status ${statusCode}`);
+        }
         return safeParse(EngineState, JSON.parse(await readBoundedText(body, maxStateBytes))).unwrap();
     }
 
@@ -101,6 +110,9 @@
                 signal: AbortSignal.timeout(orderTimeoutMs),
             });
             await body.dump({ limit: maxDiscardedBytes });
+            if (!isFinalStatus(statusCode)) {
+                return "uncertain";
+            }
             return statusCode === acceptedStatus ? "taken" : "refused";
         }
         catch {
@@ -118,6 +130,10 @@
                 body: req.body.length === 0 ? undefined : req.body,
                 signal: req.signal,
             });
+            if (!isFinalStatus(res.statusCode)) {
+                res.body.on("error", () => undefined).destroy();
+                throw Failure.of(FailureCode.outcomeUnknown, invalidStatusReason(res.statusCode));
+            }
             return {
                 status: res.statusCode,
                 headers: res.headers,
