A request is passed on late in a stop only if its response is expected before the close

Requests that were sent ahead behind another one were dropped, as the response before announced the close.

Cause: whether the process closes was checked when a request's head was read, and nothing between there and the upstream asked how much of the grace was left. A response announced the close of its connection whatever had been read behind it.

A response announces the close only if no later request of its connection has been read.

--- a/packages/core/src/clientconnections.ts
+++ b/packages/core/src/clientconnections.ts
@@ -70,6 +70,11 @@
         return this.socket.writable;
     }
 
+    /** Whether a later request than the one of this response has been read, which is answered after it. */
+    public hasLaterRequest(res: SentResponse): boolean {
+        return this.pending.length > 0 && this.pending.at(-1) !== res;
+    }
+
     /** Closes the connection if nothing is pending and it has not been used for a while. */
     public closeIfUnused(): void {
         const { bytesRead } = this.socket;
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -11,7 +11,7 @@
 import { type EndpointTable } from "./endpointtables.js";
 import { type ForwarderDependencies } from "./forwarders.js";
 import { type ResponseMetadata } from "./headercodecs.js";
-import { ageMs, type InboundRequest, isRepeatable, itemKeyOf } from "./inboundrequests.js";
+import { ageMs, closesConnection, type InboundRequest, isRepeatable, itemKeyOf } from "./inboundrequests.js";
 import { isConnectionLost, type Quarantine } from "./quarantines.js";
 import { type Reservation } from "./reservations.js";
 import { type Responder } from "./responders.js";
@@ -89,7 +89,7 @@
                 res,
                 urgency: this.engineOf(request.service) === undefined ? undefined : Math.min(9, request.priority),
                 stripApiKeys: this.deps.view.configuration?.accounts !== undefined,
-                closing: stopping,
+                closing: () => closesConnection(request, stopping()),
                 isBehind: () => eventLoop.isBehind,
                 maySend: () => {
                     sentDelayMs = eventLoop.delayMs;
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -33,6 +33,7 @@
 import { type HostGuard } from "./hostguards.js";
 import { type InboundRequest } from "./inboundrequests.js";
 import { asksForAnotherEntry, LocalResponse, writeLocalResponse } from "./localresponses.js";
+import { stoppingRetryMs } from "./shutdownchecks.js";
 import { RouteTable, selectTarget, targetDraw } from "./routetables.js";
 
 /** Header limit of the HTTP parser; the lower configured limit is checked afterwards. */
@@ -48,9 +49,6 @@
 const configurationWaitMs = 400;
 /** Time reserved for sending a response to the client, in milliseconds; clients are a few milliseconds away. */
 const responseTransitMs = 20;
-/** Retry-After while shutting down, in milliseconds; the client should use another entry. */
-const stoppingRetryMs = 50;
-
 /** What a request brings, whatever the configuration says of it. */
 type ReceivedRequest = Pick<
     InboundRequest,
@@ -63,6 +61,7 @@
     | "metadata"
     | "startedAt"
     | "abortSignal"
+    | "hasLaterRequest"
     | "wasMoved"
     | "wasSent"
 >;
@@ -94,7 +93,7 @@
     private connectionLimits = defaultConnectionLimits;
     /** Notified when a configuration becomes available. */
     private readonly configured = new Notifier();
-    private closing = false;
+    private closeDeadline: number | undefined;
 
     public constructor(private readonly deps: ListenerDependencies) {
         deps.hostGuard?.watch(this.server);
@@ -118,6 +117,11 @@
         return this.connections.pendingResponses;
     }
 
+    /** Monotonic time at which the connections of clients are closed, whatever is pending; undefined before {@link close}. */
+    public get closesAt(): number | undefined {
+        return this.closeDeadline;
+    }
+
     public async listen(address: { readonly host: string; readonly port: number; }): Promise<void> {
         this.server.listen(address.port, address.host, listenBacklog);
         await once(this.server, "listening");
@@ -146,8 +150,8 @@
 
     /** Stops accepting connections and waits until all responses are sent, up to `graceMs`. */
     public async close(graceMs: number): Promise<void> {
-        this.closing = true;
-        const cut = await this.connections.close(steadyNow() + graceMs);
+        this.closeDeadline = steadyNow() + graceMs;
+        const cut = await this.connections.close(this.closeDeadline);
         if (cut > 0) {
             this.deps.log.warn("requests.cut", { count: cut });
         }
@@ -220,7 +224,7 @@
             this.refuse(req, res, metadata.id, refusal);
             return undefined;
         };
-        if (this.closing) {
+        if (this.closeDeadline !== undefined) {
             // There may be too little time left before the shutdown.
             return refuse(LocalResponse.stopping, stoppingRetryMs);
         }
@@ -253,6 +257,7 @@
             metadata,
             startedAt,
             abortSignal,
+            hasLaterRequest: () => this.hasLaterRequest(req, res),
         };
         return this.route(req, res, received, decision);
     }
@@ -280,7 +285,8 @@
         received: ReceivedRequest,
         { table, route, grant, version, confirmedAgeMs }: AllowedRequest,
     ): Promise<InboundRequest | undefined> {
-        const { id, method, host, url, headers, body, metadata, startedAt, abortSignal, wasMoved, wasSent } = received;
+        const { id, method, host, url, headers, body, metadata, startedAt, abortSignal } = received;
+        const { hasLaterRequest, wasMoved, wasSent } = received;
         const charged = await this.deps.admissions.charge(grant, metadata);
         if (charged.kind === "refused") {
             this.refuse(req, res, metadata.id, charged);
@@ -305,6 +311,7 @@
             startedAt,
             deadlineAt: startedAt + Math.max(0, waitMs - responseTransitMs),
             abortSignal,
+            hasLaterRequest,
             attemptedUpstreams: [],
             declinedUpstreams: new Set(),
             lostConnections: 0,
@@ -329,6 +336,10 @@
         this.deps.log.warn("request.caller-gone", { request: id, stage });
     }
 
+    private hasLaterRequest(req: IncomingMessage, res: ServerResponse): boolean {
+        return this.connections.of(req.socket).hasLaterRequest(res);
+    }
+
     /** Waits for the first configuration; returns undefined after a timeout. */
     private async waitForRoutes(startedAt: number): Promise<RouteTable | undefined> {
         const deadline = startedAt + configurationWaitMs;
@@ -358,7 +369,8 @@
         });
         // The unread rest of the body would be parsed as the next request.
         const bodyUnread = !req.complete;
-        const close = bodyUnread || this.deps.stopping() || asksForAnotherEntry(response);
+        const mayClose = (this.deps.stopping() || asksForAnotherEntry(response)) && !this.hasLaterRequest(req, res);
+        const close = bodyUnread || mayClose;
         writeLocalResponse(res, response, { retryAfterMs, close });
     }
 }
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -29,6 +29,7 @@
 import { RoutingCheck } from "./routingchecks.js";
 import { SelectionCosts } from "./selectioncosts.js";
 import { SharedAdmission } from "./sharedadmissions.js";
+import { ShutdownCheck } from "./shutdownchecks.js";
 import { StreamInterference } from "./streaminterferences.js";
 import { StreamVersions } from "./streamversions.js";
 import { ThroughputTable } from "./throughputs.js";
@@ -60,6 +61,8 @@
     readonly streamOrigins?: StreamOrigins;
     /** Whether the process is shutting down, so that responses close client connections. */
     readonly stopping: () => boolean;
+    /** Monotonic time at which connections to clients are closed, whatever is pending; undefined if no close is under way. */
+    readonly closesAt?: () => number | undefined;
     /** Called with the length of each piece of a response's body that was read. */
     readonly onRead?: (bytes: number) => void;
     /** Sends one attempt; replaceable for simulations. */
@@ -86,6 +89,7 @@
     private readonly responder: Responder;
     private readonly streamVersions: StreamVersions;
     private readonly attemptSender: AttemptSender;
+    private readonly shutdownCheck: ShutdownCheck;
 
     public constructor(private readonly deps: ForwarderDependencies) {
         this.loadFacts = new LoadFacts(deps.isCapacityContended ?? false, deps.view.hosts);
@@ -99,6 +103,7 @@
         const paces = new UpstreamPaces({ ...deps, facts: this.loadFacts, features: this.features });
         this.endpoints = new EndpointTable(deps.view);
         this.retryPolicy = new RetryPolicy(deps);
+        this.shutdownCheck = new ShutdownCheck(deps);
         this.responder = new Responder({ ...deps, waiting: () => this.waiting });
         this.streamVersions = new StreamVersions({ ...deps, responder: this.responder });
         const random = deps.random ?? Math.random;
@@ -293,7 +298,7 @@
     /** Returns why no attempt of the request may be made any more. */
     private denial(request: InboundRequest): Refusal | undefined {
         return this.deps.admissions.denial(request.grant) ?? this.routing.refusal(request)
-            ?? this.quarantine.refusal(request);
+            ?? this.quarantine.refusal(request) ?? this.shutdownCheck.refusal(request);
     }
 
     /** The same for a request whose attempt was decided: a retry needs what allowed it until it is sent. */
--- a/packages/forwarding/src/inboundrequests.ts
+++ b/packages/forwarding/src/inboundrequests.ts
@@ -43,6 +43,8 @@
     readonly deadlineAt: number;
     /** Aborted when the client disconnects. */
     readonly abortSignal: AbortSignal;
+    /** Whether a later request of its connection has been read; that one is answered before the connection is closed. */
+    readonly hasLaterRequest?: () => boolean;
     /** Upstreams that may have executed the request. */
     readonly attemptedUpstreams: string[];
     /** Upstreams that declined the request without executing it. */
@@ -86,6 +88,11 @@
     return kind === "safe" || (kind === "streaming" && resumable);
 }
 
+/** Whether the response closes its connection, if `isWanted`: not while a later request that has been read is unanswered. */
+export function closesConnection({ hasLaterRequest }: InboundRequest, isWanted: boolean): boolean {
+    return isWanted && hasLaterRequest?.() !== true;
+}
+
 export function remainingMs(request: InboundRequest): number {
     return request.deadlineAt - steadyNow();
 }
--- a/packages/forwarding/src/responders.ts
+++ b/packages/forwarding/src/responders.ts
@@ -3,7 +3,7 @@
 import { type FleetView } from "@winchpath/fleet";
 import { type ServerResponse } from "node:http";
 import { type BufferedResponse, writeBufferedResponse } from "./bufferedresponses.js";
-import { ageMs, type InboundRequest } from "./inboundrequests.js";
+import { ageMs, closesConnection, type InboundRequest } from "./inboundrequests.js";
 import { asksForAnotherEntry, LocalResponse, writeLocalResponse } from "./localresponses.js";
 
 export interface ResponderDependencies {
@@ -28,7 +28,7 @@
             return;
         }
         this.recordMetrics(request, "failure");
-        writeBufferedResponse(res, response, this.deps.stopping());
+        writeBufferedResponse(res, response, closesConnection(request, this.deps.stopping()));
     }
 
     /** Sends a generated response; closes the connection instead if a response has already started. */
@@ -51,7 +51,7 @@
             ...this.viewFields(),
             ...details,
         });
-        const close = this.deps.stopping() || asksForAnotherEntry(response);
+        const close = closesConnection(request, this.deps.stopping() || asksForAnotherEntry(response));
         writeLocalResponse(res, response, { retryAfterMs, close });
     }
 
--- a/packages/forwarding/src/tests/keptconnections.test.ts
+++ b/packages/forwarding/src/tests/keptconnections.test.ts
@@ -125,8 +125,9 @@
             await start();
             entry.stopping = true;
             client.send("s1", "/stream");
-            client.send("b1", "/booking");
             await until(() => client.text.includes(event));
+            expect(client.text.toLowerCase()).toInclude("connection: close");
+            client.send("b1", "/booking");
             await sleep(50);
             expect(receivedIds()).toEqual(["s1"]);
             endStream();
@@ -135,6 +136,23 @@
             expect(receivedIds()).toEqual(["s1"]);
         });
 
+        // Guards against requests that were read whole, and end without an answer as the response before closes their connection.
+        it("answers it if it was read before the first response could announce the close", async () => {
+            await start();
+            entry.stopping = true;
+            client.send("s1", "/stream");
+            client.send("b1", "/booking");
+            await until(() => client.text.includes(event));
+            expect(client.text.toLowerCase()).not.toInclude("connection: close");
+            expect(receivedIds()).toEqual(["s1"]);
+            endStream();
+            await until(() => client.closed);
+            expect(client.responses).toEqual(2);
+            expect(client.text).toInclude("booked b1");
+            expect(client.text.match(/connection: close/gi)?.length).toEqual(1);
+            expect(receivedIds()).toEqual(["s1", "b1"]);
+        });
+
         // Guards against requests that run although the response before is broken off.
         it("doesn't pass it on if the first response is broken off", async () => {
             await start();
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -248,6 +248,7 @@
                 endTrial: trial => this.endedTrials.push(trial),
             },
             stopping: () => this.stopping,
+            closesAt: () => this.listener.closesAt,
             ...overrides,
         });
         this.listener = new ClientListener({
--- a/packages/forwarding/src/upstreamassigners.ts
+++ b/packages/forwarding/src/upstreamassigners.ts
@@ -10,14 +10,13 @@
 import { LocalResponse } from "./localresponses.js";
 import { type Reservations } from "./reservations.js";
 import { type SharedAdmission } from "./sharedadmissions.js";
+import { stoppingRetryMs } from "./shutdownchecks.js";
 import { type Selection, type UpstreamSelector } from "./upstreamselectors.js";
 import { type Unavailable, type WaitDecisions } from "./waitpolicies.js";
 import { type WaitOrder, WaitQueue } from "./waitqueues.js";
 
 /** Interval at which a waiting request checks whether to keep waiting, in milliseconds. */
 const recheckIntervalMs = 100;
-/** Retry-After while shutting down, in milliseconds; the client should use another entry. */
-const stoppingRetryMs = 50;
 /** Maximum number of requests that wait long; each holds a client connection, of which an entry may have 2,000. */
 const maxLongWaits = 512;
 /** Maximum size of the bodies of requests that wait long, in bytes; a tenth of the memory of a small entry. */
