An upstream that ends sooner than one that drains does has crashed

Cause: of an upstream that drains, nobody asked whether its process had ended, as it may end once its responses are finished.

Change: it is asked like any other until the time is over for which a draining upstream goes on serving (drain-ms of the settings, less 300 ms in which entries learn of a drain). After that, the end of its process says nothing, as before.

Result: tests/responseends: the two cases of a drain fail without the change.

--- a/packages/availability/src/availabilities.ts
+++ b/packages/availability/src/availabilities.ts
@@ -1,4 +1,5 @@
 /** Decides whether a request may be sent to an upstream, based on the signals that the upstream has sent. */
+import { steadyNow } from "@winchpath/core";
 import { BackoffTracker } from "./backoffs.js";
 import { DrainTracker } from "./draintrackers.js";
 import { RateLimits } from "./ratelimits.js";
@@ -53,6 +54,12 @@
         return this.drainTracker.has(upstream);
     }
 
+    /** Milliseconds since an upstream first announced that it is draining; undefined if it has not. */
+    public drainingMs(upstream: string): number | undefined {
+        const since = this.drainTracker.firstAnnouncedAt(upstream);
+        return since === undefined ? undefined : steadyNow() - since;
+    }
+
     /** Whether an upstream may be selected for a new request. */
     public forSelection(upstream: string): Availability {
         const availability = this.evaluate(upstream, this.backoffs.selectableFrom(upstream));
--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -42,6 +42,9 @@
     readonly onCapacityFreed: () => void;
 }
 
+/** Time after which an entry knows that an upstream drains, in milliseconds; the upstream may end that much sooner for it. */
+const drainNoticeMs = 300;
+
 /** An upstream that was selected for a request. */
 export interface UpstreamAssignment {
     readonly kind: "upstream";
@@ -183,9 +186,14 @@
         }
     }
 
-    /** Whether the end of the upstream's process may cut responses. One that drains finishes them first, given the time. */
+    /**
+     * Whether the end of the upstream's process may cut responses. One that drains finishes them first, given the time; before
+     * it may end, only a crash ends it.
+     */
     private mayEndInsideResponses({ id, description }: UpstreamEndpoint): boolean {
-        return description.shortNotice || !this.deps.view.availability.isDraining(id);
+        const drainingMs = this.deps.view.availability.drainingMs(id);
+        const lastsMs = (this.deps.minDrainMs ?? 0) - drainNoticeMs;
+        return description.shortNotice || drainingMs === undefined || drainingMs < lastsMs;
     }
 
     /** Checks again once a connection is available: the upstream may have set a rate limit while the request waited. */
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -61,6 +61,8 @@
     readonly streamOrigins?: StreamOrigins;
     /** Whether the process is shutting down, so that responses close client connections. */
     readonly stopping: () => boolean;
+    /** Time for which an upstream goes on serving after it has announced that it drains, in milliseconds; defaults to 0. */
+    readonly minDrainMs?: number;
     /** Monotonic time at which connections to clients are closed, whatever is pending; undefined if no close is under way. */
     readonly closesAt?: () => number | undefined;
     /** Called with the length of each piece of a response's body that was read. */
--- a/packages/forwarding/src/tests/responseends.test.ts
+++ b/packages/forwarding/src/tests/responseends.test.ts
@@ -241,6 +241,10 @@
 // Guards against responses that a crash cut where neither their framing nor their events show it.
 describe("a response that ends with its connection", () => {
     const events = threeEvents(lineEnds.LF);
+    /** Time for which upstreams go on serving after they have announced that they drain, in milliseconds. */
+    const minDrainMs = 600;
+    /** Longer than an open connection without input proves that its peer runs. */
+    const silentForMs = 250;
     let setup: TestSetup;
 
     afterEach(() => setup.stop());
@@ -294,6 +298,57 @@
         expect({ body, whole }).toEqual({ body: events.join(""), whole: true });
     });
 
+    // Guards against responses of an upstream that crashes while it drains, and that reach callers as complete.
+    for (const kind of ["streaming", "unsafe"] as const) {
+        it(`is broken off if its upstream ended sooner than one that drains does (${kind} request)`, async () => {
+            const respond = ({ id, socket }: ReceivedRequest) => {
+                const head = encodeHead(id, "close", 0).replace("X-Id", "X-Leaving: 1\r\nX-Id");
+                socket.write(head + events[0], () => setup.upstreams[0].stop());
+            };
+            setup = await TestSetup.start({ kind, maxAttempts: 1 }, [respond], undefined, undefined, minDrainMs);
+            const { status, whole } = await setup.entry.call("q1", { method: "POST" });
+            expect(status === 200 && whole).toEqual(false);
+        });
+    }
+
+    it("is complete if its upstream ended after it had drained for as long as it has to", async () => {
+        const respond = ({ id, socket }: ReceivedRequest) => {
+            const head = encodeHead(id, "close", 0).replace("X-Id", "X-Leaving: 1\r\nX-Id");
+            socket.write(head + events[0]);
+            setTimeout(() => socket.write(events.slice(1).join(""), () => setup.upstreams[0].stop()), minDrainMs);
+        };
+        setup = await TestSetup.start(
+            { kind: "streaming", maxAttempts: 1 },
+            [respond],
+            undefined,
+            undefined,
+            minDrainMs,
+        );
+        const { body, whole } = await setup.entry.call("q1");
+        expect({ body, whole }).toEqual({ body: events.join(""), whole: true });
+    });
+
+    // Guards against an open connection that went silent and is taken for a sign that the upstream's process runs.
+    it("is broken off if its upstream ended, though another connection stays open that went silent", async () => {
+        const respond = (received: ReceivedRequest) => {
+            const { id, socket } = received;
+            socket.write(encodeHead(id, "close", 0) + events[0]);
+            if (id === "cut") {
+                const silent = setup.upstreams[0].received.find(each => each.id === "silent")!.socket;
+                setTimeout(() => setup.upstreams[0].stopSilently(silent), silentForMs);
+            }
+        };
+        setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [respond]);
+        const silent = setup.entry.open("silent");
+        silent.on("error", () => undefined).end();
+        while (setup.upstreams[0].received.length === 0) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        const { status, body, whole } = await setup.entry.call("cut");
+        expect({ status, body, whole }).toEqual({ status: 200, body: events[0], whole: false });
+        silent.destroy();
+    });
+
     // Guards against streams of an upstream that is taken away at short notice and that reach callers as complete.
     it("is broken off if its upstream was draining at short notice and ended between two events", async () => {
         setup = await TestSetup.start({ kind: "streaming", maxAttempts: 1 }, [({ id, socket }) => {
--- a/packages/forwarding/src/tests/testservers.ts
+++ b/packages/forwarding/src/tests/testservers.ts
@@ -106,6 +106,13 @@
         this.sockets.forEach(socket => socket.destroy());
     }
 
+    /** Stops, but leaves a connection open, as if it had gone silent before. */
+    public stopSilently(kept: Socket): void {
+        this.sockets.delete(kept);
+        this.stop();
+        this.sockets.add(kept);
+    }
+
     private serve(socket: Socket, handler: (received: ReceivedRequest, count: number) => void): void {
         this.connectionCount += 1;
         this.sockets.add(socket);
@@ -213,7 +220,7 @@
         revocation: RevocationOptions = { strict: false, withinMs: 0 },
         overrides: Pick<
             ForwarderDependencies,
-            "accountShares" | "hostGuard" | "isCapacityContended" | "sendAttempt" | "streamOrigins"
+            "accountShares" | "hostGuard" | "isCapacityContended" | "minDrainMs" | "sendAttempt" | "streamOrigins"
         > = {},
         configurationApplyMs = Number.POSITIVE_INFINITY,
     ) {
@@ -400,16 +407,20 @@
 export class TestSetup {
     private constructor(public readonly entry: TestEntry, public readonly upstreams: readonly RawUpstream[]) {}
 
-    /** `connections`: maximum connections to an upstream; `slack`: retries allowed beyond a share of the requests. */
+    /**
+     * `connections`: maximum connections to an upstream; `slack`: retries allowed beyond a share of the requests;
+     * `minDrainMs`: time for which upstreams go on serving after they have announced that they drain.
+     */
     public static async start(
         route: Partial<Route>,
         handlers: readonly RequestHandler[],
         connections?: number,
         slack?: number,
+        minDrainMs?: number,
     ): Promise<TestSetup> {
         const defaults = TestEntry.configuration([testRoute(route)]);
         const services = connections === undefined ? defaults.services : [{ name: "s", maxConnections: connections }];
-        const entry = new TestEntry({ ...defaults, services }, slack);
+        const entry = new TestEntry({ ...defaults, services }, slack, undefined, { minDrainMs });
         await entry.start();
         const upstreams = await Promise.all(handlers.map(handler => RawUpstream.start(handler)));
         entry.setUpstreams(...upstreams.map(({ address }, index) => ({ id: `u${index}`, address })));
--- a/packages/winchpathd/src/platformentries.ts
+++ b/packages/winchpathd/src/platformentries.ts
@@ -130,6 +130,7 @@
             hostGuard: this.hostGuard,
             streamOrigins: this.streamOrigins,
             stopping,
+            minDrainMs: settings.current.drainMs,
             closesAt: () => this.clientListener.closesAt,
         });
         const applyMs = settings.current.configurationApplyMs;
