An open connection without input proves nothing about its peer

Cause: an upstream counted as running while any connection to it was open; one that has gone silent stays open.

Change: only a connection on which something was read within the last 100 ms proves that the upstream runs; otherwise its address is probed, as it was without an open connection. A probe more for each such response at upstreams that send nothing else meanwhile.

Result: tests/responseends: the case of a silent connection fails without the change, all 30 pass now.

--- a/packages/forwarding/src/connectors.ts
+++ b/packages/forwarding/src/connectors.ts
@@ -1,5 +1,5 @@
 /** Opens connections to upstreams, and knows which ones are open. */
-import { FramingGuard, ResetDetector, startFairTimer } from "@winchpath/core";
+import { FramingGuard, ResetDetector, startFairTimer, steadyNow } from "@winchpath/core";
 import { connect, type Socket } from "node:net";
 import { type buildConnector } from "undici";
 
@@ -9,21 +9,31 @@
  */
 const keepAliveProbeDelayMs = 1000;
 
-/** Tells resets from regular closes, and knows whether any connection is open. */
+/** Tells resets from regular closes, and knows on which open connections something has been read lately. */
 export class ConnectionMonitor extends ResetDetector {
     /** Bounds what responses have besides their content. */
     public readonly framing = new FramingGuard();
-    private readonly open = new Set<Socket>();
+    /** Monotonic time of the last input, by open connection. */
+    private readonly open = new Map<Socket, number>();
 
-    /** Whether any connection is open, as far as the ends of connections have been read. */
-    public get hasOpenConnection(): boolean {
-        return this.open.size > 0;
+    /**
+     * Whether something was read within the last `ms` milliseconds on a connection that is open, as far as the ends of
+     * connections have been read. One that has gone silent stays open, whatever became of its peer.
+     */
+    public hasReadWithin(ms: number): boolean {
+        const from = steadyNow() - ms;
+        return [...this.open.values()].some(readAt => readAt >= from);
     }
 
     public override attach(socket: Socket): void {
         super.attach(socket);
         this.framing.attach(socket);
-        this.open.add(socket);
+        this.open.set(socket, steadyNow());
+        socket.prependListener("readable", () => {
+            if (this.open.has(socket)) {
+                this.open.set(socket, steadyNow());
+            }
+        });
         socket.prependListener("end", () => this.open.delete(socket));
         socket.once("close", () => this.open.delete(socket));
     }
--- a/packages/forwarding/src/upstreamendpoints.ts
+++ b/packages/forwarding/src/upstreamendpoints.ts
@@ -17,6 +17,12 @@
 /** Time over which a load report from the upstream decays to zero. */
 const reportLifetimeMs = 2500;
 
+/**
+ * An upstream is known to run if something was read from it on an open connection within this time, in milliseconds. A
+ * connection that has gone silent is taken for a sign of life for no longer.
+ */
+const signOfLifeMs = 100;
+
 /** Slowdown of prompt processing by each running request, in prompt tokens. */
 const tokensPerRunningRequest = 80;
 
@@ -173,11 +179,11 @@
 
     /**
      * Whether the upstream's process has ended. A process that ends closes all its connections at once, so it is running if
-     * one of this entry's is open; otherwise its address is probed.
+     * one of this entry's is open on which something was read just now; otherwise its address is probed.
      */
     public async hasEnded(): Promise<boolean> {
         await eventLoop.inputRead();
-        return !this.connections.hasOpenConnection && await refusesConnections(this.current.address);
+        return !this.connections.hasReadWithin(signOfLifeMs) && await refusesConnections(this.current.address);
     }
 
     /** Closes the connections once running requests have ended. */
