A request for a model that isn't declared is refused at once, also where engines still hold the model

What callers saw: a request for a model that the configuration doesn't list, or no longer does, waited for a fifth of its objective, and was told to come back after "Infinity" seconds. One for a model that engines still held was served, so that it could never be unloaded.

Requests that already run complete.

--- a/packages/fleet/src/placements.ts
+++ b/packages/fleet/src/placements.ts
@@ -55,8 +55,8 @@
     /** Called when an order is sent. */
     orderSent(): void;
     readonly configuration: Configuration | undefined;
-    /** Sizes that this configuration and earlier ones have declared. */
-    readonly modelSizes: Pick<ModelSizeHistory, "largest">;
+    /** Sizes that this configuration and earlier ones have declared, by service and model. */
+    readonly documents: { readonly modelSizes: Pick<ModelSizeHistory, "largest">; };
 }
 
 /** Plans and sends orders for the duration of one leadership. */
@@ -67,7 +67,7 @@
     private readonly lastSyncTimes = new Map<string, number>();
     /** Models that memory is being freed for, by engine. */
     private readonly reservations = new Map<string, { readonly model: string; readonly until: number; }>();
-    private readonly heldSizes = new HeldSizes(() => this.control.modelSizes);
+    private readonly heldSizes = new HeldSizes(() => this.control.documents.modelSizes);
     private readonly suspectedEngines = new Set<string>();
     private readonly planTrigger = new Notifier();
     private readonly storeLimiter = new StoreLoadLimiter(storeTakeoverMs);
--- a/packages/fleet/src/tests/modelsizes.test.ts
+++ b/packages/fleet/src/tests/modelsizes.test.ts
@@ -141,15 +141,15 @@
         const models = this.engine.report().models;
         registry.announce(createAnnouncement("u", 1, { models }));
         const tracker = new DemandTracker(silentLog);
-        const world = this;
+        const configuration = () => this.configuration;
         const control = {
             announceMs: 60_000,
             fence: () => stopped.signal.aborted ? undefined : { holder: "h", token: 7 },
             orderSent: () => undefined,
             get configuration() {
-                return world.configuration;
+                return configuration();
             },
-            modelSizes: this.sizeHistory,
+            documents: { modelSizes: this.sizeHistory },
         };
         const calls = {
             sendOrder: async (_upstream: unknown, order: EngineOrder, expected: number) =>
@@ -340,7 +340,9 @@
             throughputOf: () => 10_000,
             ...values,
         });
-        return orders.map(({ engine, order }) => `${engine}: ${order.kind} ${order.model}${order.adapter && `/${order.adapter}`}`);
+        return orders.map(({ engine, order }) =>
+            `${engine}: ${order.kind} ${order.model}${order.adapter && `/${order.adapter}`}`
+        );
     }
 
     it("unloads them without any demand", () => {
--- a/packages/fleet/src/tests/replacements.test.ts
+++ b/packages/fleet/src/tests/replacements.test.ts
@@ -39,7 +39,7 @@
             fence: () => ({ holder: "h", token: 7 }),
             orderSent: () => undefined,
             configuration: { services: [{ name: "s", engine }] } as unknown as Configuration,
-            modelSizes: new ModelSizeHistory(),
+            documents: { modelSizes: new ModelSizeHistory() },
         };
         this.placement = new PlacementController(control, this.registry, this.demand, this.engineClient(), silentLog);
         const stopped = new AbortController();
--- a/packages/fleet/src/tests/simulatedengines.ts
+++ b/packages/fleet/src/tests/simulatedengines.ts
@@ -266,7 +266,7 @@
             fence: () => ({ holder: "h", token: 7 }),
             orderSent: () => undefined,
             configuration: { services: [{ name: "s", engine: engineSpec }] } as unknown as Configuration,
-            modelSizes: new ModelSizeHistory(),
+            documents: { modelSizes: new ModelSizeHistory() },
         };
         this.placement = new PlacementController(control, this.registry, this.demand, this.engineCalls(), silentLog);
     }
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -33,8 +33,8 @@
 import { type HostGuard } from "./hostguards.js";
 import { type InboundRequest } from "./inboundrequests.js";
 import { asksForAnotherEntry, LocalResponse, writeLocalResponse } from "./localresponses.js";
-import { stoppingRetryMs } from "./shutdownchecks.js";
 import { RouteTable, selectTarget, targetDraw } from "./routetables.js";
+import { stoppingRetryMs } from "./shutdownchecks.js";
 
 /** Header limit of the HTTP parser; the lower configured limit is checked afterwards. */
 const maxParsedHeaderBytes = 256 * 1024;
--- a/packages/forwarding/src/forwarders.ts
+++ b/packages/forwarding/src/forwarders.ts
@@ -21,6 +21,7 @@
 import { LoadFacts } from "./loadfacts.js";
 import { LoadWaitPolicy } from "./loadwaitpolicies.js";
 import { leavesDemandUnserved, LocalResponse } from "./localresponses.js";
+import { ModelCheck } from "./modelchecks.js";
 import { OutcomeRecorder } from "./outcomerecorders.js";
 import { type CrashReports, Quarantine } from "./quarantines.js";
 import { Reservations } from "./reservations.js";
@@ -83,6 +84,7 @@
     private readonly quarantine: Quarantine;
     private readonly endpoints: EndpointTable;
     private readonly routing: RoutingCheck;
+    private readonly models: ModelCheck;
     private readonly waitPolicy: HostLoadWaitPolicy;
     private readonly sharedAdmission: SharedAdmission;
     private readonly fairShares: FairShares;
@@ -111,6 +113,7 @@
         const random = deps.random ?? Math.random;
         const loadWaits = new LoadWaitPolicy(this.features, throughput, () => deps.view.configuration);
         this.routing = new RoutingCheck(deps.view);
+        this.models = new ModelCheck(deps.view);
         const waitPolicy = new WaitPolicy(deps.view, this.endpoints, random, loadWaits);
         this.waitPolicy = new HostLoadWaitPolicy(waitPolicy, deps.hostGuard);
         const interference = new StreamInterference(this.features, this.loadFacts, deps);
@@ -300,7 +303,7 @@
     /** Returns why no attempt of the request may be made any more. */
     private denial(request: InboundRequest): Refusal | undefined {
         return this.deps.admissions.denial(request.grant) ?? this.routing.refusal(request)
-            ?? this.quarantine.refusal(request) ?? this.shutdownCheck.refusal(request);
+            ?? this.models.refusal(request) ?? this.quarantine.refusal(request) ?? this.shutdownCheck.refusal(request);
     }
 
     /** The same for a request whose attempt was decided: a retry needs what allowed it until it is sent. */
--- a/packages/forwarding/src/localresponses.ts
+++ b/packages/forwarding/src/localresponses.ts
@@ -30,6 +30,8 @@
     limited: { status: 503, reason: "limited" },
     /** The requested model or adapter is not loaded on any upstream; not executed. */
     lacking: { status: 503, reason: "lacking" },
+    /** The service doesn't declare the requested model, or no longer does; not executed. */
+    modelUndeclared: { status: 503, reason: "model-undeclared" },
     /** The service has no upstream that accepts requests; not executed. */
     noUpstream: { status: 503, reason: "no-upstream" },
     /** Upstreams declined the request without executing it, and no further attempt is allowed. */
--- a/packages/forwarding/src/tests/statuses.test.ts
+++ b/packages/forwarding/src/tests/statuses.test.ts
@@ -80,7 +80,8 @@
 
     for (const status of ["200 OK", "299 X", "400 X", "404 X", "499 X", "500 X", "599 X"]) {
         it(`is told from a valid one: ${status}`, async () => {
-            const respond = ({ id, socket }: ReceivedRequest) => socket.write(completeResponse(id, "right", "", status));
+            const respond = ({ id, socket }: ReceivedRequest) =>
+                socket.write(completeResponse(id, "right", "", status));
             setup = await TestSetup.start(routes.unsafe, [respond]);
             const res = await setup.entry.call("r");
             expect([res.status, res.body]).toEqual([Number(status.slice(0, 3)), "right"]);
--- a/packages/loadpatterns/src/leaders.ts
+++ b/packages/loadpatterns/src/leaders.ts
@@ -51,8 +51,7 @@
     public readonly controlUrls = [leaderUrl];
     public readonly announceMs = announceMs;
     public readonly registry = new Registry(silentLog);
-    public readonly documents: FeedControl["documents"];
-    public readonly modelSizes = new ModelSizeHistory();
+    public readonly documents: FeedControl["documents"] & PlacementContext["documents"];
     public readonly quarantine = new QuarantineState();
     public readonly softwareVersions = new SoftwareVersionState();
     private readonly feed: Feed;
@@ -78,7 +77,8 @@
         private readonly engines: ReadonlyMap<string, SimulatedEngine>,
         private readonly features: LeaderFeatures,
     ) {
-        this.documents = { current: { version: configuration.version, text: JSON.stringify(configuration) }, ageMs: 0 };
+        const current = { version: configuration.version, text: JSON.stringify(configuration) };
+        this.documents = { current, ageMs: 0, modelSizes: new ModelSizeHistory() };
         this.feed = new Feed(this.registry, this, silentLog);
         this.placement = new PlacementController(this, this.registry, this.demand, this.engineCalls(), silentLog);
     }
--- a/packages/winchpathd/src/platformcontrols.ts
+++ b/packages/winchpathd/src/platformcontrols.ts
@@ -9,7 +9,6 @@
     type ConfigurationDocument,
     type ConfigurationState,
     type DocumentResult,
-    type ModelSizeHistory,
     type ProposedDocument,
 } from "@winchpath/declarations";
 import {
@@ -290,10 +289,6 @@
         return this.parsedDocument.configurationOf(this.documents.current);
     }
 
-    public get modelSizes(): ModelSizeHistory {
-        return this.documents.modelSizes;
-    }
-
     private fleetServiceDependencies() {
         return {
             feed: this.feed,
