--- a/packages/core/src/clientconnections.ts
+++ b/packages/core/src/clientconnections.ts
@@ -144,6 +144,11 @@
         return connection;
     }
 
+    /** Whether a later request than the one of this response has been read from an open connection. */
+    public hasLaterRequest(socket: Socket, res: SentResponse): boolean {
+        return this.connections.get(socket)?.hasLaterRequest(res) ?? false;
+    }
+
     /**
      * Stops listening, and closes each connection once it is out of use; those that are left at the deadline, a monotonic
      * time, are closed then. Requests that arrive meanwhile must be answered with `Connection: close`. Resolves to the
--- a/packages/forwarding/src/clientlisteners.ts
+++ b/packages/forwarding/src/clientlisteners.ts
@@ -337,7 +337,7 @@
     }
 
     private hasLaterRequest(req: IncomingMessage, res: ServerResponse): boolean {
-        return this.connections.of(req.socket).hasLaterRequest(res);
+        return this.connections.hasLaterRequest(req.socket, res);
     }
 
     /** Waits for the first configuration; returns undefined after a timeout. */
