--- a/packages/forwarding/src/attemptsenders.ts
+++ b/packages/forwarding/src/attemptsenders.ts
@@ -42,7 +42,7 @@
     readonly onCapacityFreed: () => void;
 }
 
-/** Time after which an entry knows that an upstream drains, in milliseconds; the upstream may end that much sooner for it. */
+/** Entries may learn this much later than the leader that an upstream drains, in milliseconds. */
 const drainNoticeMs = 300;
 
 /** An upstream that was selected for a request. */
@@ -187,8 +187,8 @@
     }
 
     /**
-     * Whether the end of the upstream's process may cut responses. One that drains finishes them first, given the time; before
-     * it may end, only a crash ends it.
+     * Whether the end of the upstream's process may cut responses. One that drains finishes them before it ends, but goes on
+     * serving for a while first: until then, only a crash ends it.
      */
     private mayEndInsideResponses({ id, description }: UpstreamEndpoint): boolean {
         const drainingMs = this.deps.view.availability.drainingMs(id);
